--- /dev/null
+++ b/packages/medlarlb-types/src/anchorDocument.ts
@@ -0,0 +1,12 @@
+import type { ItemId } from "./itemId.js";
+import type { OperationId } from "./operationId.js";
+import type { TargetId } from "./targetId.js";
+import type { ZoneId } from "./zoneId.js";
+
+/** Names the replica of an item that stays loaded until another confirmed replica takes its place. */
+export interface AnchorDocument {
+    itemId: ItemId;
+    targetId: TargetId;
+    zone: ZoneId;
+    operationId: OperationId;
+}
--- /dev/null
+++ b/packages/medlarlb-types/src/decisionCommand.ts
@@ -0,0 +1,26 @@
+import type { AttemptId } from "./attemptId.js";
+import type { ClaimRecord } from "./claimRecord.js";
+import type { DecisionRecord } from "./decisionRecord.js";
+import type { EngineOrder } from "./engineOrder.js";
+import type { Fingerprint } from "./fingerprint.js";
+import type { ItemId } from "./itemId.js";
+import type { KvWrite } from "./kvWrite.js";
+import type { Problem } from "./problem.js";
+import type { RequestId } from "./requestId.js";
+import type { TargetId } from "./targetId.js";
+
+/** Everything that the decisions can ask of the edge. */
+export type DecisionCommand =
+    | { kind: "claim"; requestId: RequestId; key: string }
+    | { kind: "run"; requestId: RequestId; attemptId: AttemptId; targetId: TargetId; itemId: ItemId | undefined; freshConnection: boolean }
+    | { kind: "resume"; requestId: RequestId; attemptId: AttemptId; targetId: TargetId }
+    | { kind: "cancelRun"; requestId: RequestId; attemptId: AttemptId; targetId: TargetId }
+    | { kind: "refuse"; requestId: RequestId; problem: Problem }
+    | { kind: "replay"; requestId: RequestId; record: ClaimRecord }
+    | { kind: "write"; write: KvWrite }
+    | { kind: "order"; targetId: TargetId; order: EngineOrder }
+    | { kind: "poll"; targetId: TargetId }
+    | { kind: "record"; record: DecisionRecord }
+    | { kind: "shareLeaving"; targetId: TargetId }
+    | { kind: "shareSuspect"; fingerprint: Fingerprint; crashes: number }
+    | { kind: "shareDemand"; counts: Map<ItemId, number> };
--- /dev/null
+++ b/packages/medlarlb-types/src/targetReport.ts
@@ -0,0 +1,18 @@
+import type { BootId } from "./bootId.js";
+import type { ResidentItem } from "./residentItem.js";
+import type { TargetId } from "./targetId.js";
+
+/** Load and memory of one target. */
+export interface TargetReport {
+    targetId: TargetId;
+    bootId: BootId;
+    /** Order among the reports of one boot. */
+    sequence: number;
+    memoryBytes: number;
+    items: ResidentItem[];
+    inFlight: number;
+    queued: number;
+    leaving: boolean;
+    /** Highest fencing number that the target has accepted. */
+    fence: number;
+}
