--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,7 +23,7 @@
             "eqeqeq": "error",
             "prefer-arrow-callback": "error",
             "func-style": ["error", "expression"],
-            "complexity": ["error", 14],
+            "complexity": ["error", 20],
             "max-lines": ["error", 320],
             "no-restricted-syntax": [
                 "error",
--- /dev/null
+++ b/packages/medlarlb-cli/src/api/createApiClient.ts
@@ -0,0 +1,95 @@
+import type { Problem } from "medlarlb-types/problem";
+import type { Resource } from "medlarlb-types/resource";
+import { Result } from "true-myth";
+import { request } from "undici";
+import type { CliError } from "../cliError.js";
+import { exitCode } from "../exitCode.js";
+
+interface WatchLine {
+    type: string;
+    resourceVersion: string;
+    object: Resource;
+}
+
+const TIMEOUT_MS = 15_000;
+
+const codeByStatus: Record<number, number> = { 404: exitCode.notFound, 409: exitCode.conflict, 504: exitCode.unknown };
+
+const toError = (problem: Partial<Problem>, status: number): CliError => ({
+    code: codeByStatus[status] ?? exitCode.refused,
+    message: `${problem.detail ?? `the daemon answered ${status}`}; ${problem.remedy ?? "see the daemon's log"}`,
+});
+
+/** Creates the client of the operator API. It tries the given daemons in turn until one answers. */
+export const createApiClient = (servers: string[], operator: string) => {
+    const unreachable = (reason: string): CliError => ({
+        code: exitCode.unreachable,
+        message: `no daemon answers at ${servers.join(", ")} (${reason}); name one with --server or MEDLARLB_SERVER`,
+    });
+
+    const send = async (method: "GET" | "PUT" | "DELETE", path: string, body?: unknown) => {
+        let reason = "";
+        for (const server of servers) {
+            try {
+                return Result.ok<Awaited<ReturnType<typeof request>>, CliError>(await request(`${server}${path}`, {
+                    method,
+                    headers: { "content-type": "application/json", "x-medlarlb-operator": operator },
+                    ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+                    headersTimeout: TIMEOUT_MS,
+                    bodyTimeout: 0,
+                }));
+            }
+            catch (err) {
+                reason = (err as Error).message;
+                if (method !== "GET" && (err as NodeJS.ErrnoException).code !== "ECONNREFUSED") {
+                    // The change may have been accepted, so it isn't sent to another daemon.
+                    return Result.err<Awaited<ReturnType<typeof request>>, CliError>({ code: exitCode.unknown, message: `the answer was lost (${reason}); look with \`medlarlb get\`` });
+                }
+            }
+        }
+        return Result.err<Awaited<ReturnType<typeof request>>, CliError>(unreachable(reason));
+    };
+
+    const call = async <Answer>(method: "GET" | "PUT" | "DELETE", path: string, body?: unknown): Promise<Result<Answer, CliError>> => {
+        const sent = await send(method, path, body);
+        if (sent.isErr) {
+            return Result.err(sent.error);
+        }
+        const answer = await sent.value.body.json();
+        return sent.value.statusCode < 300
+            ? Result.ok(answer as Answer)
+            : Result.err(toError(answer as Partial<Problem>, sent.value.statusCode));
+    };
+
+    return {
+        list: (kind: string): Promise<Result<{ items: Resource[]; resourceVersion: string }, CliError>> => call("GET", `/apis/v1/${kind}`),
+        get: (kind: string, name: string): Promise<Result<Resource, CliError>> => call("GET", `/apis/v1/${kind}/${encodeURIComponent(name)}`),
+        put: (kind: string, name: string, spec: unknown, resourceVersion?: string): Promise<Result<Resource, CliError>> =>
+            call("PUT", `/apis/v1/${kind}/${encodeURIComponent(name)}`, { spec, ...(resourceVersion === undefined ? {} : { resourceVersion }) }),
+        remove: (kind: string, name: string): Promise<Result<Resource, CliError>> => call("DELETE", `/apis/v1/${kind}/${encodeURIComponent(name)}`),
+        status: (): Promise<Result<Record<string, unknown>, CliError>> => call("GET", "/status"),
+        /** Calls `onLine` for each change until the watch ends or `onLine` returns false. */
+        watch: async (kind: string, from: string, onLine: (line: WatchLine) => boolean): Promise<Result<void, CliError>> => {
+            const sent = await send("GET", `/apis/v1/${kind}?watch=1&resourceVersion=${encodeURIComponent(from)}`);
+            if (sent.isErr) {
+                return Result.err(sent.error);
+            }
+            if (sent.value.statusCode !== 200) {
+                return Result.err(toError(await sent.value.body.json() as Partial<Problem>, sent.value.statusCode));
+            }
+            const decoder = new TextDecoder();
+            let rest = "";
+            for await (const chunk of sent.value.body) {
+                const lines = `${rest}${decoder.decode(chunk as Buffer, { stream: true })}`.split("\n");
+                rest = lines.pop() ?? "";
+                for (const line of lines.filter(each => each !== "")) {
+                    if (!onLine(JSON.parse(line) as WatchLine)) {
+                        sent.value.body.destroy();
+                        return Result.ok(undefined);
+                    }
+                }
+            }
+            return Result.err({ code: exitCode.unreachable, message: "the watch ended; start it again with --from and the last resourceVersion" });
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-cli/src/commands/applyCommand.ts
@@ -0,0 +1,20 @@
+import { Result } from "true-myth";
+import type { CliError } from "../cliError.js";
+import type { CommandContext } from "../commandContext.js";
+import { readResources } from "../readResources.js";
+
+/** Declares the resources of a file in their order. Stops at the first that isn't accepted. */
+export const applyCommand = async (context: CommandContext, path: string): Promise<Result<void, CliError>> => {
+    const resources = readResources(path);
+    if (resources.isErr) {
+        return Result.err(resources.error);
+    }
+    for (const { kind, name, spec, resourceVersion } of resources.value) {
+        const answer = await context.api.put(kind, name, spec, resourceVersion);
+        if (answer.isErr) {
+            return Result.err({ ...answer.error, message: `${kind}/${name}: ${answer.error.message}` });
+        }
+        context.print(`${kind}/${name} applied at version ${answer.value.resourceVersion}`);
+    }
+    return Result.ok(undefined);
+};
--- /dev/null
+++ b/packages/medlarlb-cli/src/commands/getCommand.ts
@@ -0,0 +1,24 @@
+import type { Result } from "true-myth";
+import type { CliError } from "../cliError.js";
+import type { CommandContext } from "../commandContext.js";
+import { formatDecision } from "../output/formatDecision.js";
+import { printTable } from "../output/printTable.js";
+import { summarizeStatus } from "../output/summarizeStatus.js";
+
+/** Lists the resources of a kind, or shows one. */
+export const getCommand = async (context: CommandContext, kind: string, name: string | undefined): Promise<Result<void, CliError>> => {
+    const answer = name === undefined
+        ? (await context.api.list(kind)).map(list => list.items)
+        : (await context.api.get(kind, name)).map(item => [item]);
+    return answer.map(items => {
+        if (context.json) {
+            context.print(JSON.stringify(name === undefined ? items : items[0], undefined, 2));
+        }
+        else if (kind === "decisions") {
+            items.forEach(item => context.print(formatDecision(item)));
+        }
+        else {
+            context.print(printTable(["NAME", "VERSION", "STATUS"], items.map(item => [item.name, item.resourceVersion, summarizeStatus(item)])));
+        }
+    });
+};
--- /dev/null
+++ b/packages/medlarlb-cli/src/output/printTable.ts
@@ -0,0 +1,26 @@
+import Table from "cli-table3";
+
+const plainChars = {
+    "top": "",
+    "top-mid": "",
+    "top-left": "",
+    "top-right": "",
+    "bottom": "",
+    "bottom-mid": "",
+    "bottom-left": "",
+    "bottom-right": "",
+    "left": "",
+    "left-mid": "",
+    "mid": "",
+    "mid-mid": "",
+    "right": "",
+    "right-mid": "",
+    "middle": "  ",
+};
+
+/** Formats rows as a table without borders. */
+export const printTable = (head: string[], rows: string[][]): string => {
+    const table = new Table({ head, chars: plainChars, style: { "head": [], "border": [], "padding-left": 0, "padding-right": 0 } });
+    table.push(...rows);
+    return table.toString().split("\n").map(line => line.trimEnd()).join("\n");
+};
--- /dev/null
+++ b/packages/medlarlb-cli/src/readResources.ts
@@ -0,0 +1,39 @@
+import { readFileSync } from "node:fs";
+import { Result } from "true-myth";
+import { parseAllDocuments } from "yaml";
+import type { CliError } from "./cliError.js";
+import { exitCode } from "./exitCode.js";
+
+interface DeclaredResource {
+    kind: string;
+    name: string;
+    spec: unknown;
+    resourceVersion?: string;
+}
+
+const usage = (message: string): Result<never, CliError> => Result.err({ code: exitCode.usage, message });
+
+/** Reads a declarative file: YAML or JSON, with one resource a document or lists of them. */
+export const readResources = (path: string): Result<DeclaredResource[], CliError> => {
+    let text: string;
+    try {
+        text = readFileSync(path, "utf8");
+    }
+    catch (err) {
+        return usage(`${path} can't be read (${(err as Error).message}); name a readable file with -f`);
+    }
+    const documents = parseAllDocuments(text);
+    const found: DeclaredResource[] = [];
+    for (const document of Array.isArray(documents) ? documents : []) {
+        const fault = document.errors[0];
+        if (fault !== undefined) {
+            return usage(`${path}: ${fault.message}`);
+        }
+        const value = document.toJS() as DeclaredResource | DeclaredResource[];
+        found.push(...(Array.isArray(value) ? value : [value]));
+    }
+    const wrong = found.find(each => typeof each?.kind !== "string" || typeof each.name !== "string");
+    return wrong === undefined
+        ? Result.ok(found)
+        : usage(`${path}: every resource needs a kind and a name, as in {kind: models, name: aurora, spec: {bytes: 1000}}`);
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/caller/callerRequest.ts
@@ -0,0 +1,25 @@
+import type { ServerResponse } from "node:http";
+import type { RequestSummary } from "medlarlb-types/requestSummary";
+import type { createFrameOrder } from "medlarlb-targets/createFrameOrder";
+
+/** A caller's request at the edge: what the decisions don't need, but its attempts do. */
+export interface CallerRequest {
+    summary: RequestSummary;
+    method: string;
+    path: string;
+    contentType: string;
+    body: Buffer;
+    res: ServerResponse;
+    /** Id that the caller gave, to be sent back. */
+    callerId: string | undefined;
+    frames: ReturnType<typeof createFrameOrder>;
+    /** Whether the end of the stream was delivered. */
+    streamDone: boolean;
+    /** Whether the target's frames carry offsets, without which a stream can't be resumed. */
+    hasOffsets: boolean;
+    headSent: boolean;
+    /** Ends the attempt that runs now. */
+    stopAttempt: () => void;
+    finished: boolean;
+    startedAtMs: number;
+}
--- /dev/null
+++ b/packages/medlarlb-daemon/src/caller/createAttempts.ts
@@ -0,0 +1,169 @@
+import type { AttemptEvent } from "medlarlb-types/attemptEvent";
+import type { AttemptId } from "medlarlb-types/attemptId";
+import type { ItemId } from "medlarlb-types/itemId";
+import { createFrameParser } from "medlarlb-targets/createFrameParser";
+import type { createTargetCaller } from "medlarlb-targets/createTargetCaller";
+import type { RunFailure } from "medlarlb-targets/runFailure";
+import type { StreamFrame } from "medlarlb-targets/streamFrame";
+import type { CallerRequest } from "./callerRequest.js";
+
+interface AttemptOptions {
+    caller: ReturnType<typeof createTargetCaller>;
+    firstByteMs: number;
+    idleMs: number;
+    /** Tells the decisions what happened to an attempt. */
+    report: (request: CallerRequest, attemptId: AttemptId, event: AttemptEvent) => void;
+    /** Sends a complete answer that isn't a stream. */
+    deliver: (request: CallerRequest, status: number, contentType: string, body: Buffer) => void;
+}
+
+interface Attempt {
+    attemptId: AttemptId;
+    address: string;
+    itemId?: ItemId | undefined;
+    freshConnection: boolean;
+    resume: boolean;
+}
+
+const DONE_DATA = "[DONE]";
+const NOT_RUN_STATUSES = [404, 409, 429, 503];
+const MAX_WAITING_BYTES = 8 * 1_024 * 1_024; // a caller that reads more slowly is cut off
+
+const readRefusal = (status: number, body: Buffer): { code: string; message: string } | undefined => {
+    if (!NOT_RUN_STATUSES.includes(status)) {
+        return undefined;
+    }
+    try {
+        const { error } = JSON.parse(body.toString("utf8")) as { error?: { code?: string; message?: string; ran?: string } };
+        return error?.ran === "no" ? { code: error.code ?? "refused", message: error.message ?? error.code ?? "" } : undefined;
+    }
+    catch {
+        return undefined;
+    }
+};
+
+/** Creates the part that carries out attempts: calls a target, relays its answer, and reports how it ended. */
+export const createAttempts = (options: AttemptOptions) => {
+    const writeFrames = (request: CallerRequest, frames: StreamFrame[]): boolean => {
+        for (const frame of frames) {
+            if (!request.headSent) {
+                request.headSent = true;
+                request.res.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-cache" });
+            }
+            request.res.write(`id: ${frame.offset}\ndata: ${frame.data}\n\n`);
+            request.streamDone ||= frame.data === DONE_DATA;
+        }
+        return request.res.writableLength <= MAX_WAITING_BYTES;
+    };
+
+    const toEvent = (request: CallerRequest, attempt: Attempt, failure: RunFailure): AttemptEvent => {
+        if (!attempt.resume && failure.kind !== "broken") {
+            return { kind: "notSent", reason: failure.reason };
+        }
+        const inference = request.summary.kind === "inference";
+        const resumable = inference && failure.kind === "broken" && (!request.summary.streaming || request.hasOffsets);
+        return {
+            kind: "broken",
+            reason: failure.reason,
+            delivered: request.headSent ? request.frames.delivered() : 0,
+            resumable,
+            died: failure.kind === "refused",
+        };
+    };
+
+    const endAnswer = (request: CallerRequest, attempt: Attempt, status: number, contentType: string, body: Buffer): void => {
+        const refusal = readRefusal(status, body);
+        if (refusal !== undefined && attempt.resume) {
+            // The target runs, but knows nothing of the request: it restarted, or never got it.
+            const reason = `the target doesn't know the request: ${refusal.message}`;
+            const delivered = request.headSent ? request.frames.delivered() : 0;
+            options.report(request, attempt.attemptId, { kind: "broken", reason, delivered, resumable: false, died: false });
+            return;
+        }
+        if (refusal !== undefined) {
+            options.report(request, attempt.attemptId, {
+                kind: "rejected",
+                reason: refusal.message,
+                leaving: refusal.code === "leaving",
+                notResident: refusal.code === "not_resident",
+            });
+            return;
+        }
+        options.deliver(request, status, contentType, body);
+        options.report(request, attempt.attemptId, { kind: "completed", status });
+    };
+
+    const endStream = (request: CallerRequest, attempt: Attempt): void => {
+        if (request.streamDone) {
+            request.res.end();
+            request.finished = true;
+            options.report(request, attempt.attemptId, { kind: "completed", status: 200 });
+            return;
+        }
+        const failure: RunFailure = { kind: "broken", reason: "the stream ended before its last event" };
+        options.report(request, attempt.attemptId, toEvent(request, attempt, failure));
+    };
+
+    const start = (request: CallerRequest, attempt: Attempt): void => {
+        const { summary } = request;
+        const chunks: Buffer[] = [];
+        let status = 0;
+        let contentType = "";
+        let parse: ((chunk: Buffer) => void) | undefined;
+        const stop = options.caller.run({
+            address: attempt.address,
+            method: attempt.resume ? "GET" : request.method,
+            path: attempt.resume ? `/v1/streams/${encodeURIComponent(summary.requestId)}` : request.path,
+            headers: {
+                "content-type": request.contentType,
+                "accept": summary.streaming ? "text/event-stream" : "application/json",
+                "x-request-id": summary.requestId,
+                "x-medlarlb-priority": String(summary.priority),
+                ...(attempt.itemId === undefined ? {} : { "x-medlarlb-item": attempt.itemId }),
+                ...(attempt.resume ? { "last-event-id": String(request.frames.delivered()) } : {}),
+            },
+            body: attempt.resume || request.body.length === 0 ? undefined : request.body,
+            freshConnection: attempt.freshConnection,
+            firstByteMs: options.firstByteMs,
+            idleMs: options.idleMs,
+        }, {
+            onHead: (head, headers) => {
+                status = head;
+                contentType = String(headers["content-type"] ?? "application/json");
+                const isStream = status === 200 && contentType.startsWith("text/event-stream");
+                parse = isStream ? createParser(request, stop) : undefined;
+                options.report(request, attempt.attemptId, { kind: "firstByte" });
+            },
+            onChunk: chunk => {
+                if (parse === undefined) {
+                    chunks.push(chunk);
+                }
+                else {
+                    parse(chunk);
+                }
+            },
+            onEnd: () => {
+                if (parse === undefined) {
+                    endAnswer(request, attempt, status, contentType, Buffer.concat(chunks));
+                }
+                else {
+                    endStream(request, attempt);
+                }
+            },
+            onFailure: failure => options.report(request, attempt.attemptId, toEvent(request, attempt, failure)),
+        });
+        request.stopAttempt = stop;
+    };
+
+    const createParser = (request: CallerRequest, stop: () => void): ((chunk: Buffer) => void) =>
+        createFrameParser(request.frames.delivered(), frame => {
+            request.hasOffsets = frame.numbered;
+            const fast = writeFrames(request, request.frames.take(frame));
+            if (!fast) {
+                stop();
+                request.res.destroy();
+            }
+        });
+
+    return { start };
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
@@ -0,0 +1,178 @@
+import type { ServerResponse } from "node:http";
+import type { ClaimRecord } from "medlarlb-types/claimRecord";
+import type { DecisionCommand } from "medlarlb-types/decisionCommand";
+import type { DecisionInput } from "medlarlb-types/decisionInput";
+import type { Problem } from "medlarlb-types/problem";
+import type { RequestId } from "medlarlb-types/requestId";
+import type { RequestSummary } from "medlarlb-types/requestSummary";
+import { createFrameOrder } from "medlarlb-targets/createFrameOrder";
+import type { createTargetCaller } from "medlarlb-targets/createTargetCaller";
+import type { createMetrics } from "../createMetrics.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { createAttempts } from "./createAttempts.js";
+import type { createClaims } from "./createClaims.js";
+import { sendProblem } from "./sendProblem.js";
+
+interface EdgeOptions {
+    caller: ReturnType<typeof createTargetCaller>;
+    claims: ReturnType<typeof createClaims>;
+    metrics: ReturnType<typeof createMetrics>;
+    firstByteMs: number;
+    idleMs: number;
+    addressOf: (targetId: string) => string | undefined;
+    cancelRun: (address: string, requestId: RequestId) => void;
+    push: (input: DecisionInput) => void;
+}
+
+type Command<Kind extends DecisionCommand["kind"]> = Extract<DecisionCommand, { kind: Kind }>;
+
+interface Accepted {
+    summary: RequestSummary;
+    method: string;
+    path: string;
+    contentType: string;
+    body: Buffer;
+    res: ServerResponse;
+    callerId: string | undefined;
+}
+
+/** Creates the edge towards callers: it holds the open requests and carries out what the decisions say of them. */
+export const createCallerEdge = (options: EdgeOptions) => {
+    const { metrics, claims, push } = options;
+    const open = new Map<RequestId, CallerRequest>();
+
+    const settle = (request: CallerRequest, state: ClaimRecord["state"], answer?: ClaimRecord["answer"]): void => {
+        if (request.summary.idempotencyKey !== undefined) {
+            claims.settle(request.summary, state, answer);
+        }
+    };
+
+    const forget = (request: CallerRequest): void => {
+        request.finished = true;
+        open.delete(request.summary.requestId);
+        metrics.timing("request.time", Date.now() - request.startedAtMs);
+    };
+
+    const attempts = createAttempts({
+        caller: options.caller,
+        firstByteMs: options.firstByteMs,
+        idleMs: options.idleMs,
+        report: (request, attemptId, event) => {
+            const { requestId } = request.summary;
+            push({ kind: "attempt", requestId, attemptId, event });
+            if (event.kind === "completed") {
+                metrics.count("request.completed");
+                if (request.summary.streaming) {
+                    settle(request, "completed");
+                }
+                forget(request);
+            }
+        },
+        deliver: (request, status, contentType, body) => {
+            request.headSent = true;
+            request.res.writeHead(status, { "content-type": contentType, "content-length": body.length });
+            request.res.end(body);
+            settle(request, "completed", { status, contentType, body: body.toString("utf8") });
+        },
+    });
+
+    const accept = (accepted: Accepted): void => {
+        const request: CallerRequest = {
+            ...accepted,
+            frames: createFrameOrder(),
+            streamDone: false,
+            hasOffsets: false,
+            headSent: false,
+            stopAttempt: () => undefined,
+            finished: false,
+            startedAtMs: Date.now(),
+        };
+        const { requestId } = accepted.summary;
+        open.set(requestId, request);
+        accepted.res.setHeader("x-medlarlb-request-id", requestId);
+        accepted.res.setHeader("x-request-id", accepted.callerId ?? requestId);
+        accepted.res.on("close", () => {
+            if (!request.finished) {
+                metrics.count("request.cancelled");
+                settle(request, "unknown");
+                request.stopAttempt();
+                forget(request);
+                push({ kind: "cancelled", requestId });
+            }
+        });
+        metrics.count("request.accepted");
+        push({ kind: "request", request: accepted.summary });
+    };
+
+    const start = (command: Command<"run"> | Command<"resume">): void => {
+        const request = open.get(command.requestId);
+        const address = options.addressOf(command.targetId);
+        if (request === undefined) {
+            return;
+        }
+        if (address === undefined) {
+            const event = { kind: "notSent" as const, reason: "the target is configured no more" };
+            push({ kind: "attempt", requestId: command.requestId, attemptId: command.attemptId, event });
+            return;
+        }
+        const resume = command.kind === "resume";
+        metrics.count(resume ? "attempt.resumed" : "attempt.started");
+        attempts.start(request, {
+            attemptId: command.attemptId,
+            address,
+            itemId: command.kind === "run" ? command.itemId : undefined,
+            freshConnection: command.kind === "resume" || command.freshConnection,
+            resume,
+        });
+    };
+
+    const sendError = (request: CallerRequest, problem: Problem): void => {
+        if (!request.headSent) {
+            sendProblem(request.res, problem);
+            return;
+        }
+        // The answer has begun, so it ends with an explicit error and without its closing event.
+        const error = { message: `${problem.detail}; ${problem.remedy}`, type: problem.type, code: problem.title, ran: problem.ran };
+        request.res.end(`event: error\ndata: ${JSON.stringify({ ...problem, error })}\n\n`);
+    };
+
+    const refuse = ({ requestId, problem }: Command<"refuse">): void => {
+        const request = open.get(requestId);
+        if (request === undefined) {
+            return;
+        }
+        request.stopAttempt();
+        metrics.count("request.refused");
+        settle(request, problem.ran === "no" ? "notRun" : "unknown");
+        forget(request);
+        sendError(request, problem);
+    };
+
+    const replay = ({ requestId, record }: Command<"replay">): void => {
+        const request = open.get(requestId);
+        if (request === undefined || record.answer === undefined) {
+            return;
+        }
+        forget(request);
+        request.res.setHeader("x-medlarlb-repeated", "true");
+        request.res.writeHead(record.answer.status, { "content-type": record.answer.contentType });
+        request.res.end(record.answer.body);
+    };
+
+    const claim = ({ requestId }: Command<"claim">): void => {
+        const request = open.get(requestId);
+        if (request !== undefined) {
+            void claims.claim(request.summary).then(outcome => push({ kind: "claim", requestId, ...outcome }));
+        }
+    };
+
+    const cancelRun = ({ requestId, targetId }: Command<"cancelRun">): void => {
+        open.get(requestId)?.stopAttempt();
+        const address = options.addressOf(targetId);
+        if (address !== undefined) {
+            options.cancelRun(address, requestId);
+        }
+    };
+
+    return { accept, start, refuse, replay, claim, cancelRun, openCount: () => open.size };
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/config/buildSnapshot.ts
@@ -0,0 +1,53 @@
+import type { ConfigEntry } from "medlarlb-types/configEntry";
+import type { ConfigSnapshot } from "medlarlb-types/configSnapshot";
+import { kvKeys } from "medlarlb-types/kvKeys";
+import { parseResource } from "./parseResource.js";
+
+type SpecMaps = Record<string, Map<string, unknown>>;
+
+const readSpec = (kind: string, value: string): unknown => {
+    try {
+        return parseResource(kind, (JSON.parse(value) as { spec?: unknown }).spec).unwrapOr(undefined as never);
+    }
+    catch {
+        return undefined;
+    }
+};
+
+/**
+ * Builds the snapshot for the decisions. An entry that can't be read keeps the spec that it had before, and is named
+ * to `onBroken`.
+ */
+export const buildSnapshot = (
+    revision: number,
+    entries: Iterable<ConfigEntry>,
+    previous: ConfigSnapshot | undefined,
+    onBroken: (key: string) => void,
+): ConfigSnapshot => {
+    const snapshot: ConfigSnapshot = {
+        revision,
+        models: new Map(),
+        adapters: new Map(),
+        modelversions: new Map(),
+        services: new Map(),
+        targets: new Map(),
+        placements: new Map(),
+    };
+    const maps = snapshot as unknown as SpecMaps;
+    for (const { key, value } of entries) {
+        const [kind, name] = key.slice(kvKeys.configPrefix.length).split("/");
+        const map = maps[kind ?? ""];
+        if (name === undefined || !(map instanceof Map)) {
+            continue;
+        }
+        let spec = readSpec(kind ?? "", value ?? "");
+        if (spec === undefined) {
+            onBroken(key);
+            spec = (previous as unknown as SpecMaps | undefined)?.[kind ?? ""]?.get(name);
+        }
+        if (spec !== undefined) {
+            map.set(name, spec);
+        }
+    }
+    return snapshot;
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/config/createConfigStore.ts
@@ -0,0 +1,64 @@
+import type { ConfigEntry } from "medlarlb-types/configEntry";
+
+interface ConfigChange {
+    revision: number;
+    /** Revision that the entries build on. With base 0 they are the whole configuration. */
+    base: number;
+    entries: ConfigEntry[];
+}
+
+const MAX_HISTORY = 1_000;
+
+/** Creates the store of the configuration in force. It takes only rising revisions. */
+export const createConfigStore = (onChange: (change: ConfigChange) => void) => {
+    let entries = new Map<string, ConfigEntry>();
+    let history: ConfigChange[] = [];
+    let revision = 0;
+
+    const listRemoved = (change: ConfigChange): ConfigEntry[] => {
+        const kept = new Set(change.entries.map(entry => entry.key));
+        return change.base > 0 ? [] : [...entries.keys()].filter(key => !kept.has(key)).map(key => ({ key, revision: change.revision }));
+    };
+
+    const applyEntries = (change: ConfigChange): void => {
+        if (change.base === 0) {
+            entries = new Map();
+        }
+        for (const entry of change.entries) {
+            if (entry.value === undefined) {
+                entries.delete(entry.key);
+            }
+            else {
+                entries.set(entry.key, entry);
+            }
+        }
+    };
+
+    return {
+        revision: () => revision,
+        entries: () => entries,
+        /** Takes over a change. Returns whether it was newer and fits on what is in force. */
+        apply: (change: ConfigChange): boolean => {
+            if (change.revision <= revision || change.base > revision) {
+                return false;
+            }
+            const removed = listRemoved(change);
+            applyEntries(change);
+            history.push({ revision: change.revision, base: revision, entries: [...change.entries, ...removed] });
+            history = history.slice(-MAX_HISTORY);
+            revision = change.revision;
+            onChange(change);
+            return true;
+        },
+        /** Entries that changed after a revision. Where the history doesn't reach back, all entries with base 0. */
+        since: (from: number): ConfigChange => {
+            const oldest = history[0];
+            if (from === 0 || oldest === undefined || from < oldest.base || from > revision) {
+                return { revision, base: 0, entries: [...entries.values()] };
+            }
+            const later = history.filter(change => change.revision > from);
+            const newest = new Map(later.flatMap(change => change.entries).map(entry => [entry.key, entry]));
+            return { revision, base: from, entries: [...newest.values()] };
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/createDaemon.ts
@@ -0,0 +1,292 @@
+import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import createDebug from "debug";
+import type { BootId } from "medlarlb-types/bootId";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { ConfigSnapshot } from "medlarlb-types/configSnapshot";
+import type { DecisionRecord } from "medlarlb-types/decisionRecord";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { Resource } from "medlarlb-types/resource";
+import type { ZoneId } from "medlarlb-types/zoneId";
+import { createDecisions } from "medlarlb-decisions/createDecisions";
+import { defaultDecisionConfig } from "medlarlb-decisions/defaultDecisionConfig";
+import { createPeerGroup } from "medlarlb-peers/createPeerGroup";
+import { createInstanceListClient } from "medlarlb-platform/createInstanceListClient";
+import { createKvClient } from "medlarlb-platform/createKvClient";
+import { createTargetCaller } from "medlarlb-targets/createTargetCaller";
+import { createTargetControl } from "medlarlb-targets/createTargetControl";
+import { createCallerEdge } from "./caller/createCallerEdge.js";
+import { createCallerServer } from "./caller/createCallerServer.js";
+import { createClaims } from "./caller/createClaims.js";
+import { carryOut } from "./carryOut.js";
+import { buildSnapshot } from "./config/buildSnapshot.js";
+import { createConfigStore } from "./config/createConfigStore.js";
+import { createConfigSync } from "./config/createConfigSync.js";
+import { createLoop } from "./createLoop.js";
+import { createMetrics } from "./createMetrics.js";
+import { createConfigWriter } from "./operator/createConfigWriter.js";
+import { createDecisionFeed } from "./operator/createDecisionFeed.js";
+import { createDecisionReader } from "./operator/createDecisionReader.js";
+import { createOperatorServer } from "./operator/createOperatorServer.js";
+import { createResourceFeed } from "./operator/createResourceFeed.js";
+import { readAudit } from "./operator/readAudit.js";
+import { showInstances } from "./operator/showInstances.js";
+import { showResources } from "./operator/showResources.js";
+import { createAnchorSync } from "./planner/createAnchorSync.js";
+import { createPlannerLease } from "./planner/createPlannerLease.js";
+import { readLedgers } from "./planner/readLedgers.js";
+import type { Settings } from "./settings/settings.js";
+import { createRumourTaker } from "./shared/createRumourTaker.js";
+import { createTargetPoller } from "./targets/createTargetPoller.js";
+
+const LIST_MS = 1_000;
+const GRACE_MS = 1_000; // time for the platform's balancer to see that the instance isn't ready
+const DRAIN_CHECK_MS = 50;
+const RELEASE_MS = 2_000; // longest wait for the ledgers to be given up
+
+const log = createDebug("medlarlb:daemon");
+
+const listen = (server: Server, address: string): Promise<void> =>
+    new Promise((resolve, reject) => {
+        const [host, port] = address.split(":");
+        server.once("error", reject);
+        server.listen(Number(port), host, () => resolve());
+    });
+
+/** Wires the parts of a daemon. This is the only module that knows all of them. */
+export const createDaemon = (settings: Settings) => {
+    const instanceId = brandAs<InstanceId>(settings.instance.id);
+    const zone = brandAs<ZoneId>(settings.instance.zone);
+    const bootId = brandAs<BootId>(randomUUID());
+    const metrics = createMetrics(settings.metrics.statsd, { instance: instanceId, zone });
+    const generator = xoroshiro128plus(Date.now() ^ process.pid);
+    const random = (): number => uniformFloat64(generator);
+    let ready = false;
+
+    const decisions = createDecisions({ ...defaultDecisionConfig, ...settings.policy, instanceId, bootId, zone }, random);
+    const world = decisions.view();
+    const kv = createKvClient({
+        url: settings.platform.kv,
+        instanceId,
+        timeoutMs: settings.platform.timeoutMs,
+        countCall: path => metrics.count(`kv.calls${path.replaceAll("/", ".")}`),
+    });
+    const listInstances = createInstanceListClient(settings.platform.instances, instanceId, settings.platform.timeoutMs);
+    const caller = createTargetCaller();
+    const control = createTargetControl(caller.agent);
+    const claims = createClaims(kv, instanceId);
+    const feed = createDecisionFeed();
+
+    const loop = createLoop(decisions.step, command => perform(command));
+    const push = loop.push;
+
+    const onBroken = (key: string): void => {
+        metrics.count("config.broken");
+        log("the value of %s can't be read; the last good one stays in force", key);
+    };
+    const store = createConfigStore(change => {
+        const snapshot: ConfigSnapshot = buildSnapshot(change.revision, store.entries().values(), world.config, onBroken);
+        push({ kind: "config", snapshot });
+        metrics.gauge("config.revision", change.revision);
+        log("configuration %d is in force", change.revision);
+        setImmediate(() => {
+            poller.replay();
+            peers.spreadNow();
+        });
+    });
+
+    const peers = createPeerGroup({
+        self: {
+            id: instanceId,
+            bootId,
+            zone,
+            address: settings.peer.address,
+            operatorAddress: settings.operator.address,
+            incarnation: 0,
+            leaving: false,
+        },
+        key: settings.peer.key,
+        now: Date.now,
+        random,
+        configRevision: store.revision,
+        configSince: store.since,
+        onConfig: store.apply,
+        onRumour: rumour => takeRumour(rumour),
+        onMembers: alive => push({ kind: "members", alive }),
+        onDemand: counts => push({ kind: "demand", instance: instanceId, counts }),
+        decisionsAfter: feed.after,
+        onClosed: reason => {
+            metrics.count("peer.closed");
+            log("a peer connection was closed: %s", reason);
+        },
+        countBytes: (direction, bytes) => metrics.count(`peer.${direction}.bytes`, bytes),
+    });
+
+    const poller = createTargetPoller({
+        selfId: instanceId,
+        zone,
+        peers,
+        control,
+        targets: () => world.config.targets,
+        push,
+        countPoll: () => metrics.count("target.polls"),
+    });
+    const rumours = createRumourTaker({ instanceId, zone, peers, poller, push });
+    const takeRumour = rumours.take;
+
+    const anchors = createAnchorSync(kv, push);
+    const lease = createPlannerLease({
+        kv,
+        zone,
+        instanceId,
+        onChange: revision => {
+            push({ kind: "planner", fence: revision });
+            log(revision === undefined ? "the planner's lease is lost" : "this instance plans zone %s", zone);
+            if (revision !== undefined) {
+                rumours.announcePlanner();
+                anchors.start();
+            }
+        },
+    });
+
+    const addressOf = (targetId: string): string | undefined => world.targets.get(brandAs(targetId))?.spec.address;
+    const edge = createCallerEdge({
+        caller,
+        claims,
+        metrics,
+        firstByteMs: settings.caller.firstByteMs,
+        idleMs: settings.caller.idleMs,
+        addressOf,
+        cancelRun: (address, requestId) => void control.cancel(address, requestId),
+        push,
+    });
+
+    const record = (decision: DecisionRecord): void => {
+        feed.add(decision);
+        metrics.count(`decision.${decision.action}`);
+        log("%s %s: %s", decision.action, decision.subject, decision.reason);
+    };
+
+    const perform = carryOut({
+        claim: edge.claim,
+        run: edge.start,
+        resume: edge.start,
+        cancelRun: edge.cancelRun,
+        refuse: edge.refuse,
+        replay: edge.replay,
+        record: command => record(command.record),
+        write: ({ write }) => {
+            void kv.write(write).then(outcome => push({ kind: "written", operationId: write.operationId, outcome }));
+        },
+        readLedgers: () => {
+            void readLedgers(kv, zone).then(ledgers => ledgers !== undefined && push(ledgers));
+        },
+        order: ({ targetId, order }) => {
+            const address = addressOf(targetId);
+            if (address !== undefined) {
+                metrics.count("target.orders");
+                void control.order(address, order).then(answer => push({ kind: "orderAnswer", targetId, orderId: order.orderId, ...answer }));
+            }
+        },
+        poll: ({ targetId }) => poller.pollNow(targetId),
+        shareLeaving: ({ targetId }) => rumours.shareLeaving(targetId),
+        shareSuspect: ({ fingerprint, crashes }) => rumours.shareSuspect(fingerprint, crashes),
+        shareDemand: ({ counts }) => rumours.shareDemand(counts),
+    });
+
+    const sync = createConfigSync(kv, store);
+    const showAll = (kind: Resource["kind"]): Resource[] =>
+        (kind === "instances" ? showInstances(peers.members(), peers.alive()) : showResources(store, world, kind));
+    const resourceFeed = createResourceFeed(showAll, Date.now);
+    const operatorServer = createOperatorServer({
+        bootId,
+        store,
+        feed: resourceFeed,
+        writeConfig: createConfigWriter({ kv, store, config: () => world.config }),
+        readDecisions: createDecisionReader({ selfId: instanceId, bootId, feed, peers }),
+        readAudit: () => readAudit(kv),
+        showInstances: () => showAll("instances"),
+        showStatus: () => ({
+            instance: instanceId,
+            zone,
+            bootId,
+            ready,
+            configRevision: store.revision(),
+            planner: lease.isHeld(),
+            openRequests: edge.openCount(),
+            members: peers.alive().map(row => row.id),
+            kvDownSinceMs: world.kvDownSinceMs,
+            counters: metrics.counters(),
+        }),
+    });
+    const callerServer = createCallerServer({
+        edge,
+        config: () => world.config,
+        maxBodyBytes: settings.caller.maxBodyBytes,
+        defaultDeadlineMs: settings.caller.defaultDeadlineMs,
+        isReady: () => ready,
+    });
+
+    const refreshList = async (): Promise<void> => {
+        const list = await listInstances();
+        if (list.isOk) {
+            peers.setListed(list.value);
+            push({ kind: "listed", instances: list.value });
+        }
+    };
+    let listTimer: NodeJS.Timeout | undefined;
+
+    const start = async (): Promise<void> => {
+        await peers.start();
+        await listen(operatorServer, settings.operator.address);
+        await listen(callerServer, settings.caller.address);
+        sync.start();
+        lease.start();
+        await refreshList();
+        listTimer = setInterval(() => void refreshList(), LIST_MS);
+        ready = true;
+        log("ready for callers at %s", settings.caller.address);
+    };
+
+    const waitUntil = (done: () => boolean, limitMs: number): Promise<void> =>
+        new Promise(resolve => {
+            const startedAtMs = Date.now();
+            const timer = setInterval(() => {
+                if (done() || Date.now() - startedAtMs > limitMs) {
+                    clearInterval(timer);
+                    resolve();
+                }
+            }, DRAIN_CHECK_MS);
+        });
+
+    /** Stops without cutting off a request: not ready first, then closed to new work, then everything finished. */
+    const stop = async (): Promise<void> => {
+        log("stopping: no new requests are welcome");
+        ready = false;
+        peers.leave();
+        push({ kind: "stopPlanning" });
+        await new Promise(resolve => setTimeout(resolve, GRACE_MS));
+        callerServer.close();
+        callerServer.closeIdleConnections();
+        await waitUntil(() => edge.openCount() === 0, Number.POSITIVE_INFINITY);
+        await waitUntil(() => world.ledgers.size === 0, RELEASE_MS);
+        await lease.stop();
+        clearInterval(listTimer);
+        sync.stop();
+        anchors.stop();
+        poller.stop();
+        resourceFeed.stop();
+        loop.stop();
+        operatorServer.closeAllConnections();
+        operatorServer.close();
+        peers.close();
+        metrics.close();
+        await kv.close();
+        await caller.close();
+        log("stopped");
+    };
+
+    return { start, stop };
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/createMetrics.ts
@@ -0,0 +1,28 @@
+import { StatsD } from "hot-shots";
+
+/** Creates the metrics of a daemon. Without an address they are counted for `medlarlb status` only. */
+export const createMetrics = (address: string, tags: Record<string, string>) => {
+    const [host, port] = address.split(":");
+    const client = new StatsD({
+        ...(address === "" ? { mock: true } : { host: host ?? "", port: Number(port) }),
+        prefix: "medlarlb.",
+        globalTags: tags,
+        // A lost metric must never end the process.
+        errorHandler: () => undefined,
+    });
+    const counters = new Map<string, number>();
+    return {
+        count: (name: string, by = 1): void => {
+            counters.set(name, (counters.get(name) ?? 0) + by);
+            client.increment(name, by);
+        },
+        gauge: (name: string, value: number): void => {
+            client.gauge(name, value);
+        },
+        timing: (name: string, ms: number): void => {
+            client.timing(name, ms);
+        },
+        counters: (): Record<string, number> => Object.fromEntries(counters),
+        close: (): void => client.close(),
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/operator/checkDeletion.ts
@@ -0,0 +1,13 @@
+import type { ConfigSnapshot } from "medlarlb-types/configSnapshot";
+
+/** Checks that nothing refers to a resource that is to be deleted. Returns what does, with the remedy, or undefined. */
+export const checkDeletion = (config: ConfigSnapshot, kind: string, name: string): string | undefined => {
+    if (kind !== "models" && kind !== "adapters") {
+        return undefined;
+    }
+    const adapters = [...config.adapters].filter(([, spec]) => kind === "models" && spec.model === name).map(([each]) => `adapter ${each}`);
+    const versions = [...config.modelversions].filter(([, spec]) => kind === "models" && spec.model === name).map(([each]) => `model version ${each}`);
+    const wishes = [...config.placements].filter(([, spec]) => spec.item === name).map(([each]) => `placement ${each}`);
+    const users = [...adapters, ...versions, ...wishes];
+    return users.length === 0 ? undefined : `${users.join(", ")} refers to it; delete that first`;
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/operator/operatorContext.ts
@@ -0,0 +1,20 @@
+import type { DecisionRecord } from "medlarlb-types/decisionRecord";
+import type { Problem } from "medlarlb-types/problem";
+import type { Resource } from "medlarlb-types/resource";
+import type { Result } from "true-myth";
+import type { createConfigStore } from "../config/createConfigStore.js";
+import type { createConfigWriter } from "./createConfigWriter.js";
+import type { createResourceFeed } from "./createResourceFeed.js";
+import type { DecisionPosition } from "./decisionPosition.js";
+
+/** What the operator API needs of the daemon around it. */
+export interface OperatorContext {
+    bootId: string;
+    store: ReturnType<typeof createConfigStore>;
+    feed: ReturnType<typeof createResourceFeed>;
+    writeConfig: ReturnType<typeof createConfigWriter>;
+    readDecisions: (from: DecisionPosition) => Promise<{ records: DecisionRecord[]; position: DecisionPosition; gone: boolean }>;
+    readAudit: () => Promise<Result<Resource[], Problem>>;
+    showInstances: () => Resource[];
+    showStatus: () => Record<string, unknown>;
+}
--- /dev/null
+++ b/packages/medlarlb-daemon/src/operator/watchDecisions.ts
@@ -0,0 +1,50 @@
+import type { ServerResponse } from "node:http";
+import type { DecisionRecord } from "medlarlb-types/decisionRecord";
+import type { Resource } from "medlarlb-types/resource";
+import { sendProblem } from "../caller/sendProblem.js";
+import { decodePosition } from "./decodePosition.js";
+import type { DecisionPosition } from "./decisionPosition.js";
+import { encodePosition } from "./encodePosition.js";
+import { goneProblem } from "./goneProblem.js";
+import type { OperatorContext } from "./operatorContext.js";
+import { showDecision } from "./showDecision.js";
+
+const POLL_MS = 200;
+
+/** Serves a watch of the decisions of all instances, in the order of each instance. */
+export const watchDecisions = async (context: OperatorContext, res: ServerResponse, from: string): Promise<void> => {
+    const start = from === "" ? new Map() : decodePosition(from);
+    if (start === undefined) {
+        sendProblem(res, goneProblem);
+        return;
+    }
+    let position: DecisionPosition = start;
+    const first = await context.readDecisions(position);
+    if (first.gone) {
+        sendProblem(res, goneProblem);
+        return;
+    }
+    res.writeHead(200, { "content-type": "application/x-ndjson" });
+    res.flushHeaders();
+    const send = (records: DecisionRecord[]): void => {
+        const resourceVersion = encodePosition(position);
+        for (const record of records) {
+            const object: Resource = showDecision(record, resourceVersion);
+            res.write(`${JSON.stringify({ type: "ADDED", resourceVersion, object })}\n`);
+        }
+    };
+    position = first.position;
+    send(first.records);
+    const poll = async (): Promise<void> => {
+        const next = await context.readDecisions(position);
+        position = next.position;
+        send(next.records);
+        if (next.gone) {
+            res.end(`${JSON.stringify({ type: "ERROR", object: goneProblem })}\n`);
+        }
+        else if (!res.closed) {
+            setTimeout(() => void poll(), POLL_MS).unref();
+        }
+    };
+    setTimeout(() => void poll(), POLL_MS).unref();
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/operator/watchResources.ts
@@ -0,0 +1,64 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ResourceKind } from "medlarlb-types/resourceKind";
+import { sendProblem } from "../caller/sendProblem.js";
+import { decodeWatchToken } from "./decodeWatchToken.js";
+import { encodeWatchToken } from "./encodeWatchToken.js";
+import { goneProblem } from "./goneProblem.js";
+import type { OperatorContext } from "./operatorContext.js";
+
+/**
+ * Serves a watch of resources: a line of JSON for each change. A place of another instance, or of an earlier run, is
+ * resumed with the present state of every resource that the configuration holds, and with the deletions since then.
+ */
+export const watchResources = (
+    context: OperatorContext,
+    req: IncomingMessage,
+    res: ServerResponse,
+    kind: ResourceKind,
+    from: string,
+): void => {
+    const { feed, store } = context;
+    const token = decodeWatchToken(from);
+    const tokenAt = (sequence: number): string => encodeWatchToken({ revision: store.revision(), bootId: context.bootId, sequence });
+    const writeLine = (type: string, object: unknown, sequence: number): void => {
+        res.write(`${JSON.stringify({ type, resourceVersion: tokenAt(sequence), object })}\n`);
+    };
+
+    const resumed = token !== undefined && token.bootId === context.bootId;
+    if (resumed && feed.after(kind, token.sequence) === undefined) {
+        sendProblem(res, goneProblem);
+        return;
+    }
+    const changes = token === undefined || resumed ? undefined : store.since(token.revision);
+    if (changes !== undefined && changes.base === 0 && token !== undefined && token.revision !== changes.revision) {
+        sendProblem(res, goneProblem);
+        return;
+    }
+    res.writeHead(200, { "content-type": "application/x-ndjson" });
+    res.flushHeaders();
+    const listed = feed.list(kind);
+    let last = resumed ? token.sequence : listed.sequence;
+    if (!resumed) {
+        const type = token === undefined ? "ADDED" : "MODIFIED";
+        listed.items.forEach(object => writeLine(type, object, last));
+        const prefix = `/medlarlb/config/${kind}/`;
+        const deleted = changes?.entries.filter(entry => entry.value === undefined && entry.key.startsWith(prefix)) ?? [];
+        deleted.forEach(entry => writeLine("DELETED", { kind, name: entry.key.slice(prefix.length) }, last));
+    }
+    const send = (): void => {
+        const events = feed.after(kind, last);
+        if (events === undefined) {
+            writeLine("ERROR", goneProblem, last);
+            res.end();
+            return;
+        }
+        for (const event of events) {
+            last = event.sequence;
+            writeLine(event.type, event.object, last);
+        }
+    };
+    send();
+    const stop = feed.onScan(send);
+    req.on("close", stop);
+    res.on("close", stop);
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/planner/createPlannerLease.ts
@@ -0,0 +1,95 @@
+import { randomUUID } from "node:crypto";
+import { brandAs } from "medlarlb-types/brandAs";
+import { kvKeys } from "medlarlb-types/kvKeys";
+import type { OperationId } from "medlarlb-types/operationId";
+import type { createKvClient } from "medlarlb-platform/createKvClient";
+
+const LEASE_SECONDS = 5;
+const RENEW_MS = 1_500;
+const ONLY_SHARD = 0;
+
+interface LeaseOptions {
+    kv: ReturnType<typeof createKvClient>;
+    zone: string;
+    instanceId: string;
+    /** Called with the revision of the lease's key when it is won, and with undefined when it is lost. */
+    onChange: (revision: number | undefined) => void;
+}
+
+/** Creates the part that elects the planner of a zone: whoever creates the key under its lease holds it. */
+export const createPlannerLease = (options: LeaseOptions) => {
+    const { kv } = options;
+    const key = kvKeys.planner(options.zone, ONLY_SHARD);
+    let lease: string | undefined;
+    let held = false;
+    let renewedAtMs = 0;
+
+    const lose = (): void => {
+        lease = undefined;
+        if (held) {
+            held = false;
+            options.onChange(undefined);
+        }
+    };
+
+    const elect = async (): Promise<void> => {
+        const current = await kv.get(key);
+        if (current.isErr || current.value.pairs.length > 0) {
+            return;
+        }
+        const granted = await kv.grantLease(LEASE_SECONDS);
+        if (granted.isErr) {
+            return;
+        }
+        const operationId = brandAs<OperationId>(randomUUID());
+        const value = JSON.stringify({ instance: options.instanceId, operationId });
+        const outcome = await kv.write({
+            operationId,
+            compares: [{ key, revision: 0 }],
+            puts: [{ key, value, lease: granted.value }],
+            deletes: [],
+        });
+        if (outcome.kind === "committed") {
+            lease = granted.value;
+            held = true;
+            renewedAtMs = Date.now();
+            options.onChange(outcome.revision);
+        }
+        else {
+            await kv.revokeLease(granted.value);
+        }
+    };
+
+    const renew = async (id: string): Promise<void> => {
+        const sentAtMs = Date.now();
+        const alive = await kv.keepLeaseAlive(id);
+        if (alive.isOk && alive.value) {
+            renewedAtMs = sentAtMs;
+        }
+        else if (alive.isOk || Date.now() - renewedAtMs > LEASE_SECONDS * 1_000) {
+            lose();
+        }
+    };
+
+    let busy = false;
+    const tick = async (): Promise<void> => {
+        if (busy) {
+            return;
+        }
+        busy = true;
+        await (lease === undefined ? elect() : renew(lease));
+        busy = false;
+    };
+
+    const timer = setInterval(() => void tick(), RENEW_MS);
+    return {
+        start: (): void => void tick(),
+        isHeld: () => held,
+        stop: async (): Promise<void> => {
+            clearInterval(timer);
+            if (lease !== undefined) {
+                await kv.revokeLease(lease);
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/settings/checkSetting.ts
@@ -0,0 +1,15 @@
+import type { SettingRule } from "./settingRule.js";
+
+const MIN_SECRET_LENGTH = 16;
+
+const checks: Record<SettingRule["kind"], (value: string) => boolean> = {
+    name: value => /^[\w.-]+$/.test(value),
+    address: value => /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value),
+    optionalAddress: value => value === "" || /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value),
+    url: value => URL.canParse(value) && value.startsWith("http"),
+    number: value => value.trim() !== "" && Number.isFinite(Number(value)) && Number(value) >= 0,
+    secret: value => value.length >= MIN_SECRET_LENGTH,
+};
+
+/** Tells whether a value fits its rule. */
+export const checkSetting = (rule: SettingRule, value: string): boolean => checks[rule.kind](value);
--- /dev/null
+++ b/packages/medlarlb-daemon/src/settings/parseSettings.ts
@@ -0,0 +1,58 @@
+import { closest, distance } from "fastest-levenshtein";
+import { parse } from "ini";
+import { Result } from "true-myth";
+import { checkSetting } from "./checkSetting.js";
+import { findLine } from "./findLine.js";
+import type { SettingFault } from "./settingFault.js";
+import { settingRules } from "./settingRules.js";
+import type { Settings } from "./settings.js";
+
+type Sections = Record<string, Record<string, unknown>>;
+
+const MAX_TYPO_DISTANCE = 4;
+
+const isKnown = (section: string, key: string): boolean => settingRules.some(rule => rule.section === section && rule.key === key);
+
+const suggest = (section: string, key: string): string => {
+    const name = `${section}.${key}`;
+    const names = settingRules.map(rule => `${rule.section}.${rule.key}`);
+    const nearest = closest(name, names);
+    return distance(name, nearest) <= MAX_TYPO_DISTANCE ? `did you mean ${nearest}?` : `remove it; the known keys are ${names.join(", ")}`;
+};
+
+const findUnknown = (text: string, sections: Sections): SettingFault[] =>
+    Object.entries(sections).flatMap(([section, values]) => {
+        const keys = typeof values === "object" ? Object.keys(values) : [""];
+        return keys.filter(key => !isKnown(section, key)).map(key => ({
+            line: findLine(text, section, key),
+            key: `${section}.${key}`,
+            message: "this key isn't known",
+            remedy: suggest(section, key),
+        }));
+    });
+
+const findWrong = (text: string, sections: Sections): SettingFault[] =>
+    settingRules.flatMap(rule => {
+        const given = sections[rule.section]?.[rule.key];
+        const value = given === undefined ? rule.defaultValue : String(given);
+        if (value !== undefined && checkSetting(rule, value)) {
+            return [];
+        }
+        const message = value === undefined ? "this key is missing" : `the value ${rule.kind === "secret" ? "" : `"${value}" `}doesn't fit`;
+        return [{ line: findLine(text, rule.section, rule.key), key: `${rule.section}.${rule.key}`, message, remedy: rule.remedy }];
+    });
+
+/** Reads settings from an INI text. Checks them as a whole, and lists every fault with its line and remedy. */
+export const parseSettings = (text: string): Result<Settings, SettingFault[]> => {
+    const sections = parse(text) as Sections;
+    const faults = [...findUnknown(text, sections), ...findWrong(text, sections)].sort((a, b) => a.line - b.line);
+    if (faults.length > 0) {
+        return Result.err(faults);
+    }
+    const settings: Record<string, Record<string, string | number>> = {};
+    for (const rule of settingRules) {
+        const value = String(sections[rule.section]?.[rule.key] ?? rule.defaultValue);
+        settings[rule.section] = { ...settings[rule.section], [rule.key]: rule.kind === "number" ? Number(value) : value };
+    }
+    return Result.ok(settings as unknown as Settings);
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/settings/settingFault.ts
@@ -0,0 +1,7 @@
+/** One fault of a settings file. */
+export interface SettingFault {
+    line: number;
+    key: string;
+    message: string;
+    remedy: string;
+}
--- /dev/null
+++ b/packages/medlarlb-daemon/src/shared/createRumourTaker.ts
@@ -0,0 +1,55 @@
+import type { DecisionInput } from "medlarlb-types/decisionInput";
+import type { DemandCount } from "medlarlb-types/demandCount";
+import type { Fingerprint } from "medlarlb-types/fingerprint";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { TargetId } from "medlarlb-types/targetId";
+import type { createPeerGroup } from "medlarlb-peers/createPeerGroup";
+import type { Rumour } from "medlarlb-peers/rumour";
+import type { createTargetPoller } from "../targets/createTargetPoller.js";
+
+interface TakerOptions {
+    instanceId: InstanceId;
+    zone: string;
+    peers: ReturnType<typeof createPeerGroup>;
+    poller: ReturnType<typeof createTargetPoller>;
+    push: (input: DecisionInput) => void;
+}
+
+/** Creates the part that turns shared knowledge into rumours, and rumours into inputs of the decisions. */
+export const createRumourTaker = ({ instanceId, zone, peers, poller, push }: TakerOptions) => {
+    let planner: InstanceId | undefined;
+
+    const takeSuspect = (fingerprint: string, crashes: number): void =>
+        push({ kind: "suspect", fingerprint: fingerprint as Fingerprint, crashes });
+
+    return {
+        take: (rumour: Rumour): void => {
+            if (poller.takeRumour(rumour)) {
+                return;
+            }
+            const [kind, name] = rumour.key.split("/");
+            if (kind === "leaving") {
+                push({ kind: "targetLeaving", targetId: name as TargetId, source: "another instance" });
+            }
+            else if (kind === "suspect") {
+                takeSuspect(name ?? "", rumour.version);
+            }
+            else if (kind === "planner" && name === zone) {
+                planner = rumour.value as InstanceId;
+            }
+        },
+        shareLeaving: (targetId: TargetId): void =>
+            peers.spread({ key: `leaving/${targetId}`, version: peers.nextVersion(`leaving/${targetId}`), value: true }, true),
+        shareSuspect: (fingerprint: Fingerprint, crashes: number): void =>
+            peers.spread({ key: `suspect/${fingerprint}`, version: crashes, value: crashes }, true),
+        shareDemand: (counts: DemandCount[]): void => {
+            if (planner !== undefined && planner !== instanceId) {
+                peers.sendDemand(planner, counts);
+            }
+        },
+        announcePlanner: (): void => {
+            planner = instanceId;
+            peers.spread({ key: `planner/${zone}`, version: peers.nextVersion(`planner/${zone}`), value: instanceId, zone }, true);
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-daemon/src/targets/choosePoller.ts
@@ -0,0 +1,23 @@
+import murmurHash from "imurmurhash";
+
+interface Member {
+    id: string;
+    zone: string;
+}
+
+/**
+ * Chooses the instance that polls a target, by rendezvous hashing over the members of its zone. All members choose
+ * the same without messages, and a lost member moves only its own targets.
+ */
+export const choosePoller = (targetId: string, zone: string, members: readonly Member[]): string | undefined => {
+    const near = members.filter(member => member.zone === zone);
+    const pool = near.length > 0 ? near : members;
+    let best: { id: string; score: number } | undefined;
+    for (const { id } of pool) {
+        const score = murmurHash(`${targetId}/${id}`, 0).result();
+        if (best === undefined || score > best.score) {
+            best = { id, score };
+        }
+    }
+    return best?.id;
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/createDecisions.ts
@@ -0,0 +1,70 @@
+import type { DecisionCommand } from "medlarlb-types/decisionCommand";
+import type { DecisionInput } from "medlarlb-types/decisionInput";
+import { applyInput } from "./applyInput.js";
+import { createWorld } from "./createWorld.js";
+import type { DecisionConfig } from "./decisionConfig.js";
+import type { RandomSource } from "./randomSource.js";
+import { ageTargets } from "./systems/ageTargets.js";
+import { decayDemand } from "./systems/decayDemand.js";
+import { expireRequests } from "./systems/expireRequests.js";
+import { forgetSuspects } from "./systems/forgetSuspects.js";
+import { planDemand } from "./systems/planDemand.js";
+import { planFloors } from "./systems/planFloors.js";
+import { planRetired } from "./systems/planRetired.js";
+import { routeRequests } from "./systems/routeRequests.js";
+import { sendOrders } from "./systems/sendOrders.js";
+import { shareDemand } from "./systems/shareDemand.js";
+import { syncLedgers } from "./systems/syncLedgers.js";
+import type { World } from "./world.js";
+
+const PLAN_MS = 100;
+const EXPIRE_MS = 10;
+
+/** Inputs after which ledgers and orders are looked at without waiting for the next plan. */
+const placementInputs: ReadonlySet<DecisionInput["kind"]> = new Set(["planner", "ledgers", "anchors", "written", "orderAnswer", "report"]);
+
+const plan = (world: World): void => {
+    ageTargets(world);
+    forgetSuspects(world);
+    decayDemand(world);
+    shareDemand(world);
+    if (world.plannerFence !== undefined && !world.stopping) {
+        planFloors(world);
+        planDemand(world);
+        planRetired(world);
+    }
+};
+
+/**
+ * Creates the decisions of one instance. `step` takes inputs at a time, runs the systems in their fixed order, and
+ * returns the commands to carry out. `view` shows the tables; callers don't change them. Time and random numbers come
+ * from the caller only, so a run can be repeated exactly.
+ */
+export const createDecisions = (cfg: DecisionConfig, random: RandomSource) => {
+    const world = createWorld(cfg, random);
+    return {
+        step: (nowMs: number, inputs: readonly DecisionInput[]): DecisionCommand[] => {
+            world.nowMs = nowMs;
+            world.commands = [];
+            for (const input of inputs) {
+                applyInput(world, input);
+            }
+            if (nowMs >= world.nextExpireMs) {
+                world.nextExpireMs = nowMs + EXPIRE_MS;
+                expireRequests(world);
+            }
+            routeRequests(world);
+            const planDue = nowMs >= world.nextPlanMs;
+            if (planDue) {
+                world.nextPlanMs = nowMs + PLAN_MS;
+                plan(world);
+            }
+            if (planDue || inputs.some(input => placementInputs.has(input.kind))) {
+                syncLedgers(world);
+                sendOrders(world);
+            }
+            return world.commands;
+        },
+        view: (): Readonly<World> => world,
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/defaultDecisionConfig.ts
@@ -0,0 +1,21 @@
+import type { DecisionConfig } from "./decisionConfig.js";
+
+/** Defaults of the decision settings. The caller adds the instance's own identity. */
+export const defaultDecisionConfig: Omit<DecisionConfig, "instanceId" | "bootId" | "zone"> = {
+    attainmentWeight: 1,
+    moveWeight: 1,
+    loadsPerSecond: 2.5,
+    fullSpeedLoads: 3,
+    maxQueueLength: 256,
+    maxAttempts: 4,
+    retryShare: 0.2,
+    orderResendMs: 250,
+    orderLingerMs: 10_000,
+    targetSilentMs: 3_000,
+    anchorRepairStepMs: 5_000,
+    escrowAfterMs: 2_000,
+    expectedLoadMs: 2_000,
+    expectedServiceMs: 500,
+    minResidenceMs: 15_000,
+    paybackMs: 30_000,
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/applyAnchors.ts
@@ -0,0 +1,19 @@
+import type { DecisionInput } from "medlarlb-types/decisionInput";
+import { findAnchor } from "../placement/findAnchor.js";
+import type { World } from "../world.js";
+
+/** Takes over anchors as read or watched. A pending write that a later revision has overtaken is settled by it. */
+export const applyAnchors = (world: World, input: Extract<DecisionInput, { kind: "anchors" }>): void => {
+    world.anchorsRead ||= input.complete;
+    for (const { itemId, document, revision } of input.anchors) {
+        const anchor = findAnchor(world, itemId);
+        if (revision <= anchor.revision) {
+            continue;
+        }
+        anchor.revision = revision;
+        anchor.document = document;
+        if (anchor.pending !== undefined && document?.operationId !== anchor.pending.operationId) {
+            anchor.pending = undefined;
+        }
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/applyCancelled.ts
@@ -0,0 +1,15 @@
+import type { RequestId } from "medlarlb-types/requestId";
+import { removeRequest } from "../requests/removeRequest.js";
+import type { World } from "../world.js";
+
+/** Drops a request whose caller is gone, and cancels its run on the target. */
+export const applyCancelled = (world: World, requestId: RequestId): void => {
+    const row = world.requests.get(requestId);
+    if (row === undefined) {
+        return;
+    }
+    if (row.attemptId !== undefined && row.targetId !== undefined) {
+        world.commands.push({ kind: "cancelRun", requestId, attemptId: row.attemptId, targetId: row.targetId });
+    }
+    removeRequest(world, row);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/applyClaim.ts
@@ -0,0 +1,41 @@
+import type { ClaimRecord } from "medlarlb-types/claimRecord";
+import type { DecisionInput } from "medlarlb-types/decisionInput";
+import type { RanAnswer } from "medlarlb-types/ranAnswer";
+import { admitRequest } from "../requests/admitRequest.js";
+import { createRefusal } from "../requests/createRefusal.js";
+import { refuseRequest } from "../requests/refuseRequest.js";
+import { removeRequest } from "../requests/removeRequest.js";
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+
+const ranByState: Record<ClaimRecord["state"], RanAnswer> = { claimed: "unknown", completed: "yes", notRun: "no", unknown: "unknown" };
+
+const applyRepeat = (world: World, row: RequestRow, record: ClaimRecord): void => {
+    if (record.fingerprint !== row.request.fingerprint) {
+        refuseRequest(world, row, createRefusal.otherBody());
+    }
+    else if (record.answer !== undefined) {
+        world.commands.push({ kind: "replay", requestId: row.request.requestId, record });
+        removeRequest(world, row);
+    }
+    else {
+        refuseRequest(world, row, createRefusal.repeat(ranByState[record.state]));
+    }
+};
+
+/** Takes over whether the key of a request was claimed. Only a claimed one is admitted. */
+export const applyClaim = (world: World, input: Extract<DecisionInput, { kind: "claim" }>): void => {
+    const row = world.requests.get(input.requestId);
+    if (row === undefined || row.state !== "claiming") {
+        return;
+    }
+    if (input.outcome === "claimed") {
+        admitRequest(world, row);
+    }
+    else if (input.outcome === "repeat" && input.record !== undefined) {
+        applyRepeat(world, row, input.record);
+    }
+    else {
+        refuseRequest(world, row, createRefusal.claimUnavailable());
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/applyReport.ts
@@ -0,0 +1,49 @@
+import type { ItemId } from "medlarlb-types/itemId";
+import type { TargetReport } from "medlarlb-types/targetReport";
+import { recordDecision } from "../recordDecision.js";
+import type { TargetRow } from "../rows/targetRow.js";
+import type { World } from "../world.js";
+import { markLeaving } from "./markLeaving.js";
+import { setResident } from "./setResident.js";
+import { judgeLedger } from "../placement/judgeLedger.js";
+
+const isNewer = (row: TargetRow, report: TargetReport): boolean =>
+    row.report === undefined || row.report.sequence < report.sequence;
+
+const wakeTarget = (world: World, row: TargetRow): void => {
+    if (row.silent) {
+        row.silent = false;
+        row.lastDecision = recordDecision(world, "targetBack", row.targetId, "the target reports again", {
+            target: row.targetId,
+            ...(row.lastDecision === undefined ? {} : { cause: row.lastDecision }),
+        });
+    }
+};
+
+/** Takes over a target's report if it is newer than the last one. */
+export const applyReport = (world: World, report: TargetReport, requestedAtMs: number): void => {
+    const row = world.targets.get(report.targetId);
+    if (row === undefined || !isNewer(row, report)) {
+        return;
+    }
+    const ledger = world.ledgers.get(report.targetId);
+    if (ledger !== undefined) {
+        judgeLedger(world, ledger, report, requestedAtMs);
+    }
+    row.report = report;
+    row.reportedAtMs = world.nowMs;
+    row.connectFailures = 0;
+    row.ownInFlightAtReport = row.ownInFlight;
+    wakeTarget(world, row);
+    const resident = new Set<ItemId>(report.items.filter(item => item.state === "resident").map(item => item.itemId));
+    // An unload that this instance has ordered counts at once, before a report shows it.
+    for (const entry of ledger?.entries.values() ?? []) {
+        if (entry.state === "unloading") {
+            resident.delete(entry.itemId);
+        }
+    }
+    setResident(world, row, resident);
+    if (report.leaving) {
+        markLeaving(world, report.targetId, "its report");
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/applyReportsCurrent.ts
@@ -0,0 +1,12 @@
+import type { TargetId } from "medlarlb-types/targetId";
+import type { World } from "../world.js";
+
+/** Renews the age of reports whose pollers are alive. Only changes of a report are spread, not each report. */
+export const applyReportsCurrent = (world: World, targetIds: TargetId[]): void => {
+    for (const targetId of targetIds) {
+        const target = world.targets.get(targetId);
+        if (target !== undefined && target.report !== undefined) {
+            target.reportedAtMs = world.nowMs;
+        }
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/applyRequest.ts
@@ -0,0 +1,44 @@
+import type { RequestSummary } from "medlarlb-types/requestSummary";
+import { admitRequest } from "../requests/admitRequest.js";
+import { createRefusal } from "../requests/createRefusal.js";
+import { refuseRequest } from "../requests/refuseRequest.js";
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+
+/** Crashes from which a request is refused everywhere. */
+const QUARANTINE_CRASHES = 2;
+
+const isConfigured = (world: World, request: RequestSummary): boolean =>
+    request.kind === "service" ? world.config.services.has(request.name) : world.itemsByName.has(request.name);
+
+/** Takes in a caller's request. A keyed one waits until its key is claimed. */
+export const applyRequest = (world: World, request: RequestSummary): void => {
+    const crashes = world.suspects.get(request.fingerprint)?.crashes ?? 0;
+    const row: RequestRow = {
+        request,
+        state: "claiming",
+        attemptId: undefined,
+        targetId: undefined,
+        itemId: undefined,
+        sentAtMs: 0,
+        attempts: 0,
+        resumes: 0,
+        excluded: new Set(),
+        isolated: crashes > 0,
+        countedUnmet: false,
+        lastDecision: undefined,
+    };
+    world.requests.set(request.requestId, row);
+    if (!isConfigured(world, request)) {
+        refuseRequest(world, row, createRefusal.unknownName(request.name));
+    }
+    else if (crashes >= QUARANTINE_CRASHES) {
+        refuseRequest(world, row, createRefusal.quarantined(crashes));
+    }
+    else if (request.idempotencyKey !== undefined) {
+        world.commands.push({ kind: "claim", requestId: request.requestId, key: request.idempotencyKey });
+    }
+    else {
+        admitRequest(world, row);
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/applyWritten.ts
@@ -0,0 +1,85 @@
+import type { AnchorDocument } from "medlarlb-types/anchorDocument";
+import type { KvWriteOutcome } from "medlarlb-types/kvWriteOutcome";
+import type { LedgerDocument } from "medlarlb-types/ledgerDocument";
+import type { OperationId } from "medlarlb-types/operationId";
+import { dropLedger } from "../placement/dropLedger.js";
+import { loseLedger } from "../placement/loseLedger.js";
+import { startFencing } from "../placement/startFencing.js";
+import { recordDecision } from "../recordDecision.js";
+import type { AnchorRow } from "../rows/anchorRow.js";
+import type { LedgerRow } from "../rows/ledgerRow.js";
+import type { World } from "../world.js";
+
+const WRITE_RETRY_MS = 500;
+
+const isOwnDocument = (world: World, ledger: LedgerRow, document: LedgerDocument | undefined): boolean =>
+    document !== undefined
+    && document.owner === world.cfg.instanceId
+    && document.ownerBoot === world.cfg.bootId
+    && document.fence === ledger.fence;
+
+const finishLedgerWrite = (world: World, ledger: LedgerRow, outcome: KvWriteOutcome): void => {
+    const version = ledger.pendingWrite?.version ?? 0;
+    ledger.pendingWrite = undefined;
+    if (outcome.kind === "committed") {
+        ledger.revision = outcome.revision;
+        ledger.savedVersion = version;
+        if (ledger.stage === "taking") {
+            startFencing(world, ledger);
+        }
+        if (ledger.stage === "releasing") {
+            dropLedger(world, ledger);
+        }
+        return;
+    }
+    ledger.nextWriteMs = world.nowMs + WRITE_RETRY_MS;
+    if (outcome.kind === "unavailable") {
+        return;
+    }
+    const current = outcome.current[0];
+    const document = current?.value === undefined ? undefined : JSON.parse(current.value) as LedgerDocument;
+    if (isOwnDocument(world, ledger, document)) {
+        // An earlier write of this owner took effect although its answer was lost.
+        ledger.revision = current?.revision ?? 0;
+        ledger.nextWriteMs = world.nowMs;
+        return;
+    }
+    loseLedger(world, ledger, `another planner has written the ledger, fence ${document?.fence ?? "none"}`);
+};
+
+const finishAnchorWrite = (world: World, anchor: AnchorRow, outcome: KvWriteOutcome): void => {
+    anchor.nextWriteMs = world.nowMs + WRITE_RETRY_MS;
+    const pending = anchor.pending;
+    if (outcome.kind === "unavailable" || pending === undefined) {
+        return;
+    }
+    anchor.pending = undefined;
+    if (outcome.kind === "committed") {
+        anchor.revision = outcome.revision;
+        anchor.document = { itemId: anchor.itemId, targetId: pending.targetId, zone: world.cfg.zone, operationId: pending.operationId };
+        recordDecision(world, "anchor", anchor.itemId, "a confirmed replica became the anchor", { target: pending.targetId });
+        return;
+    }
+    const current = outcome.current[0];
+    if (current !== undefined && current.revision > anchor.revision) {
+        anchor.revision = current.revision;
+        anchor.document = current.value === undefined ? undefined : JSON.parse(current.value) as AnchorDocument;
+    }
+};
+
+/** Takes over the outcome of a write to the KV service. */
+export const applyWritten = (world: World, operationId: OperationId, outcome: KvWriteOutcome): void => {
+    world.kvDownSinceMs = outcome.kind === "unavailable" ? world.kvDownSinceMs ?? world.nowMs : undefined;
+    for (const ledger of world.ledgers.values()) {
+        if (ledger.pendingWrite?.operationId === operationId) {
+            finishLedgerWrite(world, ledger, outcome);
+            return;
+        }
+    }
+    for (const anchor of world.anchors.values()) {
+        if (anchor.pending?.operationId === operationId) {
+            finishAnchorWrite(world, anchor, outcome);
+            return;
+        }
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/markLeaving.ts
@@ -0,0 +1,17 @@
+import type { TargetId } from "medlarlb-types/targetId";
+import { recordDecision } from "../recordDecision.js";
+import type { World } from "../world.js";
+
+/** Marks a target as leaving, so that it gets no new work from now on. Any source is believed at once. */
+export const markLeaving = (world: World, targetId: TargetId, source: string): void => {
+    const row = world.targets.get(targetId);
+    if (row === undefined || row.leaving) {
+        return;
+    }
+    row.leaving = true;
+    row.lastDecision = recordDecision(world, "drain", targetId, `the target is leaving, as ${source} says; it gets no new work`, {
+        target: targetId,
+        inputs: { source },
+    });
+    world.commands.push({ kind: "shareLeaving", targetId });
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/markSilent.ts
@@ -0,0 +1,14 @@
+import type { TargetId } from "medlarlb-types/targetId";
+import { recordDecision } from "../recordDecision.js";
+import type { World } from "../world.js";
+
+/** Marks a target as silent, so that requests go elsewhere until it reports again. */
+export const markSilent = (world: World, targetId: TargetId, reason: string): void => {
+    const row = world.targets.get(targetId);
+    if (row === undefined || row.silent) {
+        return;
+    }
+    row.silent = true;
+    row.silentSinceMs = world.nowMs;
+    row.lastDecision = recordDecision(world, "targetSilent", targetId, reason, { target: targetId });
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/inputs/setResident.ts
@@ -0,0 +1,18 @@
+import type { ItemId } from "medlarlb-types/itemId";
+import type { TargetRow } from "../rows/targetRow.js";
+import type { World } from "../world.js";
+
+/** Sets which items of a target are ready for requests, and keeps the index of replicas in step. */
+export const setResident = (world: World, row: TargetRow, resident: Set<ItemId>): void => {
+    for (const itemId of row.resident) {
+        if (!resident.has(itemId)) {
+            world.replicas.get(itemId)?.delete(row.targetId);
+        }
+    }
+    for (const itemId of resident) {
+        const targets = world.replicas.get(itemId) ?? new Set();
+        targets.add(row.targetId);
+        world.replicas.set(itemId, targets);
+    }
+    row.resident = resident;
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/addOrder.ts
@@ -0,0 +1,23 @@
+import type { DecisionId } from "medlarlb-types/decisionId";
+import type { EngineOrder } from "medlarlb-types/engineOrder";
+import type { OrderId } from "medlarlb-types/orderId";
+import { createId } from "../createId.js";
+import type { LedgerRow } from "../rows/ledgerRow.js";
+import type { World } from "../world.js";
+
+type OrderBody = Pick<EngineOrder, "action" | "itemId" | "bytes">;
+
+/** Adds an order to a ledger's target. It is sent once the KV service has the ledger's next version. */
+export const addOrder = (world: World, ledger: LedgerRow, body: OrderBody, cause?: DecisionId): OrderId => {
+    const orderId = createId<OrderId>(world, "order");
+    world.orders.set(orderId, {
+        order: { orderId, fence: ledger.fence, ...body },
+        targetId: ledger.targetId,
+        ledgerVersion: ledger.version + 1,
+        sent: false,
+        nextSendMs: world.nowMs,
+        createdAtMs: world.nowMs,
+        cause,
+    });
+    return orderId;
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/findAnchor.ts
@@ -0,0 +1,14 @@
+import type { ItemId } from "medlarlb-types/itemId";
+import type { AnchorRow } from "../rows/anchorRow.js";
+import type { World } from "../world.js";
+
+/** Returns the anchor row of an item, creating an empty one. */
+export const findAnchor = (world: World, itemId: ItemId): AnchorRow => {
+    const known = world.anchors.get(itemId);
+    if (known !== undefined) {
+        return known;
+    }
+    const row: AnchorRow = { itemId, document: undefined, revision: 0, pending: undefined, lostSinceMs: undefined, nextWriteMs: 0 };
+    world.anchors.set(itemId, row);
+    return row;
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/isAnchorHealthy.ts
@@ -0,0 +1,13 @@
+import type { AnchorRow } from "../rows/anchorRow.js";
+import type { World } from "../world.js";
+import { isHealthy } from "./isHealthy.js";
+
+/** Tells whether the anchor of an item is a replica that serves now. A target without a report yet counts as serving. */
+export const isAnchorHealthy = (world: World, anchor: AnchorRow): boolean => {
+    const targetId = anchor.document?.targetId;
+    const target = targetId === undefined ? undefined : world.targets.get(targetId);
+    if (!isHealthy(target)) {
+        return false;
+    }
+    return target.report === undefined || target.resident.has(anchor.itemId);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/listLoadTargets.ts
@@ -0,0 +1,16 @@
+import type { ItemRow } from "../rows/itemRow.js";
+import type { LedgerRow } from "../rows/ledgerRow.js";
+import type { World } from "../world.js";
+import { isBaseOf } from "./isBaseOf.js";
+import { isHealthy } from "./isHealthy.js";
+
+const holdsBase = (ledger: LedgerRow, model: string): boolean =>
+    [...ledger.entries.values()].some(entry => entry.state === "resident" && isBaseOf(entry.itemId, model));
+
+/** Lists the owned ledgers whose targets could hold a further replica of an item, if they had the room. */
+export const listLoadTargets = (world: World, item: ItemRow): LedgerRow[] =>
+    [...world.ledgers.values()].filter(ledger => {
+        const target = world.targets.get(ledger.targetId);
+        const ready = ledger.stage === "owned" && isHealthy(target) && !ledger.entries.has(item.itemId);
+        return ready && (item.baseModel === undefined || holdsBase(ledger, item.baseModel));
+    });
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/makeRoom.ts
@@ -0,0 +1,61 @@
+import type { DecisionId } from "medlarlb-types/decisionId";
+import type { LedgerEntry } from "medlarlb-types/ledgerEntry";
+import type { ItemRow } from "../rows/itemRow.js";
+import type { LedgerRow } from "../rows/ledgerRow.js";
+import type { World } from "../world.js";
+import { demandValue } from "./demandValue.js";
+import { freeBytes } from "./freeBytes.js";
+import { mayUnload } from "./mayUnload.js";
+import { requestUnload } from "./requestUnload.js";
+
+interface RoomPlan {
+    ledger: LedgerRow;
+    victims: LedgerEntry[];
+    lostValue: number;
+}
+
+const unloadingBytes = (ledger: LedgerRow): number =>
+    [...ledger.entries.values()].reduce((sum, entry) => sum + (entry.state === "unloading" ? entry.bytes : 0), 0);
+
+const planRoom = (world: World, ledger: LedgerRow, item: ItemRow, floor: boolean): RoomPlan | undefined => {
+    let missing = item.bytes - freeBytes(world, ledger);
+    const staysUntilMs = (entry: LedgerEntry): number => (ledger.changedAtMs.get(entry.itemId) ?? 0) + world.cfg.minResidenceMs;
+    const candidates = [...ledger.entries.values()]
+        .filter(entry => mayUnload(world, ledger, entry) && (floor || world.nowMs >= staysUntilMs(entry)))
+        .sort((a, b) => demandValue(world, a.itemId) - demandValue(world, b.itemId));
+    const victims: LedgerEntry[] = [];
+    let lostValue = 0;
+    for (const entry of candidates) {
+        if (missing <= 0) {
+            break;
+        }
+        victims.push(entry);
+        missing -= entry.bytes;
+        lostValue += demandValue(world, entry.itemId);
+    }
+    return missing <= 0 ? { ledger, victims, lostValue } : undefined;
+};
+
+/**
+ * Unloads the least wanted replicas of one target so that an item fits later. Does nothing while an unload that is
+ * under way will give enough. Floors of items go before minimum residence and before the worth of the victims.
+ */
+export const makeRoom = (world: World, ledgers: LedgerRow[], item: ItemRow, floor: boolean, gain: number, cause?: DecisionId): void => {
+    if (ledgers.some(ledger => freeBytes(world, ledger) + unloadingBytes(ledger) >= item.bytes)) {
+        return;
+    }
+    const plans = ledgers.flatMap(ledger => planRoom(world, ledger, item, floor) ?? []);
+    plans.sort((a, b) => a.lostValue - b.lostValue || a.victims.length - b.victims.length);
+    const best = plans[0];
+    if (best === undefined) {
+        return;
+    }
+    const { attainmentWeight, moveWeight, paybackMs } = world.cfg;
+    const worth = attainmentWeight * (gain - best.lostValue) * paybackMs / 1_000;
+    if (!floor && worth <= moveWeight * (best.victims.length + 1)) {
+        return;
+    }
+    for (const victim of best.victims) {
+        requestUnload(world, best.ledger, victim, `${item.itemId} needs the memory`, cause);
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/rankZones.ts
@@ -0,0 +1,26 @@
+import murmurHash from "imurmurhash";
+import type { ItemRow } from "../rows/itemRow.js";
+import type { World } from "../world.js";
+
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Ranks the zones for the floor of an item by weighted rendezvous hashing, so that each zone gets a share of the
+ * items that fits its memory, and all instances agree without messages.
+ */
+export const rankZones = (world: World, item: ItemRow): string[] => {
+    const memory = new Map<string, number>();
+    for (const target of world.targets.values()) {
+        const allowed = item.zones.length === 0 || item.zones.includes(target.spec.zone);
+        if (target.spec.kind === "engine" && allowed) {
+            memory.set(target.spec.zone, (memory.get(target.spec.zone) ?? 0) + target.spec.memoryBytes);
+        }
+    }
+    // An adapter ranks as its model does, because it needs a replica of it on the same target.
+    const key = item.baseModel ?? item.name;
+    const scored = [...memory].map(([zone, bytes]) => {
+        const draw = (murmurHash(`${key}/${zone}`, 0).result() + 1) / (HASH_RANGE + 1);
+        return { zone, score: -bytes / Math.log(draw) };
+    });
+    return scored.sort((a, b) => b.score - a.score).map(each => each.zone);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/requestUnload.ts
@@ -0,0 +1,23 @@
+import type { DecisionId } from "medlarlb-types/decisionId";
+import type { LedgerEntry } from "medlarlb-types/ledgerEntry";
+import { setResident } from "../inputs/setResident.js";
+import { recordDecision } from "../recordDecision.js";
+import type { LedgerRow } from "../rows/ledgerRow.js";
+import type { World } from "../world.js";
+import { addOrder } from "./addOrder.js";
+import { setEntry } from "./setEntry.js";
+
+/** Orders the unload of a replica. Its bytes stay promised until the target confirms. */
+export const requestUnload = (world: World, ledger: LedgerRow, entry: LedgerEntry, reason: string, cause?: DecisionId): void => {
+    const decision = recordDecision(world, "unload", entry.itemId, reason, {
+        target: ledger.targetId,
+        inputs: { bytes: entry.bytes },
+        ...(cause === undefined ? {} : { cause }),
+    });
+    const orderId = addOrder(world, ledger, { action: "unload", itemId: entry.itemId, bytes: entry.bytes }, decision);
+    setEntry(world, ledger, { itemId: entry.itemId, bytes: entry.bytes, state: "unloading", orderId });
+    const target = world.targets.get(ledger.targetId);
+    if (target !== undefined) {
+        setResident(world, target, new Set([...target.resident].filter(itemId => itemId !== entry.itemId)));
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/takeLedger.ts
@@ -0,0 +1,12 @@
+import type { LedgerRow } from "../rows/ledgerRow.js";
+import type { World } from "../world.js";
+import { writeLedger } from "./writeLedger.js";
+
+/** Starts to become the owner of a target's ledger. The entries of the previous owner stay promised meanwhile. */
+export const takeLedger = (world: World, ledger: LedgerRow): void => {
+    ledger.stage = "taking";
+    ledger.fence = world.plannerFence ?? 0;
+    ledger.entries = new Map((ledger.document?.entries ?? []).map(entry => [entry.itemId, entry]));
+    ledger.version += 1;
+    writeLedger(world, ledger);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/writeLedger.ts
@@ -0,0 +1,31 @@
+import type { LedgerDocument } from "medlarlb-types/ledgerDocument";
+import type { OperationId } from "medlarlb-types/operationId";
+import { createId } from "../createId.js";
+import type { LedgerRow } from "../rows/ledgerRow.js";
+import type { World } from "../world.js";
+import { ledgerKey } from "./ledgerKey.js";
+
+/** Writes a ledger to the KV service under the condition that nobody else has written it. */
+export const writeLedger = (world: World, ledger: LedgerRow, released = false): void => {
+    const operationId = createId<OperationId>(world, "write");
+    const document: LedgerDocument = {
+        targetId: ledger.targetId,
+        owner: world.cfg.instanceId,
+        ownerBoot: world.cfg.bootId,
+        fence: ledger.fence,
+        operationId,
+        entries: [...ledger.entries.values()],
+        ...(released ? { released } : {}),
+    };
+    const key = ledgerKey(world, ledger.targetId);
+    ledger.pendingWrite = { operationId, version: ledger.version, startedAtMs: world.nowMs };
+    world.commands.push({
+        kind: "write",
+        write: {
+            operationId,
+            compares: [{ key, revision: ledger.revision }],
+            puts: [{ key, value: JSON.stringify(document) }],
+            deletes: [],
+        },
+    });
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/admitRequest.ts
@@ -0,0 +1,46 @@
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+import { countArrival } from "./countArrival.js";
+import { createRefusal } from "./createRefusal.js";
+import { earnRetry } from "./earnRetry.js";
+import { enqueueRequest } from "./enqueueRequest.js";
+import { listCandidates } from "./listCandidates.js";
+import { predictLoadMs } from "./predictLoadMs.js";
+import { predictWaitMs } from "./predictWaitMs.js";
+import { refuseRequest } from "./refuseRequest.js";
+
+/**
+ * Predicts the wait of a request that comes now. Requests of the same name that wait already go first, on the slots
+ * of all its replicas.
+ */
+const predictWait = (world: World, row: RequestRow): number => {
+    const { targets } = listCandidates(world, row);
+    if (targets.length === 0) {
+        return predictLoadMs(world, row);
+    }
+    const best = targets.reduce((a, b) => (predictWaitMs(b) < predictWaitMs(a) ? b : a));
+    const slots = targets.reduce((sum, target) => sum + target.spec.slots, 0);
+    const ahead = world.queues.get(row.request.name)?.length ?? 0;
+    return predictWaitMs(best) + ahead / slots * best.serviceMs;
+};
+
+/** Admits a request to the queue of its name, or refuses it at once when it can't be answered in time. */
+export const admitRequest = (world: World, row: RequestRow): void => {
+    const { name, deadlineAtMs } = row.request;
+    countArrival(world, row, false);
+    earnRetry(world, name);
+    const waitMs = predictWait(world, row);
+    if (waitMs > 0) {
+        countArrival(world, row, true);
+    }
+    const retryAfterMs = Math.max(1_000, waitMs);
+    if ((world.queues.get(name)?.length ?? 0) >= world.cfg.maxQueueLength) {
+        refuseRequest(world, row, createRefusal.queueFull(name, retryAfterMs));
+    }
+    else if (world.nowMs + waitMs >= deadlineAtMs) {
+        refuseRequest(world, row, createRefusal.tooLate(waitMs, retryAfterMs));
+    }
+    else {
+        enqueueRequest(world, row);
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/endAttempt.ts
@@ -0,0 +1,17 @@
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+
+/** Ends the attempt of a request, if one runs, and gives back what it held. */
+export const endAttempt = (world: World, row: RequestRow): void => {
+    if (row.attemptId === undefined || row.targetId === undefined) {
+        return;
+    }
+    const target = world.targets.get(row.targetId);
+    if (target !== undefined) {
+        target.ownInFlight = Math.max(0, target.ownInFlight - 1);
+    }
+    if (world.isolatedRun === row.request.requestId) {
+        world.isolatedRun = undefined;
+    }
+    row.attemptId = undefined;
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/listCandidates.ts
@@ -0,0 +1,44 @@
+import type { ItemId } from "medlarlb-types/itemId";
+import { isBaseOf } from "../placement/isBaseOf.js";
+import { isHealthy } from "../placement/isHealthy.js";
+import type { RequestRow } from "../rows/requestRow.js";
+import type { TargetRow } from "../rows/targetRow.js";
+import type { World } from "../world.js";
+
+interface Candidates {
+    itemId: ItemId | undefined;
+    targets: TargetRow[];
+}
+
+const holdsBase = (target: TargetRow, model: string): boolean => [...target.resident].some(itemId => isBaseOf(itemId, model));
+
+const listReplicas = (world: World, row: RequestRow, itemId: ItemId): TargetRow[] => {
+    const model = world.items.get(itemId)?.baseModel;
+    const found: TargetRow[] = [];
+    for (const targetId of world.replicas.get(itemId) ?? []) {
+        const target = world.targets.get(targetId);
+        const usable = isHealthy(target) && !row.excluded.has(targetId);
+        if (usable && (model === undefined || holdsBase(target, model))) {
+            found.push(target);
+        }
+    }
+    return found;
+};
+
+const listServiceTargets = (world: World, row: RequestRow): TargetRow[] =>
+    [...world.targets.values()].filter(target =>
+        isHealthy(target) && !row.excluded.has(target.targetId) && target.spec.services.includes(row.request.name));
+
+/** Lists the targets that can run a request now. The preferred version of a model goes before earlier ones. */
+export const listCandidates = (world: World, row: RequestRow): Candidates => {
+    if (row.request.kind === "service") {
+        return { itemId: undefined, targets: listServiceTargets(world, row) };
+    }
+    for (const itemId of world.itemsByName.get(row.request.name) ?? []) {
+        const targets = listReplicas(world, row, itemId);
+        if (targets.length > 0) {
+            return { itemId, targets };
+        }
+    }
+    return { itemId: undefined, targets: [] };
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/refuseRequest.ts
@@ -0,0 +1,17 @@
+import type { Problem } from "medlarlb-types/problem";
+import { recordDecision } from "../recordDecision.js";
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+import { removeRequest } from "./removeRequest.js";
+
+/** Gives a request its final refusal at once. */
+export const refuseRequest = (world: World, row: RequestRow, problem: Problem): void => {
+    const { requestId, name } = row.request;
+    recordDecision(world, "refuse", requestId, problem.detail, {
+        inputs: { name, type: problem.type, status: problem.status, ran: problem.ran ?? "no", attempts: row.attempts },
+        ...(row.targetId === undefined ? {} : { target: row.targetId }),
+        ...(row.lastDecision === undefined ? {} : { cause: row.lastDecision }),
+    });
+    world.commands.push({ kind: "refuse", requestId, problem });
+    removeRequest(world, row);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/removeRequest.ts
@@ -0,0 +1,18 @@
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+import { endAttempt } from "./endAttempt.js";
+
+/** Removes a request from every table. */
+export const removeRequest = (world: World, row: RequestRow): void => {
+    endAttempt(world, row);
+    const { requestId, name } = row.request;
+    const queue = world.queues.get(name);
+    const position = queue?.indexOf(requestId) ?? -1;
+    if (queue !== undefined && position >= 0) {
+        queue.splice(position, 1);
+    }
+    if (queue?.length === 0) {
+        world.queues.delete(name);
+    }
+    world.requests.delete(requestId);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/rerunRequest.ts
@@ -0,0 +1,30 @@
+import type { RanAnswer } from "medlarlb-types/ranAnswer";
+import { recordDecision } from "../recordDecision.js";
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+import { chargeRetry } from "./chargeRetry.js";
+import { createRefusal } from "./createRefusal.js";
+import { endAttempt } from "./endAttempt.js";
+import { enqueueRequest } from "./enqueueRequest.js";
+import { refuseRequest } from "./refuseRequest.js";
+
+/**
+ * Sends a request to another target, inside the limits of attempts and of the retry budget. `ran` is what the
+ * refusal says if there is no further attempt. A bystander of a crash isn't charged to the budget.
+ */
+export const rerunRequest = (world: World, row: RequestRow, reason: string, ran: RanAnswer): void => {
+    endAttempt(world, row);
+    const { requestId, name } = row.request;
+    const charged = row.isolated || chargeRetry(world, name);
+    if (row.attempts >= world.cfg.maxAttempts || !charged) {
+        refuseRequest(world, row, createRefusal.noTarget(name, ran));
+        return;
+    }
+    row.lastDecision = recordDecision(world, "retry", requestId, reason, {
+        inputs: { attempts: row.attempts },
+        ...(row.targetId === undefined ? {} : { target: row.targetId }),
+        ...(row.lastDecision === undefined ? {} : { cause: row.lastDecision }),
+    });
+    row.resumes = 0;
+    enqueueRequest(world, row);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/startAttempt.ts
@@ -0,0 +1,45 @@
+import type { AttemptId } from "medlarlb-types/attemptId";
+import type { ItemId } from "medlarlb-types/itemId";
+import { createId } from "../createId.js";
+import type { RequestRow } from "../rows/requestRow.js";
+import type { TargetRow } from "../rows/targetRow.js";
+import type { World } from "../world.js";
+
+const MAX_PREFIXES = 4_096;
+
+const rememberPrefix = (world: World, row: RequestRow, target: TargetRow): void => {
+    const { prefix } = row.request;
+    if (prefix === undefined) {
+        return;
+    }
+    // Deleting first keeps the map in order of last use.
+    world.prefixTargets.delete(prefix);
+    world.prefixTargets.set(prefix, target.targetId);
+    if (world.prefixTargets.size > MAX_PREFIXES) {
+        world.prefixTargets.delete(world.prefixTargets.keys().next().value as string);
+    }
+};
+
+/** Sends a request to a target. A non-idempotent one gets a connection of its own, which can't be half dead. */
+export const startAttempt = (world: World, row: RequestRow, target: TargetRow, itemId: ItemId | undefined): void => {
+    const { requestId } = row.request;
+    row.state = "running";
+    row.attemptId = createId<AttemptId>(world, "attempt");
+    row.targetId = target.targetId;
+    row.itemId = itemId;
+    row.sentAtMs = world.nowMs;
+    row.attempts += 1;
+    target.ownInFlight += 1;
+    if (row.isolated) {
+        world.isolatedRun = requestId;
+    }
+    rememberPrefix(world, row, target);
+    world.commands.push({
+        kind: "run",
+        requestId,
+        attemptId: row.attemptId,
+        targetId: target.targetId,
+        itemId,
+        freshConnection: row.request.nonIdempotent || row.attempts > 1,
+    });
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/suspectRequest.ts
@@ -0,0 +1,23 @@
+import type { TargetId } from "medlarlb-types/targetId";
+import { recordDecision } from "../recordDecision.js";
+import type { RequestRow } from "../rows/requestRow.js";
+import type { World } from "../world.js";
+
+/**
+ * Counts a crash for a request whose target died. A request that ran alone on the target is the certain cause; the
+ * others are suspects that run alone from now on.
+ */
+export const suspectRequest = (world: World, row: RequestRow, targetId: TargetId): void => {
+    const { fingerprint } = row.request;
+    const suspect = world.suspects.get(fingerprint) ?? { fingerprint, crashes: 0, seenAtMs: world.nowMs };
+    // Only a request that ran alone is counted beyond the first crash, so that bystanders stay answered.
+    suspect.crashes = row.isolated ? suspect.crashes + 1 : Math.max(1, suspect.crashes);
+    suspect.seenAtMs = world.nowMs;
+    world.suspects.set(fingerprint, suspect);
+    row.isolated = true;
+    row.lastDecision = recordDecision(world, "quarantine", row.request.requestId, "the target died while it ran the request", {
+        target: targetId,
+        inputs: { crashes: suspect.crashes },
+    });
+    world.commands.push({ kind: "shareSuspect", fingerprint, crashes: suspect.crashes });
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/rows/requestRow.ts
@@ -0,0 +1,24 @@
+import type { AttemptId } from "medlarlb-types/attemptId";
+import type { DecisionId } from "medlarlb-types/decisionId";
+import type { ItemId } from "medlarlb-types/itemId";
+import type { RequestSummary } from "medlarlb-types/requestSummary";
+import type { TargetId } from "medlarlb-types/targetId";
+
+/** A request that has no final answer yet. */
+export interface RequestRow {
+    request: RequestSummary;
+    state: "claiming" | "waiting" | "running";
+    attemptId: AttemptId | undefined;
+    targetId: TargetId | undefined;
+    itemId: ItemId | undefined;
+    sentAtMs: number;
+    attempts: number;
+    resumes: number;
+    /** Targets that this request isn't sent to again. */
+    excluded: Set<TargetId>;
+    /** Whether the request runs alone because a target died under it. */
+    isolated: boolean;
+    /** Whether a wait of this request was counted as unmet demand. */
+    countedUnmet: boolean;
+    lastDecision: DecisionId | undefined;
+}
--- /dev/null
+++ b/packages/medlarlb-decisions/src/rows/retryRow.ts
@@ -0,0 +1,4 @@
+/** Retry budget of one name, as a token bucket that each request fills a little. */
+export interface RetryRow {
+    tokens: number;
+}
--- /dev/null
+++ b/packages/medlarlb-decisions/src/rows/suspectRow.ts
@@ -0,0 +1,8 @@
+import type { Fingerprint } from "medlarlb-types/fingerprint";
+
+/** A request body under which a target died. */
+export interface SuspectRow {
+    fingerprint: Fingerprint;
+    crashes: number;
+    seenAtMs: number;
+}
--- /dev/null
+++ b/packages/medlarlb-decisions/src/systems/forgetSuspects.ts
@@ -0,0 +1,12 @@
+import type { World } from "../world.js";
+
+const FORGET_MS = 600_000;
+
+/** Forgets suspects after ten minutes, so that a request that was wrongly suspected isn't refused for good. */
+export const forgetSuspects = (world: World): void => {
+    for (const suspect of [...world.suspects.values()]) {
+        if (world.nowMs - suspect.seenAtMs > FORGET_MS) {
+            world.suspects.delete(suspect.fingerprint);
+        }
+    }
+};
--- /dev/null
+++ b/packages/medlarlb-fakes/src/cluster/createCluster.ts
@@ -0,0 +1,167 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { findFreePort } from "./findFreePort.js";
+import { startProcess } from "./startProcess.js";
+
+type Running = Awaited<ReturnType<typeof startProcess>>;
+
+interface DaemonHandle {
+    id: string;
+    zone: string;
+    caller: string;
+    operator: string;
+    peer: string;
+    process: Running;
+}
+
+interface TargetHandle {
+    id: string;
+    zone: string;
+    address: string;
+    process: Running;
+    spec: Record<string, unknown>;
+    restart: () => Promise<Running>;
+}
+
+interface EngineSettings {
+    memoryBytes?: number;
+    fencing?: "enforced" | "ignored";
+    slots?: number;
+    tokenMs?: number;
+}
+
+interface ClusterOptions {
+    /** Settings of the section [policy], for daemons that start from now on. */
+    policy?: Record<string, number>;
+    caller?: Record<string, number>;
+}
+
+const here = dirname(fileURLToPath(import.meta.url));
+const fakesFolder = join(here, "..", "..", "lib");
+const daemonScript = fileURLToPath(import.meta.resolve("medlarlb-daemon/main"));
+const PEER_KEY = "a shared key of the demo";
+
+/** Creates a system of real processes on loopback: the platform stand-in, targets, and daemons. */
+export const createCluster = async (options: ClusterOptions = {}) => {
+    const folder = await mkdtemp(join(tmpdir(), "medlarlb-"));
+    const platformPort = await findFreePort();
+    const platform = `http://127.0.0.1:${platformPort}`;
+    const platformProcess = await startProcess(join(fakesFolder, "platformMain.js"), [String(platformPort)]);
+    const daemons = new Map<string, DaemonHandle>();
+    const targets = new Map<string, TargetHandle>();
+
+    const call = async (method: "GET" | "POST" | "PUT" | "DELETE", url: string, body?: unknown): Promise<Record<string, unknown>> => {
+        const res = await request(url, {
+            method,
+            headers: { "content-type": "application/json" },
+            ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+        });
+        return await res.body.json() as Record<string, unknown>;
+    };
+
+    const enlist = (id: string, role: string, zone: string, address: string, state = "live"): Promise<unknown> =>
+        call("PUT", `${platform}/instances/${id}`, { role, zone, address, state });
+
+    const writeSettings = async (daemon: Omit<DaemonHandle, "process">): Promise<string> => {
+        const path = join(folder, `${daemon.id}.ini`);
+        const section = (values: Record<string, number> = {}): string[] => Object.entries(values).map(([key, value]) => `${key} = ${value}`);
+        await writeFile(path, [
+            "[instance]",
+            `id = ${daemon.id}`,
+            `zone = ${daemon.zone}`,
+            "[caller]",
+            `address = ${daemon.caller}`,
+            ...section(options.caller),
+            "[operator]",
+            `address = ${daemon.operator}`,
+            "[peer]",
+            `address = ${daemon.peer}`,
+            `key = ${PEER_KEY}`,
+            "[platform]",
+            `kv = ${platform}`,
+            `instances = ${platform}/instances`,
+            "[policy]",
+            ...section(options.policy),
+        ].join("\n"));
+        return path;
+    };
+
+    const startDaemon = async (id: string, zone: string): Promise<DaemonHandle> => {
+        const address = async (): Promise<string> => `127.0.0.1:${await findFreePort()}`;
+        const known = daemons.get(id);
+        const addresses = known ?? { caller: await address(), operator: await address(), peer: await address() };
+        const plan = { id, zone, caller: addresses.caller, operator: addresses.operator, peer: addresses.peer };
+        const path = await writeSettings(plan);
+        await enlist(id, "daemon", zone, plan.peer);
+        const handle = { ...plan, process: await startProcess(daemonScript, ["--config", path]) };
+        daemons.set(id, handle);
+        return handle;
+    };
+
+    const startTarget = async (
+        id: string,
+        zone: string,
+        spec: Record<string, unknown>,
+        script: string,
+        args: (port: number) => string[],
+    ): Promise<TargetHandle> => {
+        const port = await findFreePort();
+        const start = (): Promise<Running> => startProcess(join(fakesFolder, script), args(port));
+        const address = `127.0.0.1:${port}`;
+        const restart = async (): Promise<Running> => {
+            const running = await start();
+            handle.process = running;
+            return running;
+        };
+        const handle: TargetHandle = { id, zone, address, process: await start(), spec: { ...spec, address, zone }, restart };
+        targets.set(id, handle);
+        await enlist(id, "target", zone, address);
+        return handle;
+    };
+
+    return {
+        platform,
+        daemons,
+        targets,
+        call,
+        enlist,
+        delist: (id: string): Promise<unknown> => call("DELETE", `${platform}/instances/${id}`),
+        startDaemon,
+        startEngine: (id: string, zone: string, engine: EngineSettings = {}): Promise<TargetHandle> => {
+            const { memoryBytes = 1_000, fencing = "enforced", slots = 8, tokenMs = 2 } = engine;
+            const flags = ["--target", id, "--memory", memoryBytes, "--fencing", fencing, "--slots", slots, "--token-ms", tokenMs];
+            const args = (port: number): string[] => [...flags.map(String), "--port", String(port), "--platform", platform];
+            return startTarget(id, zone, { kind: "engine", memoryBytes, fencing, slots }, "engineMain.js", args);
+        },
+        startService: (id: string, zone: string, services: string[]): Promise<TargetHandle> =>
+            startTarget(id, zone, { kind: "service", services }, "serviceMain.js", port => [String(port), id]),
+        /** Declares resources through the first daemon, in their order. */
+        declare: async (resources: { kind: string; name: string; spec: unknown }[], daemon = [...daemons.values()][0]): Promise<void> => {
+            for (const { kind, name, spec } of resources) {
+                const answer = await call("PUT", `http://${daemon?.operator}/apis/v1/${kind}/${name}`, { spec });
+                if (answer.resourceVersion === undefined) {
+                    throw new Error(`${kind}/${name} wasn't accepted: ${JSON.stringify(answer)}`);
+                }
+            }
+        },
+        /** Sets faults of a stand-in, by target id, or of the platform. */
+        setFaults: (id: string, faults: Record<string, unknown>): Promise<unknown> => {
+            const base = id === "platform" ? platform : `http://${targets.get(id)?.address}`;
+            return call("POST", `${base}/stand-in/faults`, faults);
+        },
+        inspect: (id: string): Promise<Record<string, unknown>> =>
+            call("GET", `http://${targets.get(id)?.address}/stand-in`),
+        stopAll: async (): Promise<void> => {
+            const all = [...daemons.values(), ...targets.values()].map(each => each.process).concat(platformProcess);
+            for (const { child } of all) {
+                child.kill("SIGCONT");
+                child.kill("SIGKILL");
+            }
+            await Promise.all(all.map(each => each.exited));
+            await rm(folder, { recursive: true, force: true });
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-fakes/src/cluster/readStream.ts
@@ -0,0 +1,48 @@
+import { createParser } from "eventsource-parser";
+import { request } from "undici";
+
+interface StreamResult {
+    status: number;
+    headers: Record<string, string | string[] | undefined>;
+    text: string;
+    /** Whether the closing event came. */
+    complete: boolean;
+    error: string | undefined;
+    body: string;
+}
+
+/** Sends a streamed chat request and collects its answer. */
+export const readStream = async (
+    caller: string,
+    model: string,
+    prompt: string,
+    headers: Record<string, string> = {},
+): Promise<StreamResult> => {
+    const res = await request(`http://${caller}/v1/chat/completions`, {
+        method: "POST",
+        headers: { "content-type": "application/json", ...headers },
+        body: JSON.stringify({ model, stream: true, messages: [{ role: "user", content: prompt }] }),
+        bodyTimeout: 0,
+        headersTimeout: 0,
+    });
+    const result: StreamResult = { status: res.statusCode, headers: res.headers, text: "", complete: false, error: undefined, body: "" };
+    const parser = createParser({
+        onEvent: event => {
+            if (event.data === "[DONE]") {
+                result.complete = true;
+                return;
+            }
+            const chunk = JSON.parse(event.data) as { choices?: { delta: { content?: string } }[]; error?: { message: string } };
+            result.text += chunk.choices?.[0]?.delta.content ?? "";
+            result.error = chunk.error?.message ?? result.error;
+        },
+    });
+    for await (const chunk of res.body) {
+        const text = String(chunk);
+        result.body += text;
+        if (res.statusCode === 200) {
+            parser.feed(text);
+        }
+    }
+    return result;
+};
--- /dev/null
+++ b/packages/medlarlb-fakes/src/cluster/startProcess.ts
@@ -0,0 +1,39 @@
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+
+interface RunningProcess {
+    child: ChildProcess;
+    /** What the process printed after `ready`. */
+    readyText: string;
+    /** Everything that it printed to standard error. */
+    errors: () => string;
+    exited: Promise<number | undefined>;
+}
+
+const READY_TIMEOUT_MS = 20_000;
+
+/** Starts a Node process and waits until it prints a line that begins with `ready`. */
+export const startProcess = (script: string, args: string[]): Promise<RunningProcess> => {
+    const child = spawn(process.execPath, [script, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+    let errors = "";
+    let output = "";
+    child.stderr.on("data", chunk => {
+        errors += String(chunk);
+    });
+    const exited = new Promise<number | undefined>(resolve => child.once("exit", code => resolve(code ?? undefined)));
+    return new Promise((resolve, reject) => {
+        const timer = setTimeout(() => reject(new Error(`${script} wasn't ready in time: ${errors}`)), READY_TIMEOUT_MS);
+        child.stdout.on("data", chunk => {
+            output += String(chunk);
+            const match = /^ready ?(.*)$/m.exec(output);
+            if (match) {
+                clearTimeout(timer);
+                resolve({ child, readyText: match[1] ?? "", errors: () => errors, exited });
+            }
+        });
+        child.once("exit", code => {
+            clearTimeout(timer);
+            reject(new Error(`${script} ended with ${code}: ${errors}`));
+        });
+    });
+};
--- /dev/null
+++ b/packages/medlarlb-fakes/src/demo.ts
@@ -0,0 +1,105 @@
+import { spawn } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { stringify } from "yaml";
+import { createCluster } from "./cluster/createCluster.js";
+import { postJson } from "./cluster/postJson.js";
+import { readStream } from "./cluster/readStream.js";
+import { waitFor } from "./cluster/waitFor.js";
+
+const cliScript = fileURLToPath(import.meta.resolve("medlarlb-cli/main"));
+const WATCH_MS = 1_500;
+
+const faults: string[] = [];
+const check = (what: string, holds: boolean): void => {
+    console.log(`${holds ? "ok  " : "FAIL"} ${what}`);
+    if (!holds) {
+        faults.push(what);
+    }
+};
+
+const cluster = await createCluster();
+
+/** Runs `medlarlb` and passes its output on. */
+const medlarlb = (args: string[], limitMs = 30_000): Promise<void> =>
+    new Promise(resolve => {
+        const servers = [...cluster.daemons.values()].map(daemon => `http://${daemon.operator}`).join(",");
+        console.log(`$ medlarlb ${args.map(arg => arg.replace(/^.*\/(?=[^/]*\.yaml$)/, "")).join(" ")}`);
+        const child = spawn(process.execPath, [cliScript, ...args, "--server", servers, "--operator", "demo"], { stdio: "inherit" });
+        const timer = setTimeout(() => child.kill(), limitMs);
+        child.once("exit", () => {
+            clearTimeout(timer);
+            resolve();
+        });
+    });
+
+const run = async (): Promise<void> => {
+    for (const [id, zone] of [["e1", "a"], ["e2", "a"], ["e3", "b"], ["e4", "b"]] as const) {
+        await cluster.startEngine(id, zone, { fencing: id === "e2" ? "ignored" : "enforced" });
+    }
+    await cluster.startService("s1", "a", ["alerts"]);
+    for (const [id, zone] of [["a1", "a"], ["a2", "a"], ["b1", "b"]] as const) {
+        await cluster.startDaemon(id, zone);
+    }
+    const folder = await mkdtemp(join(tmpdir(), "medlarlb-demo-"));
+    const file = join(folder, "demo.yaml");
+    const resources = [
+        ...[...cluster.targets.values()].map(({ id, spec }) => ({ kind: "targets", name: id, spec })),
+        { kind: "models", name: "aurora", spec: { bytes: 400 } },
+        { kind: "models", name: "notes", spec: { bytes: 300 } },
+        { kind: "adapters", name: "south", spec: { model: "aurora", bytes: 50 } },
+        { kind: "services", name: "alerts", spec: { nonIdempotent: true } },
+    ];
+    await writeFile(file, resources.map(each => stringify(each)).join("---\n"));
+    await medlarlb(["apply", "-f", file]);
+    await rm(folder, { recursive: true });
+
+    const daemons = [...cluster.daemons.values()];
+    await waitFor("all models ready", async () => {
+        const lists = await Promise.all(daemons.flatMap(daemon => ["models", "adapters"].map(kind =>
+            cluster.call("GET", `http://${daemon.operator}/apis/v1/${kind}`))));
+        const items = lists.flatMap(list => list.items as { status: { ready: boolean } }[]);
+        return items.length === 3 * daemons.length && items.every(item => item.status.ready);
+    });
+    await medlarlb(["get", "models"]);
+
+    for (const [index, model] of ["aurora", "notes", "south"].entries()) {
+        const daemon = daemons[index % daemons.length];
+        const prompt = `forecast number ${index} for tonight`;
+        const streamed = await readStream(daemon?.caller ?? "", model, prompt);
+        console.log(`${model} streamed by ${daemon?.id}: ${streamed.text}`);
+        check(`${model}: the streamed answer is complete and its own`, streamed.complete && streamed.text.endsWith(` ${prompt}`));
+        const plain = await postJson(`http://${daemon?.caller}/v1/chat/completions`, { model, messages: [{ role: "user", content: `plain ${prompt}` }] });
+        const text = (plain.body.choices as { message: { content: string } }[] | undefined)?.[0]?.message.content ?? "";
+        console.log(`${model} plain by ${daemon?.id}: ${text}`);
+        check(`${model}: the plain answer is complete and its own`, plain.status === 200 && text.endsWith(` plain ${prompt}`));
+    }
+    const alert = await postJson(`http://${daemons[2]?.caller}/services/alerts/send`, { lodge: 7 }, { "idempotency-key": "alert-7" });
+    const repeat = await postJson(`http://${daemons[0]?.caller}/services/alerts/send`, { lodge: 7 }, { "idempotency-key": "alert-7" });
+    const ran = (await cluster.inspect("s1")).executions as Record<string, number>;
+    check("alerts: the call is answered", alert.status === 200);
+    check("alerts: its repeat gets the same answer and runs once", repeat.status === 200 && ran["{\"lodge\":7}"] === 1);
+    const unknown = await postJson(`http://${daemons[0]?.caller}/v1/chat/completions`, { model: "nothing", messages: [] });
+    check("an unknown model is refused, and was not run", unknown.status === 404 && unknown.body.ran === "no");
+
+    await medlarlb(["watch", "decisions"], WATCH_MS);
+    await medlarlb(["explain", "aurora"]);
+    await medlarlb(["audit"]);
+};
+
+try {
+    await run();
+}
+catch (err) {
+    check(`the demo ran to its end: ${(err as Error).message}`, false);
+    for (const { id, process: { errors } } of cluster.daemons.values()) {
+        console.error(`${id}: ${errors()}`);
+    }
+}
+finally {
+    await cluster.stopAll();
+}
+console.log(faults.length === 0 ? "demo: all answers were complete and their own" : `demo: ${faults.length} faults`);
+process.exitCode = faults.length === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/medlarlb-fakes/src/engine/createEngineServer.ts
@@ -0,0 +1,225 @@
+import { randomUUID } from "node:crypto";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { readJson } from "../shared/readJson.js";
+import { sendJson } from "../shared/sendJson.js";
+import { createAnswerTokens } from "./createAnswerTokens.js";
+import { createEngineMemory } from "./createEngineMemory.js";
+import { createRuns } from "./createRuns.js";
+import type { EngineOptions } from "./engineOptions.js";
+
+interface Faults {
+    leaving: boolean;
+    /** Orders that are thrown away before they take effect. */
+    loseOrders: number;
+    /** Orders that take effect and whose answer is lost. */
+    loseOrderAnswers: number;
+    orderDelayMs: number;
+    /** Streams stop after that many tokens and stay open without a byte. */
+    silentAfterTokens: number;
+    /** Streams are cut after that many tokens. */
+    cutAfterTokens: number;
+    /** Reports hang up. */
+    loseReports: boolean;
+}
+
+type Run = NonNullable<ReturnType<ReturnType<typeof createRuns>["find"]>>;
+
+const CRASH_WORD = "CRASH-THE-ENGINE";
+
+const promptOf = (body: Record<string, unknown>): string => {
+    const messages = body.messages as { content: string }[] | undefined;
+    return messages === undefined ? String(body.prompt ?? "") : messages.map(message => message.content).join(" ");
+};
+
+/** Creates the model engine stand-in: OpenAI-style calls, resumable streams, orders, reports and fault controls. */
+export const createEngineServer = (options: EngineOptions): Server => {
+    const bootId = randomUUID();
+    const memory = createEngineMemory(options, async bytes => {
+        const answer = await request(`${options.platform}/weights?bytes=${bytes}`);
+        await answer.body.dump();
+    });
+    const runs = createRuns(options.slots, options.tokenMs);
+    const modes = new Map<string, { chat: boolean; model: string }>();
+    const startedNames = new Map<string, number>();
+    let sequence = 0;
+    const faults: Faults = {
+        leaving: false,
+        loseOrders: 0,
+        loseOrderAnswers: 0,
+        orderDelayMs: 0,
+        silentAfterTokens: 0,
+        cutAfterTokens: 0,
+        loseReports: false,
+    };
+
+    const showChunk = (requestId: string, text: string, finish: string | undefined): string => {
+        const mode = modes.get(requestId);
+        const choice = mode?.chat === true
+            ? { index: 0, delta: { role: "assistant", content: text }, finish_reason: finish ?? JSON.parse("null") as unknown }
+            : { index: 0, text, finish_reason: finish ?? JSON.parse("null") as unknown };
+        const object = mode?.chat === true ? "chat.completion.chunk" : "text_completion";
+        return JSON.stringify({ id: requestId, object, created: 0, model: mode?.model ?? "", choices: [choice] });
+    };
+
+    const streamRun = (run: Run, from: number, res: ServerResponse): void => {
+        res.writeHead(200, { "content-type": "text/event-stream" });
+        res.flushHeaders();
+        let silent = false;
+        const stop = runs.follow(run, from, (index, token) => {
+            if (faults.cutAfterTokens > 0 && index >= faults.cutAfterTokens && from === 0) {
+                res.destroy();
+                silent = true;
+            }
+            if (faults.silentAfterTokens > 0 && index >= faults.silentAfterTokens && from === 0) {
+                silent = true;
+            }
+            if (!silent) {
+                res.write(`id: ${index + 1}\ndata: ${showChunk(run.requestId, token, undefined)}\n\n`);
+            }
+        }, complete => {
+            if (!silent && complete) {
+                res.end(`id: ${run.tokens.length + 1}\ndata: ${showChunk(run.requestId, "", "stop")}\n\nid: ${run.tokens.length + 2}\ndata: [DONE]\n\n`);
+            }
+        });
+        res.on("close", stop);
+    };
+
+    const answerRun = (run: Run, res: ServerResponse): void => {
+        const stop = runs.follow(run, 0, () => undefined, complete => {
+            if (!complete) {
+                res.destroy();
+                return;
+            }
+            const mode = modes.get(run.requestId);
+            const text = run.tokens.join("");
+            const choice = mode?.chat === true
+                ? { index: 0, message: { role: "assistant", content: text }, finish_reason: "stop" }
+                : { index: 0, text, finish_reason: "stop" };
+            sendJson(res, 200, {
+                id: run.requestId,
+                object: mode?.chat === true ? "chat.completion" : "text_completion",
+                created: 0,
+                model: mode?.model ?? "",
+                choices: [choice],
+                usage: { prompt_tokens: 0, completion_tokens: run.tokens.length, total_tokens: run.tokens.length },
+            });
+        });
+        res.on("close", stop);
+    };
+
+    const refuseRun = (res: ServerResponse, status: number, code: string): void =>
+        sendJson(res, status, { error: { code, message: `the engine did not run the request: ${code}`, ran: "no" } });
+
+    const serveRun = async (req: IncomingMessage, res: ServerResponse, chat: boolean): Promise<void> => {
+        const body = await readJson(req);
+        const requestId = String(req.headers["x-request-id"] ?? randomUUID());
+        const itemId = String(req.headers["x-medlarlb-item"] ?? body.model ?? "");
+        if (faults.leaving) {
+            refuseRun(res, 503, "leaving");
+            return;
+        }
+        if (!memory.isResident(itemId)) {
+            refuseRun(res, 409, "not_resident");
+            return;
+        }
+        const prompt = promptOf(body);
+        startedNames.set(prompt, (startedNames.get(prompt) ?? 0) + 1);
+        if (prompt.includes(CRASH_WORD)) {
+            process.exit(1);
+        }
+        modes.set(requestId, { chat, model: String(body.model ?? "") });
+        memory.enter(itemId);
+        const run = runs.start(requestId, createAnswerTokens(itemId, prompt), () => memory.leave(itemId));
+        if (body.stream === true) {
+            streamRun(run, 0, res);
+        }
+        else {
+            answerRun(run, res);
+        }
+    };
+
+    const serveResume = (req: IncomingMessage, res: ServerResponse, requestId: string): void => {
+        const run = runs.find(requestId);
+        if (req.method === "DELETE") {
+            runs.cancel(requestId);
+            sendJson(res, 200, {});
+        }
+        else if (run === undefined) {
+            refuseRun(res, 404, "unknown_request");
+        }
+        else if (req.headers.accept === "text/event-stream") {
+            streamRun(run, Number(req.headers["last-event-id"] ?? "0"), res);
+        }
+        else {
+            answerRun(run, res);
+        }
+    };
+
+    const serveOrder = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+        const order = await readJson(req) as unknown as Parameters<typeof memory.order>[0];
+        if (faults.loseOrders > 0) {
+            faults.loseOrders -= 1;
+            req.socket.destroy();
+            return;
+        }
+        await sleep(faults.orderDelayMs);
+        const state = memory.order(order);
+        if (faults.loseOrderAnswers > 0) {
+            faults.loseOrderAnswers -= 1;
+            req.socket.destroy();
+            return;
+        }
+        sendJson(res, 200, { orderId: order.orderId, ...state });
+    };
+
+    const serveReport = (req: IncomingMessage, res: ServerResponse): void => {
+        if (faults.loseReports) {
+            req.socket.destroy();
+            return;
+        }
+        sequence += 1;
+        sendJson(res, 200, {
+            targetId: options.targetId,
+            bootId,
+            sequence,
+            memoryBytes: options.memoryBytes,
+            leaving: faults.leaving,
+            ...memory.show(),
+            ...runs.load(),
+        });
+    };
+
+    const route = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+        const path = req.url ?? "/";
+        if (path.endsWith("/completions")) {
+            await serveRun(req, res, path.endsWith("/chat/completions"));
+        }
+        else if (path.startsWith("/v1/streams/")) {
+            serveResume(req, res, path.slice("/v1/streams/".length));
+        }
+        else if (path === "/orders") {
+            await serveOrder(req, res);
+        }
+        else if (path === "/report") {
+            serveReport(req, res);
+        }
+        else if (path === "/stand-in/faults") {
+            Object.assign(faults, await readJson(req));
+            sendJson(res, 200, faults);
+        }
+        else {
+            sendJson(res, 200, {
+                violations: memory.violations,
+                executions: Object.fromEntries(runs.executions),
+                prompts: Object.fromEntries(startedNames),
+            });
+        }
+    };
+
+    return createServer((req, res) => {
+        route(req, res).catch(() => res.destroy());
+    });
+};
--- /dev/null
+++ b/packages/medlarlb-fakes/src/engine/createRuns.ts
@@ -0,0 +1,86 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
+interface Run {
+    requestId: string;
+    tokens: string[];
+    produced: number;
+    finished: boolean;
+    cancelled: boolean;
+    listeners: Set<() => void>;
+}
+
+/** Creates the table of runs of an engine stand-in. A run goes on when its connection breaks, until it is cancelled. */
+export const createRuns = (slots: number, tokenMs: number) => {
+    const runs = new Map<string, Run>();
+    const executions = new Map<string, number>();
+    const waiting: (() => void)[] = [];
+    let active = 0;
+
+    const takeSlot = async (): Promise<void> => {
+        if (active >= slots) {
+            await new Promise<void>(resolve => waiting.push(resolve));
+        }
+        active += 1;
+    };
+
+    const freeSlot = (): void => {
+        active -= 1;
+        waiting.shift()?.();
+    };
+
+    const notify = (run: Run): void => {
+        for (const listener of [...run.listeners]) {
+            listener();
+        }
+    };
+
+    const produce = async (run: Run): Promise<void> => {
+        await takeSlot();
+        while (run.produced < run.tokens.length && !run.cancelled) {
+            if (tokenMs > 0) {
+                await sleep(tokenMs);
+            }
+            run.produced += 1;
+            notify(run);
+        }
+        run.finished = true;
+        freeSlot();
+        notify(run);
+    };
+
+    return {
+        start: (requestId: string, tokens: string[], onEnd: () => void): Run => {
+            const run: Run = { requestId, tokens, produced: 0, finished: false, cancelled: false, listeners: new Set() };
+            runs.set(requestId, run);
+            executions.set(requestId, (executions.get(requestId) ?? 0) + 1);
+            produce(run).then(onEnd, onEnd);
+            return run;
+        },
+        find: (requestId: string): Run | undefined => runs.get(requestId),
+        cancel: (requestId: string): void => {
+            const run = runs.get(requestId);
+            if (run !== undefined) {
+                run.cancelled = true;
+            }
+        },
+        /** Calls `onToken` for each token from `from` on, as they come, then `onEnd`. Returns a function that stops it. */
+        follow: (run: Run, from: number, onToken: (index: number, token: string) => void, onEnd: (complete: boolean) => void) => {
+            let next = from;
+            const advance = (): void => {
+                while (next < run.produced) {
+                    onToken(next, run.tokens[next] ?? "");
+                    next += 1;
+                }
+                if (run.finished) {
+                    run.listeners.delete(advance);
+                    onEnd(!run.cancelled);
+                }
+            };
+            run.listeners.add(advance);
+            advance();
+            return () => run.listeners.delete(advance);
+        },
+        load: () => ({ inFlight: active, queued: waiting.length }),
+        executions,
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-peers/src/createFrameDecoder.ts
@@ -0,0 +1,30 @@
+import { decode } from "cbor-x";
+import type { PeerMessage } from "./peerMessage.js";
+
+const LENGTH_BYTES = 4;
+
+/**
+ * Creates the decoder of one connection's bytes. It throws when a frame is too long, isn't CBOR, or isn't a message;
+ * the connection is to be closed then.
+ */
+export const createFrameDecoder = (maxFrameBytes: number, onMessage: (message: PeerMessage) => void) => {
+    let rest: Buffer = Buffer.alloc(0);
+    return (chunk: Buffer): void => {
+        rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+        while (rest.length >= LENGTH_BYTES) {
+            const length = rest.readUInt32BE(0);
+            if (length > maxFrameBytes) {
+                throw new Error(`a frame of ${length} bytes is over the limit of ${maxFrameBytes}`);
+            }
+            if (rest.length < LENGTH_BYTES + length) {
+                return;
+            }
+            const message = decode(rest.subarray(LENGTH_BYTES, LENGTH_BYTES + length)) as PeerMessage | undefined;
+            rest = rest.subarray(LENGTH_BYTES + length);
+            if (typeof message !== "object" || typeof message.kind !== "string") {
+                throw new Error("a frame holds no message");
+            }
+            onMessage(message);
+        }
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-peers/src/createPeerConnection.ts
@@ -0,0 +1,111 @@
+import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import type { Socket } from "node:net";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import { brandAs } from "medlarlb-types/brandAs";
+import { createFrameDecoder } from "./createFrameDecoder.js";
+import { encodeFrame } from "./encodeFrame.js";
+import { peerLimits } from "./peerLimits.js";
+import type { PeerMessage } from "./peerMessage.js";
+
+interface ConnectionHandlers {
+    /** Called once the other side has proved that it knows the shared key. */
+    onReady: (peerId: InstanceId) => void;
+    onMessage: (peerId: InstanceId, message: PeerMessage) => void;
+    onClose: (reason: string) => void;
+}
+
+interface ConnectionIdentity {
+    id: string;
+    bootId: string;
+    key: string;
+}
+
+const NONCE_BYTES = 16;
+
+const createMac = (key: string, nonce: string, id: string): Buffer => createHmac("sha256", key).update(`${nonce}/${id}`).digest();
+
+const equalMac = (expected: Buffer, given: string): boolean => {
+    const bytes = Buffer.from(given, "base64");
+    return bytes.length === expected.length && timingSafeEqual(expected, bytes);
+};
+
+/**
+ * Creates one connection between instances. Both sides prove with a fresh nonce that they know the shared key before
+ * any other message counts. A broken or hostile frame closes this connection only.
+ */
+export const createPeerConnection = (socket: Socket, self: ConnectionIdentity, handlers: ConnectionHandlers) => {
+    const nonce = randomBytes(NONCE_BYTES).toString("base64");
+    let peerId: InstanceId | undefined;
+    let ready = false;
+    let closed = false;
+
+    const close = (reason: string): void => {
+        if (!closed) {
+            closed = true;
+            socket.destroy();
+            handlers.onClose(reason);
+        }
+    };
+
+    const write = (message: PeerMessage): boolean => {
+        if (closed || socket.writableLength > peerLimits.maxQueuedBytes) {
+            return false;
+        }
+        socket.write(encodeFrame(message));
+        return true;
+    };
+
+    const takeHello = (message: Extract<PeerMessage, { kind: "hello" }>): void => {
+        if (message.protocol !== peerLimits.protocol) {
+            close(`the peer speaks protocol ${message.protocol}, this instance ${peerLimits.protocol}`);
+            return;
+        }
+        peerId = brandAs<InstanceId>(message.id);
+        write({ kind: "proof", mac: createMac(self.key, message.nonce, self.id).toString("base64") });
+    };
+
+    const takeProof = (message: Extract<PeerMessage, { kind: "proof" }>): void => {
+        if (peerId === undefined || !equalMac(createMac(self.key, nonce, peerId), message.mac)) {
+            close("the peer doesn't know the shared key; set the same [peer] key on all instances");
+            return;
+        }
+        ready = true;
+        clearTimeout(handshakeTimer);
+        handlers.onReady(peerId);
+    };
+
+    const take = (message: PeerMessage): void => {
+        if (message.kind === "hello" && peerId === undefined) {
+            takeHello(message);
+        }
+        else if (message.kind === "proof" && !ready) {
+            takeProof(message);
+        }
+        else if (ready && peerId !== undefined) {
+            handlers.onMessage(peerId, message);
+        }
+        else {
+            close("a message came before the handshake");
+        }
+    };
+
+    const handshakeTimer = setTimeout(() => close("the handshake took too long"), peerLimits.handshakeMs);
+    const decoder = createFrameDecoder(peerLimits.maxFrameBytes, take);
+    socket.setNoDelay(true);
+    socket.setTimeout(peerLimits.idleMs, () => close("the connection went silent"));
+    socket.on("data", chunk => {
+        try {
+            decoder(chunk as Buffer);
+        }
+        catch (err) {
+            close((err as Error).message);
+        }
+    });
+    socket.on("error", err => close(err.message));
+    socket.on("close", () => {
+        clearTimeout(handshakeTimer);
+        close("the peer closed the connection");
+    });
+    write({ kind: "hello", protocol: peerLimits.protocol, id: self.id, bootId: self.bootId, nonce });
+    return { send: write, close, isReady: () => ready };
+};
--- /dev/null
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -0,0 +1,319 @@
+import type { DecisionRecord } from "medlarlb-types/decisionRecord";
+import type { DemandCount } from "medlarlb-types/demandCount";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { ListedInstance } from "medlarlb-types/listedInstance";
+import { createMembership } from "./createMembership.js";
+import { createPeerNetwork } from "./createPeerNetwork.js";
+import { createRumourTable } from "./createRumourTable.js";
+import type { MemberRow } from "./memberRow.js";
+import type { PeerGroupOptions } from "./peerGroupOptions.js";
+import type { PeerMessage } from "./peerMessage.js";
+import type { Rumour } from "./rumour.js";
+
+const TICK_MS = 100;
+const PROBE_MS = 500;
+const PROBE_TIMEOUT_MS = 400;
+const HELPERS = 2; // members that are asked to probe a silent one as well
+const SPREAD_TO = 3; // members that hear of news at once
+const RUMOURS_PER_MESSAGE = 24;
+const PULL_RUMOURS_MS = 10_000;
+const PULL_DECISIONS_TIMEOUT_MS = 1_000;
+
+interface Decisions {
+    bootId: string;
+    records: DecisionRecord[];
+    oldest: number;
+}
+
+interface Probe {
+    id: InstanceId;
+    sentAtMs: number;
+    askedHelpers: boolean;
+    /** The member for which another instance wants this probe. */
+    onAnswer?: (answered: boolean) => void;
+}
+
+/**
+ * Creates the group of instances: it probes members at random, at a cost that doesn't grow with the group, spreads
+ * rumours on the probes, and brings every member to the newest configuration.
+ */
+export const createPeerGroup = (options: PeerGroupOptions) => {
+    const { self } = options;
+    const membership = createMembership(self);
+    const rumours = createRumourTable(() => membership.alive().length);
+    const probes = new Map<number, Probe>();
+    const pulls = new Map<number, (decisions: Decisions | undefined) => void>();
+    const [host, port] = self.address.split(":");
+    let sequence = 0;
+    let nextProbeMs = 0;
+    let nextPullMs = 0;
+    let timer: NodeJS.Timeout | undefined;
+
+    const network = createPeerNetwork({
+        id: self.id,
+        bootId: self.bootId,
+        key: options.key,
+        host: host ?? "",
+        port: Number(port),
+        onMessage: (peerId, message, reply) => takeMessage(peerId, message, reply),
+        onClosed: options.onClosed,
+        countBytes: options.countBytes,
+    });
+
+    const addressOf = (id: InstanceId): string | undefined => membership.probeable().find(each => each.id === id)?.address;
+
+    const send = (id: InstanceId, message: PeerMessage): void => {
+        const address = addressOf(id);
+        if (address !== undefined) {
+            network.send(id, address, message);
+        }
+    };
+
+    const sample = <Item>(items: Item[], count: number): Item[] => {
+        const rest = [...items];
+        const chosen: Item[] = [];
+        while (chosen.length < count && rest.length > 0) {
+            chosen.push(...rest.splice(Math.floor(options.random() * rest.length), 1));
+        }
+        return chosen;
+    };
+
+    const probe = (id: InstanceId, zone: string, onAnswer?: (answered: boolean) => void): void => {
+        sequence += 1;
+        probes.set(sequence, { id, sentAtMs: options.now(), askedHelpers: false, ...(onAnswer === undefined ? {} : { onAnswer }) });
+        send(id, {
+            kind: "probe",
+            sequence,
+            sender: self,
+            configRevision: options.configRevision(),
+            rumours: rumours.pick(zone, RUMOURS_PER_MESSAGE),
+        });
+    };
+
+    /** Tells a few members at once; the rest hear of it from them. */
+    const spreadNow = (): void => {
+        for (const { id, zone } of sample(membership.probeable(), SPREAD_TO)) {
+            probe(id, zone);
+        }
+    };
+
+    const takeSuspicion = (value: unknown): void => {
+        const about = membership.suspect(value as Parameters<typeof membership.suspect>[0], options.now());
+        if (about) {
+            self.incarnation += 1;
+            spread({ key: `member/${self.id}`, version: Date.now(), value: { ...self } });
+        }
+    };
+
+    const takeRumours = (received: Rumour[]): void => {
+        for (const rumour of received) {
+            if (!rumours.take(rumour)) {
+                continue;
+            }
+            if (rumour.key.startsWith("member/")) {
+                membership.told(rumour.value as MemberRow, options.now());
+            }
+            else if (rumour.key.startsWith("suspect-member/")) {
+                takeSuspicion(rumour.value);
+            }
+            else {
+                options.onRumour(rumour);
+            }
+        }
+    };
+
+    /** Spreads a rumour of this instance. The most urgent kinds are told at once. */
+    const spread = (rumour: Rumour, urgent = false): void => {
+        rumours.take(rumour);
+        if (urgent) {
+            spreadNow();
+        }
+    };
+
+    const accuse = (id: InstanceId): void => {
+        const member = membership.find(id);
+        if (member === undefined) {
+            return;
+        }
+        const suspicion = { id, bootId: member.row.bootId, incarnation: member.row.incarnation, accuser: self.id };
+        membership.suspect(suspicion, options.now());
+        spread({ key: `suspect-member/${id}/${self.id}`, version: options.now(), value: suspicion });
+    };
+
+    const takeAnswer = (sequenceOf: number): void => {
+        const answered = probes.get(sequenceOf);
+        probes.delete(sequenceOf);
+        answered?.onAnswer?.(true);
+    };
+
+    const takeSender = (sender: MemberRow, configRevision: number, received: Rumour[]): void => {
+        membership.heard(sender, options.now());
+        takeRumours(received);
+        if (configRevision > options.configRevision()) {
+            send(sender.id, { kind: "pullConfig", since: options.configRevision() });
+        }
+    };
+
+    const takeProbe = (message: Extract<PeerMessage, { kind: "probe" }>, reply: (message: PeerMessage) => void): void => {
+        const known = membership.find(message.sender.id);
+        takeSender(message.sender, message.configRevision, message.rumours);
+        reply({
+            kind: "ack",
+            sequence: message.sequence,
+            sender: self,
+            configRevision: options.configRevision(),
+            rumours: rumours.pick(message.sender.zone, RUMOURS_PER_MESSAGE),
+        });
+        if (known === undefined || known.row.bootId !== message.sender.bootId) {
+            send(message.sender.id, { kind: "pullRumours" });
+        }
+    };
+
+    const takeMessage = (peerId: InstanceId, message: PeerMessage, reply: (message: PeerMessage) => void): void => {
+        switch (message.kind) {
+            case "probe":
+                takeProbe(message, reply);
+                break;
+            case "ack":
+                takeAnswer(message.sequence);
+                takeSender(message.sender, message.configRevision, message.rumours);
+                break;
+            case "probeFor":
+                probe(message.id as InstanceId, self.zone, answered => reply({ ...message, kind: "probedFor", answered }));
+                break;
+            case "probedFor":
+                if (message.answered) {
+                    takeAnswer(message.sequence);
+                }
+                break;
+            case "pullRumours":
+                reply({ kind: "rumours", rumours: rumours.all(membership.find(peerId)?.row.zone ?? "") });
+                break;
+            case "rumours":
+                takeRumours(message.rumours);
+                break;
+            default:
+                takeData(message, reply);
+        }
+    };
+
+    const takeData = (message: PeerMessage, reply: (message: PeerMessage) => void): void => {
+        switch (message.kind) {
+            case "pullConfig":
+                reply({ kind: "config", ...options.configSince(message.since) });
+                break;
+            case "config":
+                options.onConfig(message);
+                break;
+            case "demand":
+                options.onDemand(message.counts);
+                break;
+            case "pullDecisions":
+                reply({ kind: "decisions", sequence: message.sequence, bootId: self.bootId, ...options.decisionsAfter(message.after) });
+                break;
+            case "decisions":
+                pulls.get(message.sequence)?.(message);
+                pulls.delete(message.sequence);
+                break;
+        }
+    };
+
+    const checkProbes = (nowMs: number): void => {
+        for (const [sequenceOf, each] of [...probes]) {
+            const ageMs = nowMs - each.sentAtMs;
+            if (ageMs >= PROBE_TIMEOUT_MS && !each.askedHelpers && each.onAnswer === undefined) {
+                each.askedHelpers = true;
+                // The connection may have gone silent although new ones work, so the next message opens another.
+                network.reset(each.id);
+                probe(each.id, self.zone, answered => answered && takeAnswer(sequenceOf));
+                const helpers = membership.alive().filter(row => row.id !== self.id && row.id !== each.id);
+                for (const helper of sample(helpers, HELPERS)) {
+                    send(helper.id, { kind: "probeFor", sequence: sequenceOf, id: each.id });
+                }
+            }
+            else if (ageMs >= 2 * PROBE_TIMEOUT_MS) {
+                probes.delete(sequenceOf);
+                if (each.onAnswer === undefined) {
+                    accuse(each.id);
+                }
+                else {
+                    each.onAnswer(false);
+                }
+            }
+        }
+    };
+
+    const probeNext = (): void => {
+        const all = membership.probeable();
+        const near = all.filter(each => each.zone === self.zone);
+        const far = all.filter(each => each.zone !== self.zone);
+        for (const { id, zone } of [...sample(near, 1), ...sample(far, 1)]) {
+            probe(id, zone);
+        }
+    };
+
+    const pullNext = (): void => {
+        for (const { id } of sample(membership.probeable(), 1)) {
+            send(id, { kind: "pullRumours" });
+        }
+    };
+
+    const tick = (): void => {
+        const nowMs = options.now();
+        checkProbes(nowMs);
+        membership.tick(nowMs);
+        if (nowMs >= nextProbeMs) {
+            nextProbeMs = nowMs + PROBE_MS;
+            probeNext();
+        }
+        if (nowMs >= nextPullMs) {
+            nextPullMs = nowMs + PULL_RUMOURS_MS;
+            pullNext();
+        }
+        options.onMembers(membership.alive());
+    };
+
+    return {
+        start: async (): Promise<void> => {
+            await network.listen();
+            spread({ key: `member/${self.id}`, version: Date.now(), value: { ...self } });
+            timer = setInterval(tick, TICK_MS);
+        },
+        setListed: (instances: ListedInstance[]): void => {
+            const before = membership.probeable().length;
+            membership.setListed(instances);
+            if (before === 0) {
+                spreadNow();
+            }
+        },
+        spread,
+        /** Version for the next rumour under a key: the time, but always above what is known. */
+        nextVersion: (key: string): number => Math.max(Date.now(), rumours.version(key) + 1),
+        spreadNow,
+        sendDemand: (id: InstanceId, counts: DemandCount[]): void => send(id, { kind: "demand", counts }),
+        /** Asks a member for its decisions after a sequence number. No answer gives undefined. */
+        pullDecisions: (id: InstanceId, after: number): Promise<Decisions | undefined> =>
+            new Promise(resolve => {
+                sequence += 1;
+                const pull = sequence;
+                pulls.set(pull, resolve);
+                send(id, { kind: "pullDecisions", sequence: pull, after });
+                setTimeout(() => {
+                    pulls.delete(pull);
+                    resolve(undefined);
+                }, PULL_DECISIONS_TIMEOUT_MS).unref();
+            }),
+        alive: membership.alive,
+        members: membership.all,
+        /** Tells the group that this instance leaves, then closes all connections. */
+        leave: (): void => {
+            self.leaving = true;
+            self.incarnation += 1;
+            spread({ key: `member/${self.id}`, version: Date.now(), value: { ...self } }, true);
+        },
+        close: (): void => {
+            clearInterval(timer);
+            network.close();
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-peers/src/createPeerNetwork.ts
@@ -0,0 +1,102 @@
+import { createConnection, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import { createPeerConnection } from "./createPeerConnection.js";
+import { peerLimits } from "./peerLimits.js";
+import type { PeerMessage } from "./peerMessage.js";
+
+type Connection = ReturnType<typeof createPeerConnection>;
+
+interface NetworkOptions {
+    id: string;
+    bootId: string;
+    key: string;
+    host: string;
+    port: number;
+    onMessage: (peerId: InstanceId, message: PeerMessage, reply: (message: PeerMessage) => void) => void;
+    /** Counts connections that were closed for a fault, by reason. */
+    onClosed: (reason: string) => void;
+    countBytes: (direction: "sent" | "received", bytes: number) => void;
+}
+
+/**
+ * Creates the connections to other instances. One is opened when a message has to be sent, and replaced when it ends.
+ * Messages that can't be sent now are dropped: every one is repeated or asked for again by its own protocol.
+ */
+export const createPeerNetwork = (options: NetworkOptions) => {
+    const outgoing = new Map<string, { connection: Connection; waiting: PeerMessage[]; address: string }>();
+    const sockets = new Set<Socket>();
+
+    const count = (socket: Socket): void => {
+        sockets.add(socket);
+        socket.on("data", chunk => options.countBytes("received", (chunk as Buffer).length));
+        socket.on("close", () => {
+            sockets.delete(socket);
+            options.countBytes("sent", socket.bytesWritten);
+        });
+    };
+
+    const server: Server = createServer(socket => {
+        count(socket);
+        const connection = createPeerConnection(socket, options, {
+            onReady: () => undefined,
+            onMessage: (peerId, message) => options.onMessage(peerId, message, reply => connection.send(reply)),
+            onClose: options.onClosed,
+        });
+    });
+
+    const open = (peerId: InstanceId, address: string): void => {
+        const [host, port] = address.split(":");
+        const socket = createConnection({ host: host ?? "", port: Number(port), timeout: peerLimits.connectMs });
+        count(socket);
+        const connection = createPeerConnection(socket, options, {
+            onReady: id => {
+                if (id !== peerId) {
+                    connection.close(`another instance, ${id}, answers at the address of ${peerId}`);
+                    return;
+                }
+                const entry = outgoing.get(peerId);
+                entry?.waiting.splice(0).forEach(connection.send);
+            },
+            onMessage: (id, message) => options.onMessage(id, message, reply => connection.send(reply)),
+            onClose: reason => {
+                if (outgoing.get(peerId)?.connection === connection) {
+                    outgoing.delete(peerId);
+                }
+                options.onClosed(reason);
+            },
+        });
+        outgoing.set(peerId, { connection, waiting: [], address });
+    };
+
+    return {
+        listen: (): Promise<void> =>
+            new Promise((resolve, reject) => {
+                server.once("error", reject);
+                server.listen(options.port, options.host, () => resolve());
+            }),
+        send: (peerId: InstanceId, address: string, message: PeerMessage): void => {
+            if (outgoing.get(peerId)?.address !== address) {
+                outgoing.get(peerId)?.connection.close("the instance has another address now");
+                open(peerId, address);
+            }
+            const entry = outgoing.get(peerId);
+            if (entry?.connection.isReady() === true) {
+                entry.connection.send(message);
+            }
+            else {
+                entry?.waiting.push(message);
+            }
+        },
+        /** Ends the connection to a peer, so that the next message opens a new one. */
+        reset: (peerId: InstanceId): void => {
+            outgoing.get(peerId)?.connection.close("the connection is being replaced");
+        },
+        close: (): void => {
+            server.close();
+            for (const socket of sockets) {
+                socket.destroy();
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-peers/src/peerGroupOptions.ts
@@ -0,0 +1,24 @@
+import type { ConfigEntry } from "medlarlb-types/configEntry";
+import type { DecisionRecord } from "medlarlb-types/decisionRecord";
+import type { DemandCount } from "medlarlb-types/demandCount";
+import type { MemberRow } from "./memberRow.js";
+import type { Rumour } from "./rumour.js";
+
+/** What a peer group needs of the daemon around it. */
+export interface PeerGroupOptions {
+    self: MemberRow;
+    /** Key that all instances share. */
+    key: string;
+    now: () => number;
+    random: () => number;
+    configRevision: () => number;
+    /** Entries of the configuration that changed after a revision, or all of it with base 0. */
+    configSince: (revision: number) => { revision: number; base: number; entries: ConfigEntry[] };
+    onConfig: (config: { revision: number; base: number; entries: ConfigEntry[] }) => void;
+    onRumour: (rumour: Rumour) => void;
+    onMembers: (alive: MemberRow[]) => void;
+    onDemand: (counts: DemandCount[]) => void;
+    decisionsAfter: (sequence: number) => { records: DecisionRecord[]; oldest: number };
+    onClosed: (reason: string) => void;
+    countBytes: (direction: "sent" | "received", bytes: number) => void;
+}
--- /dev/null
+++ b/packages/medlarlb-peers/src/peerLimits.ts
@@ -0,0 +1,11 @@
+/** Limits of the peer protocol. */
+export const peerLimits = {
+    protocol: 1,
+    maxFrameBytes: 4 * 1_024 * 1_024,
+    /** Bytes that may wait on a connection before further messages are dropped. */
+    maxQueuedBytes: 1_024 * 1_024,
+    handshakeMs: 2_000,
+    connectMs: 1_000,
+    /** A connection without a byte for this time is replaced. */
+    idleMs: 10_000,
+};
--- /dev/null
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -0,0 +1,21 @@
+import type { ConfigEntry } from "medlarlb-types/configEntry";
+import type { DemandCount } from "medlarlb-types/demandCount";
+import type { DecisionRecord } from "medlarlb-types/decisionRecord";
+import type { MemberRow } from "./memberRow.js";
+import type { Rumour } from "./rumour.js";
+
+/** Messages between instances, as they stand in the frames. */
+export type PeerMessage =
+    | { kind: "hello"; protocol: number; id: string; bootId: string; nonce: string }
+    | { kind: "proof"; mac: string }
+    | { kind: "probe"; sequence: number; sender: MemberRow; configRevision: number; rumours: Rumour[] }
+    | { kind: "ack"; sequence: number; sender: MemberRow; configRevision: number; rumours: Rumour[] }
+    | { kind: "probeFor"; sequence: number; id: string }
+    | { kind: "probedFor"; sequence: number; id: string; answered: boolean }
+    | { kind: "pullRumours" }
+    | { kind: "rumours"; rumours: Rumour[] }
+    | { kind: "pullConfig"; since: number }
+    | { kind: "config"; revision: number; base: number; entries: ConfigEntry[] }
+    | { kind: "demand"; counts: DemandCount[] }
+    | { kind: "pullDecisions"; sequence: number; after: number }
+    | { kind: "decisions"; sequence: number; bootId: string; records: DecisionRecord[]; oldest: number };
--- /dev/null
+++ b/packages/medlarlb-platform/src/createKvWatch.ts
@@ -0,0 +1,73 @@
+import type { Agent } from "undici";
+import { request } from "undici";
+import { decodeKey } from "./decodeKey.js";
+import { encodeKey } from "./encodeKey.js";
+import type { KvClientOptions } from "./kvClientOptions.js";
+import type { KvEvent } from "./kvEvent.js";
+import { prefixEnd } from "./prefixEnd.js";
+import type { WatchHandlers } from "./watchHandlers.js";
+
+interface WatchLine {
+    result?: {
+        compact_revision?: string;
+        events?: { type?: string; kv: { key: string; value?: string; mod_revision: string } }[];
+    };
+}
+
+const parseEvents = (line: WatchLine): KvEvent[] =>
+    (line.result?.events ?? []).map(event => ({
+        key: decodeKey(event.kv.key),
+        value: event.type === "DELETE" ? undefined : decodeKey(event.kv.value ?? ""),
+        revision: Number(event.kv.mod_revision),
+    }));
+
+/** Creates the function that watches a prefix from a revision on. It returns a function that ends the watch. */
+export const createKvWatch = (options: KvClientOptions, dispatcher: Agent) =>
+    (prefix: string, fromRevision: number, handlers: WatchHandlers): (() => void) => {
+        const abort = new AbortController();
+        let end: "closed" | "compacted" = "closed";
+
+        const takeLine = (text: string): void => {
+            const line = JSON.parse(text) as WatchLine;
+            if (line.result?.compact_revision !== undefined) {
+                end = "compacted";
+            }
+            const events = parseEvents(line);
+            if (events.length > 0) {
+                handlers.onEvents(events);
+            }
+        };
+
+        const read = async (): Promise<void> => {
+            options.countCall("/v3/watch");
+            const res = await request(`${options.url}/v3/watch`, {
+                method: "POST",
+                dispatcher,
+                signal: abort.signal,
+                headers: { "content-type": "application/json", "user-agent": options.instanceId },
+                body: JSON.stringify({
+                    create_request: {
+                        key: encodeKey(prefix),
+                        range_end: encodeKey(prefixEnd(prefix)),
+                        start_revision: String(fromRevision),
+                    },
+                }),
+                headersTimeout: options.timeoutMs,
+                bodyTimeout: 0,
+            });
+            const decoder = new TextDecoder();
+            let rest = "";
+            for await (const chunk of res.body) {
+                const lines = `${rest}${decoder.decode(chunk as Buffer, { stream: true })}`.split("\n");
+                rest = lines.pop() ?? "";
+                lines.filter(line => line !== "").forEach(takeLine);
+            }
+        };
+
+        read().catch(() => undefined).finally(() => {
+            if (!abort.signal.aborted) {
+                handlers.onEnd(end);
+            }
+        });
+        return () => abort.abort();
+    };
--- /dev/null
+++ b/packages/medlarlb-platform/src/createKvWriter.ts
@@ -0,0 +1,124 @@
+import type { KvWrite } from "medlarlb-types/kvWrite";
+import type { KvWriteOutcome } from "medlarlb-types/kvWriteOutcome";
+import type { Result } from "true-myth";
+import { decodeKey } from "./decodeKey.js";
+import { encodeKey } from "./encodeKey.js";
+import type { KvError } from "./kvError.js";
+
+interface KvPair {
+    key: string;
+    value?: string;
+    mod_revision: string;
+}
+
+interface TxnAnswer {
+    header: { revision: string };
+    succeeded?: boolean;
+    responses?: { response_txn?: TxnAnswer; response_range?: { kvs?: KvPair[] } }[];
+}
+
+type Call = <Answer>(path: string, body: unknown) => Promise<Result<Answer, KvError>>;
+
+const BATCH_MS = 2;
+const MAX_BATCH = 64;
+const READ_BACK_TRIES = 2;
+
+const toTxn = (write: KvWrite) => ({
+    compare: write.compares.map(({ key, revision }) => ({
+        key: encodeKey(key),
+        target: "MOD",
+        result: "EQUAL",
+        mod_revision: String(revision),
+    })),
+    success: [
+        ...write.puts.map(({ key, value, lease }) => ({
+            request_put: { key: encodeKey(key), value: encodeKey(value), ...(lease === undefined ? {} : { lease }) },
+        })),
+        ...write.deletes.map(key => ({ request_delete_range: { key: encodeKey(key) } })),
+    ],
+    failure: write.compares.map(({ key }) => ({ request_range: { key: encodeKey(key) } })),
+});
+
+const toConflict = (write: KvWrite, answer: TxnAnswer): KvWriteOutcome => ({
+    kind: "conflict",
+    current: write.compares.map(({ key }, index) => {
+        const kv = answer.responses?.[index]?.response_range?.kvs?.[0];
+        return kv === undefined
+            ? { key, revision: 0 }
+            : { key, value: decodeKey(kv.value ?? ""), revision: Number(kv.mod_revision) };
+    }),
+});
+
+/** Creates the writer, which joins writes into one transaction and finds out what became of those without answer. */
+export const createKvWriter = (call: Call) => {
+    let waiting: { write: KvWrite; resolve: (outcome: KvWriteOutcome) => void }[] = [];
+    let timer: NodeJS.Timeout | undefined;
+
+    /** Looks for the operation id in the keys that the write would have put. */
+    const readBack = async (write: KvWrite, reason: string): Promise<KvWriteOutcome> => {
+        const txn = { success: write.puts.map(({ key }) => ({ request_range: { key: encodeKey(key) } })) };
+        for (let attempt = 0; attempt < READ_BACK_TRIES; attempt += 1) {
+            const answer = await call<TxnAnswer>("/v3/kv/txn", txn);
+            if (answer.isErr) {
+                continue;
+            }
+            for (const response of answer.value.responses ?? []) {
+                const kv = response.response_range?.kvs?.[0];
+                if (kv !== undefined && decodeKey(kv.value ?? "").includes(write.operationId)) {
+                    return { kind: "committed", revision: Number(kv.mod_revision) };
+                }
+            }
+            // The write may still be under way, so its absence proves nothing.
+            return { kind: "unavailable", reason: `${reason}; the write has not taken effect yet` };
+        }
+        return { kind: "unavailable", reason };
+    };
+
+    const send = async (batch: typeof waiting): Promise<void> => {
+        const txn = { success: batch.map(({ write }) => ({ request_txn: toTxn(write) })) };
+        const answer = await call<TxnAnswer>("/v3/kv/txn", txn);
+        if (answer.isErr) {
+            await Promise.all(batch.map(async ({ write, resolve }) => resolve(await readBack(write, answer.error.message))));
+            return;
+        }
+        batch.forEach(({ write, resolve }, index) => {
+            const part = answer.value.responses?.[index]?.response_txn;
+            if (part?.succeeded === true) {
+                resolve({ kind: "committed", revision: Number(answer.value.header.revision) });
+            }
+            else {
+                resolve(toConflict(write, part ?? { header: answer.value.header }));
+            }
+        });
+    };
+
+    /** Takes the next batch. A transaction may touch a key only once, so a second write to it waits for the next. */
+    const takeBatch = (): typeof waiting => {
+        const keys = new Set<string>();
+        const batch = waiting.filter(({ write }) => {
+            const touched = [...write.puts.map(({ key }) => key), ...write.deletes];
+            const fits = keys.size < MAX_BATCH && !touched.some(key => keys.has(key));
+            touched.forEach(key => keys.add(key));
+            return fits;
+        });
+        waiting = waiting.filter(each => !batch.includes(each));
+        return batch;
+    };
+
+    const flush = (): void => {
+        timer = undefined;
+        const batch = takeBatch();
+        if (waiting.length > 0) {
+            timer = setTimeout(flush, 0);
+        }
+        void send(batch);
+    };
+
+    return {
+        write: (write: KvWrite): Promise<KvWriteOutcome> =>
+            new Promise(resolve => {
+                waiting.push({ write, resolve });
+                timer ??= setTimeout(flush, BATCH_MS);
+            }),
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-platform/src/kvRange.ts
@@ -0,0 +1,5 @@
+/** Keys of one range, read at one revision of the KV service. */
+export interface KvRange {
+    revision: number;
+    pairs: { key: string; value: string; revision: number }[];
+}
--- /dev/null
+++ b/packages/medlarlb-targets/src/classifyFailure.ts
@@ -0,0 +1,15 @@
+import type { RunFailure } from "./runFailure.js";
+
+const NOT_SENT_CODES = new Set(["UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL"]);
+
+/** Tells from an error of the HTTP client whether the request can have reached the target. */
+export const classifyFailure = (err: NodeJS.ErrnoException): RunFailure => {
+    const code = err.code ?? "";
+    if (code === "ECONNREFUSED") {
+        return { kind: "refused", reason: "the connection was refused" };
+    }
+    if (NOT_SENT_CODES.has(code)) {
+        return { kind: "notSent", reason: err.message };
+    }
+    return { kind: "broken", reason: err.message };
+};
--- /dev/null
+++ b/packages/medlarlb-targets/src/createTargetCaller.ts
@@ -0,0 +1,75 @@
+import { Agent, Client } from "undici";
+import type { Dispatcher } from "undici";
+import { classifyFailure } from "./classifyFailure.js";
+import type { RunHandlers } from "./runHandlers.js";
+import type { RunRequest } from "./runRequest.js";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 4_000; // shorter than what middleboxes keep an idle connection
+const CONNECTIONS_PER_TARGET = 256;
+
+const toHeaders = (raw: Buffer[]): Record<string, string> => {
+    const headers: Record<string, string> = {};
+    for (let index = 0; index + 1 < raw.length; index += 2) {
+        headers[String(raw[index]).toLowerCase()] = String(raw[index + 1]);
+    }
+    return headers;
+};
+
+/** Creates the caller of targets. It never repeats a call by itself. `run` returns a function that ends the call. */
+export const createTargetCaller = () => {
+    const agent = new Agent({
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        keepAliveMaxTimeout: KEEP_ALIVE_MS,
+        connections: CONNECTIONS_PER_TARGET,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        pipelining: 1,
+    });
+
+    const run = (req: RunRequest, handlers: RunHandlers): (() => void) => {
+        const origin = `http://${req.address}`;
+        const own = req.freshConnection ? new Client(origin, { connect: { timeout: CONNECT_TIMEOUT_MS } }) : undefined;
+        let abort: (reason?: Error) => void = () => undefined;
+        let ended = false;
+        const finish = (report: () => void): void => {
+            if (!ended) {
+                ended = true;
+                void own?.destroy();
+                report();
+            }
+        };
+        const handler: Dispatcher.DispatchHandler = {
+            onConnect: stop => {
+                abort = stop;
+            },
+            onHeaders: (status, raw) => {
+                if (status >= 200 && !ended) {
+                    handlers.onHead(status, toHeaders(raw));
+                }
+                return true;
+            },
+            onData: chunk => {
+                if (!ended) {
+                    handlers.onChunk(chunk);
+                }
+                return true;
+            },
+            onComplete: () => finish(handlers.onEnd),
+            onError: err => finish(() => handlers.onFailure(classifyFailure(err))),
+        };
+        (own ?? agent).dispatch({
+            origin,
+            method: req.method as Dispatcher.HttpMethod,
+            path: req.path,
+            headers: req.headers,
+            body: req.body ?? "",
+            headersTimeout: req.firstByteMs,
+            bodyTimeout: req.idleMs,
+            // A call is sent at most once on a connection, also when the method would allow a repeat.
+            idempotent: false,
+        }, handler);
+        return () => finish(() => abort(new Error("the call was given up")));
+    };
+
+    return { run, agent, close: (): Promise<void> => agent.destroy() };
+};
--- a/packages/medlarlb-types/src/decisionCommand.ts
+++ b/packages/medlarlb-types/src/decisionCommand.ts
@@ -1,6 +1,7 @@
 import type { AttemptId } from "./attemptId.js";
 import type { ClaimRecord } from "./claimRecord.js";
 import type { DecisionRecord } from "./decisionRecord.js";
+import type { DemandCount } from "./demandCount.js";
 import type { EngineOrder } from "./engineOrder.js";
 import type { Fingerprint } from "./fingerprint.js";
 import type { ItemId } from "./itemId.js";
@@ -18,9 +19,10 @@
     | { kind: "refuse"; requestId: RequestId; problem: Problem }
     | { kind: "replay"; requestId: RequestId; record: ClaimRecord }
     | { kind: "write"; write: KvWrite }
+    | { kind: "readLedgers" }
     | { kind: "order"; targetId: TargetId; order: EngineOrder }
     | { kind: "poll"; targetId: TargetId }
     | { kind: "record"; record: DecisionRecord }
     | { kind: "shareLeaving"; targetId: TargetId }
     | { kind: "shareSuspect"; fingerprint: Fingerprint; crashes: number }
-    | { kind: "shareDemand"; counts: Map<ItemId, number> };
+    | { kind: "shareDemand"; counts: DemandCount[] };
--- a/packages/medlarlb-types/src/decisionInput.ts
+++ b/packages/medlarlb-types/src/decisionInput.ts
@@ -4,6 +4,7 @@
 import type { BootId } from "./bootId.js";
 import type { ClaimRecord } from "./claimRecord.js";
 import type { ConfigSnapshot } from "./configSnapshot.js";
+import type { DemandCount } from "./demandCount.js";
 import type { Fingerprint } from "./fingerprint.js";
 import type { InstanceId } from "./instanceId.js";
 import type { ItemId } from "./itemId.js";
@@ -25,15 +26,19 @@
     | { kind: "members"; alive: { id: InstanceId; bootId: BootId }[] }
     | { kind: "planner"; fence: number | undefined }
     | { kind: "report"; report: TargetReport; requestedAtMs: number }
+    /** The instances that poll these targets are alive, so that the last reports are still true. */
+    | { kind: "reportsCurrent"; targetIds: TargetId[] }
+    /** This instance stops: it gives its ledgers up as soon as no order is open. */
+    | { kind: "stopPlanning" }
     | { kind: "targetSilent"; targetId: TargetId; reason: string }
     | { kind: "targetLeaving"; targetId: TargetId; source: string }
-    | { kind: "ledger"; targetId: TargetId; document: LedgerDocument | undefined; revision: number }
-    | { kind: "anchor"; itemId: ItemId; document: AnchorDocument | undefined; revision: number }
+    | { kind: "ledgers"; documents: Map<TargetId, { document: LedgerDocument; revision: number }> }
+    | { kind: "anchors"; complete: boolean; anchors: { itemId: ItemId; document: AnchorDocument | undefined; revision: number }[] }
     | { kind: "written"; operationId: OperationId; outcome: KvWriteOutcome }
     | { kind: "orderAnswer"; targetId: TargetId; orderId: OrderId; outcome: OrderOutcome; reason: string }
     | { kind: "request"; request: RequestSummary }
     | { kind: "cancelled"; requestId: RequestId }
     | { kind: "attempt"; requestId: RequestId; attemptId: AttemptId; event: AttemptEvent }
     | { kind: "claim"; requestId: RequestId; outcome: "claimed" | "repeat" | "unavailable"; record?: ClaimRecord }
-    | { kind: "demand"; instance: InstanceId; counts: Map<ItemId, number> }
+    | { kind: "demand"; instance: InstanceId; counts: DemandCount[] }
     | { kind: "suspect"; fingerprint: Fingerprint; crashes: number };
--- a/packages/medlarlb-types/src/ledgerDocument.ts
+++ b/packages/medlarlb-types/src/ledgerDocument.ts
@@ -12,4 +12,6 @@
     fence: number;
     operationId: OperationId;
     entries: LedgerEntry[];
+    /** Set when the owner has given the ledger up with no order open. Any planner may take it then. */
+    released?: boolean;
 }
--- a/packages/medlarlb-types/src/targetReport.ts
+++ b/packages/medlarlb-types/src/targetReport.ts
@@ -6,7 +6,7 @@
 export interface TargetReport {
     targetId: TargetId;
     bootId: BootId;
-    /** Order among the reports of one boot. */
+    /** Order among the reports of the target. The instance that polls it sets this. */
     sequence: number;
     memoryBytes: number;
     items: ResidentItem[];
