--- /dev/null
+++ b/admin/runChecks.mjs
@@ -0,0 +1,58 @@
+// Runs the tests and the scenarios. Fails for every failure that KNOWN-RED.txt doesn't list, and prints those it lists.
+import { spawnSync } from "node:child_process";
+import { existsSync, mkdirSync, readFileSync, rmSync } from "node:fs";
+
+const FOLDER = ".checks";
+const MOCHA_FILE = `${FOLDER}/mocha.json`;
+const SCENARIO_FILE = `${FOLDER}/scenarios.json`;
+
+const run = (command, args, env = {}) => {
+    const { status } = spawnSync("npx", [command, ...args], { stdio: "inherit", env: { ...process.env, ...env } });
+    return status;
+};
+
+const readMocha = () => (existsSync(MOCHA_FILE) ? JSON.parse(readFileSync(MOCHA_FILE, "utf8")) : []);
+
+const readScenarios = () => {
+    const features = existsSync(SCENARIO_FILE) ? JSON.parse(readFileSync(SCENARIO_FILE, "utf8") || "[]") : [];
+    return features.flatMap(feature => feature.elements.map(element => ({
+        name: `scenario: ${element.name}`,
+        passed: element.steps.every(step => step.result.status === "passed"),
+    })));
+};
+
+const readKnownRed = () =>
+    (existsSync("KNOWN-RED.txt") ? readFileSync("KNOWN-RED.txt", "utf8") : "")
+        .split("\n")
+        .filter(line => line.startsWith("test: "))
+        .map(line => line.slice("test: ".length).trim());
+
+rmSync(FOLDER, { recursive: true, force: true });
+mkdirSync(FOLDER);
+const mochaStatus = run("mocha", ["--reporter", "./admin/checkReporter.cjs", "--reporter-option", `output=${MOCHA_FILE}`]);
+const scenarioStatus = run("cucumber-js", ["--format", "progress", "--format", `json:${SCENARIO_FILE}`], { NODE_OPTIONS: "--import=tsx" });
+
+const mochaOutcomes = readMocha();
+const scenarioOutcomes = readScenarios();
+const outcomes = [...mochaOutcomes, ...scenarioOutcomes];
+const failed = outcomes.filter(each => !each.passed).map(each => each.name);
+const knownRed = readKnownRed();
+const unexpected = failed.filter(name => !knownRed.includes(name));
+// A runner that fails without naming a failed test, or names no test at all, has not run its tests.
+const incomplete = [[mochaStatus, mochaOutcomes], [scenarioStatus, scenarioOutcomes]]
+    .some(([status, list]) => list.length === 0 || (status !== 0 && list.every(each => each.passed)));
+
+for (const name of failed.filter(each => knownRed.includes(each))) {
+    console.log(`known red: ${name}`);
+}
+for (const name of knownRed.filter(each => !failed.includes(each))) {
+    console.log(`listed in KNOWN-RED.txt, but passes: ${name}`);
+}
+for (const name of unexpected) {
+    console.log(`failed: ${name}`);
+}
+if (incomplete) {
+    console.log("failed: a test runner ended without running its tests");
+}
+console.log(`${outcomes.length - failed.length} passed, ${failed.length} failed`);
+process.exitCode = unexpected.length === 0 && !incomplete ? 0 : 1;
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,6 +14,11 @@
         commaDangle: "always-multiline",
         arrowParens: false,
     }),
+    {
+        files: ["admin/*.cjs"],
+        languageOptions: { globals: { require: "readonly", module: "writable" } },
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
     {
         languageOptions: { globals: { process: "readonly", console: "readonly" } },
         rules: {
--- a/packages/medlarlb-fakes/src/cluster/startProcess.ts
+++ b/packages/medlarlb-fakes/src/cluster/startProcess.ts
@@ -8,6 +8,7 @@
     /** Everything that it printed to standard error. */
     errors: () => string;
     exited: Promise<number | undefined>;
+    isRunning: () => boolean;
 }
 
 const READY_TIMEOUT_MS = 20_000;
@@ -21,6 +22,7 @@
         errors += String(chunk);
     });
     const exited = new Promise<number | undefined>(resolve => child.once("exit", code => resolve(code ?? undefined)));
+    const isRunning = (): boolean => (child.exitCode ?? undefined) === undefined && (child.signalCode ?? undefined) === undefined;
     return new Promise((resolve, reject) => {
         const timer = setTimeout(() => reject(new Error(`${script} wasn't ready in time: ${errors}`)), READY_TIMEOUT_MS);
         child.stdout.on("data", chunk => {
@@ -28,7 +30,7 @@
             const match = /^ready ?(.*)$/m.exec(output);
             if (match) {
                 clearTimeout(timer);
-                resolve({ child, readyText: match[1] ?? "", errors: () => errors, exited });
+                resolve({ child, readyText: match[1] ?? "", errors: () => errors, exited, isRunning });
             }
         });
         child.once("exit", code => {
