--- a/packages/medlarlb-decisions/src/inputs/applyAttempt.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyAttempt.ts
@@ -81,6 +81,7 @@
 };
 
 const breakOff = (world: World, row: RequestRow, target: TargetRow | undefined, event: Broken): void => {
+    row.mayHaveRun = true;
     if (event.died && target !== undefined) {
         markSilent(world, target.targetId, `the target died: ${event.reason}`);
         suspectRequest(world, row, target.targetId);
--- a/packages/medlarlb-decisions/src/inputs/applyRequest.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyRequest.ts
@@ -24,6 +24,7 @@
         attempts: 0,
         resumes: 0,
         excluded: new Set(),
+        mayHaveRun: false,
         isolated: crashes > 0,
         countedUnmet: false,
         lastDecision: undefined,
--- a/packages/medlarlb-decisions/src/requests/refuseRequest.ts
+++ b/packages/medlarlb-decisions/src/requests/refuseRequest.ts
@@ -4,8 +4,9 @@
 import type { World } from "../world.js";
 import { removeRequest } from "./removeRequest.js";
 
-/** Gives a request its final refusal at once. */
-export const refuseRequest = (world: World, row: RequestRow, problem: Problem): void => {
+/** Gives a request its final refusal at once. It says `no` only if no earlier attempt may have run. */
+export const refuseRequest = (world: World, row: RequestRow, refusal: Problem): void => {
+    const problem: Problem = row.mayHaveRun && refusal.ran === "no" ? { ...refusal, ran: "unknown" } : refusal;
     const { requestId, name } = row.request;
     recordDecision(world, "refuse", requestId, problem.detail, {
         inputs: { name, type: problem.type, status: problem.status, ran: problem.ran ?? "no", attempts: row.attempts },
--- a/packages/medlarlb-decisions/src/rows/requestRow.ts
+++ b/packages/medlarlb-decisions/src/rows/requestRow.ts
@@ -16,6 +16,8 @@
     resumes: number;
     /** Targets that this request isn't sent to again. */
     excluded: Set<TargetId>;
+    /** Whether an earlier attempt may have run. No refusal says `no` from then on. */
+    mayHaveRun: boolean;
     /** Whether the request runs alone because a target died under it. */
     isolated: boolean;
     /** Whether a wait of this request was counted as unmet demand. */
