--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,11 +14,6 @@
         commaDangle: "always-multiline",
         arrowParens: false,
     }),
-    {
-        files: ["admin/*.cjs"],
-        languageOptions: { globals: { require: "readonly", module: "writable" } },
-        rules: { "@typescript-eslint/no-require-imports": "off" },
-    },
     {
         languageOptions: { globals: { process: "readonly", console: "readonly" } },
         rules: {
@@ -43,4 +38,14 @@
             "@typescript-eslint/consistent-type-imports": "error",
         },
     },
+    {
+        // Step functions need their own this, and their texts are long.
+        files: ["scenarios/steps/*.ts"],
+        rules: { "@stylistic/max-len": "off", "prefer-arrow-callback": "off" },
+    },
+    {
+        files: ["admin/*.cjs"],
+        languageOptions: { globals: { require: "readonly", module: "writable" } },
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
 );
--- a/packages/medlarlb-decisions/src/inputs/applyAttempt.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyAttempt.ts
@@ -4,6 +4,7 @@
 import { createId } from "../createId.js";
 import { recordDecision } from "../recordDecision.js";
 import { createRefusal } from "../requests/createRefusal.js";
+import { isQuarantined } from "../requests/isQuarantined.js";
 import { refuseRequest } from "../requests/refuseRequest.js";
 import { removeRequest } from "../requests/removeRequest.js";
 import { rerunRequest } from "../requests/rerunRequest.js";
@@ -69,7 +70,13 @@
 };
 
 const giveUp = (world: World, row: RequestRow, target: TargetRow | undefined, event: Broken): void => {
-    if (target !== undefined) {
+    if (isQuarantined(world, row.request.fingerprint)) {
+        const crashes = world.suspects.get(row.request.fingerprint)?.crashes ?? 0;
+        refuseRequest(world, row, createRefusal.quarantined(crashes));
+        return;
+    }
+    if (target !== undefined && !event.died) {
+        // A target that died is silent until it is back, and may be tried again then.
         row.excluded.add(target.targetId);
     }
     const repeatable = !row.request.nonIdempotent && event.delivered === 0;
--- a/packages/medlarlb-decisions/src/inputs/applyRequest.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyRequest.ts
@@ -1,13 +1,11 @@
 import type { RequestSummary } from "medlarlb-types/requestSummary";
 import { admitRequest } from "../requests/admitRequest.js";
 import { createRefusal } from "../requests/createRefusal.js";
+import { isQuarantined } from "../requests/isQuarantined.js";
 import { refuseRequest } from "../requests/refuseRequest.js";
 import type { RequestRow } from "../rows/requestRow.js";
 import type { World } from "../world.js";
 
-/** Crashes from which a request is refused everywhere. */
-const QUARANTINE_CRASHES = 2;
-
 const isConfigured = (world: World, request: RequestSummary): boolean =>
     request.kind === "service" ? world.config.services.has(request.name) : world.itemsByName.has(request.name);
 
@@ -33,7 +31,7 @@
     if (!isConfigured(world, request)) {
         refuseRequest(world, row, createRefusal.unknownName(request.name));
     }
-    else if (crashes >= QUARANTINE_CRASHES) {
+    else if (isQuarantined(world, request.fingerprint)) {
         refuseRequest(world, row, createRefusal.quarantined(crashes));
     }
     else if (request.idempotencyKey !== undefined) {
--- a/scenarios/steps/clusterSteps.ts
+++ b/scenarios/steps/clusterSteps.ts
@@ -46,10 +46,14 @@
     await this.cluster.declare([...this.cluster.targets.values()].map(({ id, spec }) => ({ kind: "targets", name: id, spec })));
 });
 
-When("the operator declares {word} {word} as {}", async function (this: ClusterWorld, kind: string, name: string, spec: string) {
+When(/^the operator declares (\S+) (\S+) as (\{.*\})$/, async function (this: ClusterWorld, kind: string, name: string, spec: string) {
     await this.cluster.declare([{ kind, name, spec: JSON.parse(spec) }]);
 });
 
+When(/^the operator declares (\S+) (\S+) as (\{.*\}) through (\S+)$/, async function (this: ClusterWorld, kind: string, name: string, spec: string, daemon: string) {
+    await this.cluster.declare([{ kind, name, spec: JSON.parse(spec) }], this.cluster.daemons.get(daemon));
+});
+
 Then("{word} sees {word} {word} ready", async function (this: ClusterWorld, daemon: string, kind: string, name: string) {
     await waitFor(`${kind}/${name} ready on ${daemon}`, async () =>
         (await list(this, daemon, kind)).some(item => item.name === name && item.status.ready === true));
@@ -120,15 +124,32 @@
     expect(answer.body.ran, JSON.stringify(answer.body)).to.equal(ran);
 });
 
+Then("every post was answered, and at least one with status {int}", async function (this: ClusterWorld, status: number) {
+    const answers = await Promise.all(this.posts);
+    const statuses = answers.map(answer => (answer instanceof Error ? answer.message : answer.status));
+    expect(statuses).to.include(status);
+    expect(statuses.filter(each => each !== status && each !== 409)).to.deep.equal([]);
+});
+
 Then("{word} ran the text {string} {int} time(s)", async function (this: ClusterWorld, target: string, text: string, times: number) {
     const { executions } = await this.cluster.inspect(target);
     expect((executions as Record<string, number>)[JSON.stringify({ text })] ?? 0).to.equal(times);
 });
 
+Then("the last streamed answer ends with an error and not as if whole", async function (this: ClusterWorld) {
+    const answer = await this.answers.at(-1);
+    if (answer === undefined || answer instanceof Error) {
+        throw answer ?? new Error("nothing was streamed");
+    }
+    expect(answer.complete, answer.text).to.equal(false);
+    expect(answer.error ?? answer.body).to.match(/find out whether the request took effect/);
+});
+
 Then("the engines ran the prompt {string} {int} time(s)", async function (this: ClusterWorld, prompt: string, times: number) {
     let total = 0;
-    for (const { id, spec } of this.cluster.targets.values()) {
-        if (spec.kind === "engine") {
+    for (const { id, spec, process } of this.cluster.targets.values()) {
+        // An engine that was killed has forgotten its runs, so the count is that of the others.
+        if (spec.kind === "engine" && process.isRunning()) {
             const { prompts } = await this.cluster.inspect(id);
             total += (prompts as Record<string, number>)[prompt] ?? 0;
         }
--- a/scenarios/steps/clusterWorld.ts
+++ b/scenarios/steps/clusterWorld.ts
@@ -15,7 +15,12 @@
     answers: Promise<Answer | Error>[] = [];
     prompts: string[] = [];
     posts: Promise<{ status: number; body: Record<string, unknown> } | Error>[] = [];
-    /** Highest memory and revision seen, by the background observer. */
+    changes: { status: number; body: Record<string, unknown> }[] = [];
+    /** The target that a step chose, and what it had started by then. */
+    chosen = "";
+    startedBefore = 0;
+    ended = false;
+    /** What the background observer found wrong. */
     faults: string[] = [];
     stopObserver: () => Promise<void> = async () => undefined;
 
@@ -32,6 +37,7 @@
 });
 
 After(async function (this: ClusterWorld, { result }) {
+    this.ended = true;
     await this.stopObserver();
     if (result?.status === "FAILED" && this.cluster !== undefined) {
         for (const { id, process } of this.cluster.daemons.values()) {
--- /dev/null
+++ b/scenarios/steps/targetSteps.ts
@@ -0,0 +1,85 @@
+import { Then, When } from "@cucumber/cucumber";
+import { expect } from "chai";
+import { readStream } from "medlarlb-fakes/cluster/readStream";
+import { waitFor } from "medlarlb-fakes/cluster/waitFor";
+import { list } from "./clusterSteps.js";
+import type { ClusterWorld } from "./clusterWorld.js";
+
+const CRASHING_PROMPT = "CRASH-THE-ENGINE";
+const MAX_CRASH_TRIES = 8;
+
+const findHolder = async (world: ClusterWorld, model: string): Promise<string> => {
+    const daemon = [...world.cluster.daemons.keys()][0] ?? "";
+    return waitFor(`a replica of ${model}`, async () => {
+        const item = (await list(world, daemon, "models")).find(each => each.name === model);
+        return (item?.status.replicas as { target: string }[] | undefined)?.[0]?.target;
+    });
+};
+
+const countPrompts = async (world: ClusterWorld, id: string): Promise<number> => {
+    const { prompts } = await world.cluster.inspect(id);
+    return Object.values(prompts as Record<string, number>).reduce((sum, each) => sum + each, 0);
+};
+
+When("the engine that holds {word} is killed", async function (this: ClusterWorld, model: string) {
+    this.chosen = await findHolder(this, model);
+    const process = this.cluster.targets.get(this.chosen)?.process;
+    process?.child.kill("SIGKILL");
+    await process?.exited;
+});
+
+When("the engine that holds {word} is leaving", async function (this: ClusterWorld, model: string) {
+    this.chosen = await findHolder(this, model);
+    await this.cluster.setFaults(this.chosen, { leaving: true });
+});
+
+Then("{word} sees {word} {word} ready on another engine", async function (this: ClusterWorld, daemon: string, kind: string, name: string) {
+    await waitFor(`${kind}/${name} on another engine`, async () => {
+        const item = (await list(this, daemon, kind)).find(each => each.name === name);
+        return (item?.status.replicas as { target: string }[] | undefined)?.some(each => each.target !== this.chosen);
+    });
+    this.startedBefore = this.cluster.targets.get(this.chosen)?.process.isRunning() === true ? await countPrompts(this, this.chosen) : 0;
+});
+
+Then("the leaving engine started nothing since", async function (this: ClusterWorld) {
+    expect(await countPrompts(this, this.chosen)).to.equal(this.startedBefore);
+});
+
+When("the engines have started the prompt {string}", async function (this: ClusterWorld, prompt: string) {
+    await waitFor("the prompt to start", async () => {
+        for (const { id, spec } of this.cluster.targets.values()) {
+            const { prompts } = spec.kind === "engine" ? await this.cluster.inspect(id) : { prompts: {} };
+            if ((prompts as Record<string, number>)[prompt] !== undefined) {
+                return true;
+            }
+        }
+        return false;
+    });
+});
+
+When("engines restart whenever they die", function (this: ClusterWorld) {
+    const guard = async (id: string): Promise<void> => {
+        const target = this.cluster.targets.get(id);
+        await target?.process.exited;
+        if (!this.ended) {
+            await target?.restart();
+            void guard(id);
+        }
+    };
+    [...this.cluster.targets.values()].filter(each => each.spec.kind === "engine").forEach(each => void guard(each.id));
+});
+
+When("a caller sends the crashing request through {word} until it is refused with status {int}", async function (this: ClusterWorld, daemon: string, status: number) {
+    const caller = this.cluster.daemons.get(daemon)?.caller ?? "";
+    const statuses: number[] = [];
+    for (let tries = 0; tries < MAX_CRASH_TRIES && statuses.at(-1) !== status; tries += 1) {
+        const answer = await readStream(caller, "aurora", CRASHING_PROMPT);
+        statuses.push(answer.status);
+    }
+    expect(statuses.at(-1), statuses.join(",")).to.equal(status);
+});
+
+Then("the crashing request is refused through {word} with status {int}", async function (this: ClusterWorld, daemon: string, status: number) {
+    const answer = await readStream(this.cluster.daemons.get(daemon)?.caller ?? "", "aurora", CRASHING_PROMPT);
+    expect(answer.status, answer.body).to.equal(status);
+});
