Quarantine a request that dies with its target before its first byte

Cause: a stream that broke before its first frame counted as not resumable, so nobody asked whether its target had died, no crash was counted, and both targets stayed excluded until the deadline. Ruled out: quarantine itself (no suspect was ever recorded). Change: such a stream is asked for from its start; targets that were all tried may be tried again. Before: 504 after 30 s, each time.

--- a/packages/medlarlb-daemon/src/caller/createAttempts.ts
+++ b/packages/medlarlb-daemon/src/caller/createAttempts.ts
@@ -61,7 +61,9 @@
             return { kind: "notSent", reason: failure.reason };
         }
         const inference = request.summary.kind === "inference";
-        const resumable = inference && failure.kind === "broken" && (!request.summary.streaming || request.hasOffsets);
+        // Before the first frame there is nothing to count, so any stream can be asked for from its start.
+        const countable = !request.summary.streaming || request.hasOffsets || request.frames.delivered() === 0;
+        const resumable = inference && failure.kind === "broken" && countable;
         return {
             kind: "broken",
             reason: failure.reason,
--- a/packages/medlarlb-decisions/src/systems/routeRequests.ts
+++ b/packages/medlarlb-decisions/src/systems/routeRequests.ts
@@ -17,6 +17,10 @@
     const open = targets.filter(target => predictWaitMs(target) <= target.serviceMs * TARGET_QUEUE_SHARE);
     if (open.length === 0) {
         countArrival(world, row, true);
+        if (targets.length === 0 && row.request.kind === "inference") {
+            // All replicas were tried. Those that are ready again later may be tried once more.
+            row.excluded.clear();
+        }
         return false;
     }
     startAttempt(world, row, chooseTarget(world, row, open), itemId);
