--- a/packages/medlarlb-daemon/src/operator/createConfigWriter.ts
+++ b/packages/medlarlb-daemon/src/operator/createConfigWriter.ts
@@ -14,6 +14,7 @@
 import { parseResource } from "../config/parseResource.js";
 import { checkDeletion } from "./checkDeletion.js";
 import { checkReferences } from "./checkReferences.js";
+import { readDeclared } from "./readDeclared.js";
 
 interface ConfigChangeRequest {
     kind: string;
@@ -69,7 +70,7 @@
             action: spec === undefined ? "delete" : known === undefined ? "create" : "update",
             kind: change.kind,
             name: change.name,
-            before: known?.value === undefined ? undefined : (JSON.parse(known.value) as { spec: unknown }).spec,
+            before: readDeclared(known?.value).spec,
             after: spec,
             operationId,
         };
@@ -105,7 +106,7 @@
         if (change.resourceVersion === undefined || change.resourceVersion === current) {
             return undefined;
         }
-        const by = known?.value === undefined ? "deleted it" : `changed it (operator ${(JSON.parse(known.value) as { operator?: string }).operator ?? "unknown"})`;
+        const by = known === undefined ? "deleted it" : `changed it (operator ${readDeclared(known.value).operator ?? "unknown"})`;
         return conflict(`${change.kind}/${change.name} is at version ${current}, not ${change.resourceVersion}: another change ${by}`);
     };
 
--- /dev/null
+++ b/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
@@ -0,0 +1,106 @@
+import { createConnection, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { expect } from "chai";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import { createPeerNetwork } from "../createPeerNetwork.js";
+import type { PeerMessage } from "../peerMessage.js";
+
+const KEY = "a key that both of them know";
+const LIMIT_MS = 20_000;
+
+const freePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+
+const until = async (condition: () => boolean): Promise<void> => {
+    const startedAtMs = Date.now();
+    while (!condition()) {
+        if (Date.now() - startedAtMs > LIMIT_MS) {
+            throw new Error("the condition didn't come to hold");
+        }
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+};
+
+const createNode = async (id: string, key: string) => {
+    const port = await freePort();
+    const received: PeerMessage[] = [];
+    const closed: string[] = [];
+    const network = createPeerNetwork({
+        id,
+        bootId: `boot-${id}`,
+        key,
+        host: "127.0.0.1",
+        port,
+        onMessage: (_peer, message) => received.push(message),
+        onClosed: reason => closed.push(reason),
+        countBytes: () => undefined,
+    });
+    await network.listen();
+    return { id: id as InstanceId, port, address: `127.0.0.1:${port}`, received, closed, network };
+};
+
+describe("createPeerNetwork", () => {
+    const nodes: Awaited<ReturnType<typeof createNode>>[] = [];
+    const start = async (id: string, key = KEY) => {
+        const node = await createNode(id, key);
+        nodes.push(node);
+        return node;
+    };
+    afterEach(() => nodes.splice(0).forEach(node => node.network.close()));
+
+    it("delivers messages between instances that share the key", async () => {
+        const one = await start("one");
+        const two = await start("two");
+        one.network.send(two.id, two.address, { kind: "pullRumours" });
+        await until(() => two.received.length === 1);
+        expect(two.received).to.deep.equal([{ kind: "pullRumours" }]);
+    });
+
+    it("closes a connection of an instance that doesn't know the key, before any message counts", async () => {
+        const one = await start("one");
+        const two = await start("two", "another key of theirs");
+        two.network.send(one.id, one.address, { kind: "pullRumours" });
+        await until(() => one.closed.length > 0);
+        expect(one.closed[0]).to.include("set the same [peer] key");
+        expect(one.received).to.deep.equal([]);
+    });
+
+    for (const [what, bytes] of [
+        ["a frame over the limit", Buffer.from([0xff, 0xff, 0xff, 0xff])],
+        ["a frame that isn't CBOR", Buffer.from([0, 0, 0, 2, 0xff, 0xff])],
+        ["a frame that holds no message", Buffer.from([0, 0, 0, 1, 0x01])],
+        ["a message before the handshake", Buffer.from([0, 0, 0, 7, 0xa1, 0x64, 0x6b, 0x69, 0x6e, 0x64, 0x61].concat([0x78]))],
+    ] as const) {
+        it(`closes only the connection that carries ${what}`, async () => {
+            const one = await start("one");
+            const two = await start("two");
+            const hostile = createConnection({ host: "127.0.0.1", port: one.port });
+            let ended = false;
+            hostile.on("error", () => undefined);
+            hostile.on("close", () => {
+                ended = true;
+            });
+            hostile.resume();
+            hostile.write(bytes);
+            await until(() => ended);
+            two.network.send(one.id, one.address, { kind: "pullRumours" });
+            await until(() => one.received.length === 1);
+        });
+    }
+
+    it("opens a new connection after the old one was replaced", async () => {
+        const one = await start("one");
+        const two = await start("two");
+        one.network.send(two.id, two.address, { kind: "pullRumours" });
+        await until(() => two.received.length === 1);
+        one.network.reset(two.id);
+        one.network.send(two.id, two.address, { kind: "pullRumours" });
+        await until(() => two.received.length === 2);
+    });
+});
--- /dev/null
+++ b/packages/medlarlb-targets/src/__tests__/createFrameOrder.test.ts
@@ -0,0 +1,19 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { createFrameOrder } from "../createFrameOrder.js";
+
+describe("createFrameOrder", () => {
+    it("delivers every frame once and in order, however late, repeated or out of order they come", () => {
+        const history = fc.integer({ min: 1, max: 40 }).chain(count =>
+            fc.tuple(
+                fc.constant(count),
+                fc.shuffledSubarray(Array.from({ length: count }, (_, index) => index + 1), { minLength: count }),
+                fc.array(fc.integer({ min: 1, max: count }), { maxLength: 20 }),
+            ));
+        fc.assert(fc.property(history, ([count, order, repeats]) => {
+            const frames = createFrameOrder();
+            const delivered = [...order, ...repeats].flatMap(offset => frames.take({ offset, data: `d${offset}`, numbered: true }));
+            expect(delivered.map(frame => frame.offset)).to.deep.equal(Array.from({ length: count }, (_, index) => index + 1));
+        }), { seed: 20261203, numRuns: 1_000 });
+    });
+});
