Measure the daemon's added latency beside direct calls

Cause: the path had no benchmark; the first run showed the metrics client in its mock mode keeping every metric in memory.

--- a/packages/medlarlb-daemon/src/createMetrics.ts
+++ b/packages/medlarlb-daemon/src/createMetrics.ts
@@ -3,8 +3,9 @@
 /** Creates the metrics of a daemon. Without an address they are counted for `medlarlb status` only. */
 export const createMetrics = (address: string, tags: Record<string, string>) => {
     const [host, port] = address.split(":");
-    const client = new StatsD({
-        ...(address === "" ? { mock: true } : { host: host ?? "", port: Number(port) }),
+    const client = address === "" ? undefined : new StatsD({
+        host: host ?? "",
+        port: Number(port),
         prefix: "medlarlb.",
         globalTags: tags,
         // A lost metric must never end the process.
@@ -14,15 +15,15 @@
     return {
         count: (name: string, by = 1): void => {
             counters.set(name, (counters.get(name) ?? 0) + by);
-            client.increment(name, by);
+            client?.increment(name, by);
         },
         gauge: (name: string, value: number): void => {
-            client.gauge(name, value);
+            client?.gauge(name, value);
         },
         timing: (name: string, ms: number): void => {
-            client.timing(name, ms);
+            client?.timing(name, ms);
         },
         counters: (): Record<string, number> => Object.fromEntries(counters),
-        close: (): void => client.close(),
+        close: (): void => client?.close(),
     };
 };
--- /dev/null
+++ b/packages/medlarlb-fakes/src/benchPath.ts
@@ -0,0 +1,111 @@
+import { readFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { Pool } from "undici";
+import { createCluster } from "./cluster/createCluster.js";
+import { waitFor } from "./cluster/waitFor.js";
+
+const TARGET_P50_MS = 1;
+const TARGET_P99_MS = 5;
+const WARM_UP_MS = 2_000;
+const MEASURE_MS = 5_000;
+const CONNECTIONS = 32;
+const ROUNDS = 5;
+const TICKS_PER_SECOND = 100; // clock ticks of the kernel's accounting
+const NS_PER_US = 1_000n;
+
+const cluster = await createCluster({ policy: { maxQueueLength: 10_000 } });
+
+/** Processor time of a process so far, in seconds. */
+const cpuSeconds = (pid: number): number => {
+    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1]?.split(" ") ?? [];
+    return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
+};
+
+const body = JSON.stringify({ model: "aurora", messages: [{ role: "user", content: "a short question" }] });
+
+const send = async (pool: Pool, item: string | undefined): Promise<void> => {
+    const res = await pool.request({
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: { "content-type": "application/json", ...(item === undefined ? {} : { "x-medlarlb-item": item }) },
+        body,
+    });
+    const text = await res.body.text();
+    if (res.statusCode !== 200 || !text.includes("a short question")) {
+        throw new Error(`wrong answer ${res.statusCode}: ${text}`);
+    }
+};
+
+/** Sends as fast as answers come, and returns the number of requests. */
+const saturate = async (pool: Pool, ms: number): Promise<number> => {
+    const endMs = Date.now() + ms;
+    let count = 0;
+    const loop = async (): Promise<void> => {
+        while (Date.now() < endMs) {
+            await send(pool, undefined);
+            count += 1;
+        }
+    };
+    await Promise.all(Array.from({ length: CONNECTIONS }, loop));
+    return count;
+};
+
+/** Sends at a fixed rate whatever the answers do, and records the time from the planned start. */
+const pace = async (pool: Pool, item: string | undefined, rate: number, ms: number, histogram: Histogram): Promise<void> => {
+    const open: Promise<void>[] = [];
+    const startedNs = process.hrtime.bigint();
+    const total = Math.floor(rate * ms / 1_000);
+    for (let index = 0; index < total; index += 1) {
+        const dueMs = index * 1_000 / rate;
+        const passedMs = Number((process.hrtime.bigint() - startedNs) / 1_000_000n);
+        if (dueMs > passedMs) {
+            await sleep(dueMs - passedMs);
+        }
+        const sentNs = process.hrtime.bigint();
+        open.push(send(pool, item).then(() => histogram.recordValue(Number((process.hrtime.bigint() - sentNs) / NS_PER_US))));
+    }
+    await Promise.all(open);
+};
+
+const measure = async (): Promise<boolean> => {
+    const engine = await cluster.startEngine("e1", "a", { slots: 1_000, tokenMs: 0 });
+    const daemon = await cluster.startDaemon("a1", "a");
+    await cluster.declare([
+        { kind: "targets", name: "e1", spec: engine.spec },
+        { kind: "models", name: "aurora", spec: { bytes: 400 } },
+    ]);
+    await waitFor("aurora ready", async () =>
+        ((await cluster.call("GET", `http://${daemon.operator}/apis/v1/models/aurora`)).status as { ready?: boolean } | undefined)?.ready);
+    const direct = new Pool(`http://${engine.address}`, { connections: CONNECTIONS });
+    const proxied = new Pool(`http://${daemon.caller}`, { connections: CONNECTIONS });
+    await saturate(proxied, WARM_UP_MS);
+    const pid = daemon.process.child.pid ?? 0;
+    const cpuBefore = cpuSeconds(pid);
+    const count = await saturate(proxied, MEASURE_MS);
+    const cpuUsed = cpuSeconds(pid) - cpuBefore;
+    const fullRate = count / MEASURE_MS * 1_000;
+    const histograms = { direct: build(), proxied: build() };
+    for (let round = 0; round < ROUNDS; round += 1) {
+        await pace(direct, "model/aurora@v1", fullRate / 2, MEASURE_MS / ROUNDS, histograms.direct);
+        await pace(proxied, undefined, fullRate / 2, MEASURE_MS / ROUNDS, histograms.proxied);
+    }
+    const at = (histogram: Histogram, percentile: number): number => histogram.getValueAtPercentile(percentile) / 1_000;
+    const addedP50 = at(histograms.proxied, 50) - at(histograms.direct, 50);
+    const addedP99 = at(histograms.proxied, 99) - at(histograms.direct, 99);
+    console.log(`full load: ${fullRate.toFixed(0)} requests/s, ${(count / cpuUsed).toFixed(0)} requests/s per core of the daemon`);
+    console.log(`half load: ${(fullRate / 2).toFixed(0)} requests/s, in turn over ${ROUNDS} rounds`);
+    console.log(`direct:  p50 ${at(histograms.direct, 50).toFixed(2)} ms, p99 ${at(histograms.direct, 99).toFixed(2)} ms`);
+    console.log(`proxied: p50 ${at(histograms.proxied, 50).toFixed(2)} ms, p99 ${at(histograms.proxied, 99).toFixed(2)} ms`);
+    console.log(`added:   p50 ${addedP50.toFixed(2)} ms (target under ${TARGET_P50_MS}), p99 ${addedP99.toFixed(2)} ms (target under ${TARGET_P99_MS})`);
+    await Promise.all([direct.close(), proxied.close()]);
+    return addedP50 < TARGET_P50_MS && addedP99 < TARGET_P99_MS;
+};
+
+try {
+    process.exitCode = await measure() ? 0 : 1;
+}
+finally {
+    await cluster.stopAll();
+}
