--- a/packages/medlarlb-daemon/src/createMetrics.ts
+++ b/packages/medlarlb-daemon/src/createMetrics.ts
@@ -3,7 +3,7 @@
 /** Creates the metrics of a daemon. Without an address they are counted for `medlarlb status` only. */
 export const createMetrics = (address: string, tags: Record<string, string>) => {
     const [host, port] = address.split(":");
-    const client = address === "" ? undefined : new StatsD({
+    const createClient = (): StatsD => new StatsD({
         host: host ?? "",
         port: Number(port),
         prefix: "medlarlb.",
@@ -11,6 +11,7 @@
         // A lost metric must never end the process.
         errorHandler: () => undefined,
     });
+    const client = address === "" ? undefined : createClient();
     const counters = new Map<string, number>();
     return {
         count: (name: string, by = 1): void => {
--- a/packages/medlarlb-fakes/src/benchPath.ts
+++ b/packages/medlarlb-fakes/src/benchPath.ts
@@ -1,9 +1,9 @@
-import { readFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { build } from "hdr-histogram-js";
 import type { Histogram } from "hdr-histogram-js";
 import { Pool } from "undici";
 import { createCluster } from "./cluster/createCluster.js";
+import { readUsage } from "./cluster/readUsage.js";
 import { waitFor } from "./cluster/waitFor.js";
 
 const TARGET_P50_MS = 1;
@@ -12,17 +12,10 @@
 const MEASURE_MS = 5_000;
 const CONNECTIONS = 32;
 const ROUNDS = 5;
-const TICKS_PER_SECOND = 100; // clock ticks of the kernel's accounting
 const NS_PER_US = 1_000n;
 
 const cluster = await createCluster({ policy: { maxQueueLength: 10_000 } });
 
-/** Processor time of a process so far, in seconds. */
-const cpuSeconds = (pid: number): number => {
-    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1]?.split(" ") ?? [];
-    return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
-};
-
 const body = JSON.stringify({ model: "aurora", messages: [{ role: "user", content: "a short question" }] });
 
 const send = async (pool: Pool, item: string | undefined): Promise<void> => {
@@ -82,9 +75,9 @@
     const proxied = new Pool(`http://${daemon.caller}`, { connections: CONNECTIONS });
     await saturate(proxied, WARM_UP_MS);
     const pid = daemon.process.child.pid ?? 0;
-    const cpuBefore = cpuSeconds(pid);
+    const cpuBefore = readUsage(pid).cpuSeconds;
     const count = await saturate(proxied, MEASURE_MS);
-    const cpuUsed = cpuSeconds(pid) - cpuBefore;
+    const cpuUsed = readUsage(pid).cpuSeconds - cpuBefore;
     const fullRate = count / MEASURE_MS * 1_000;
     const histograms = { direct: build(), proxied: build() };
     for (let round = 0; round < ROUNDS; round += 1) {
--- a/packages/medlarlb-peers/src/createPeerConnection.ts
+++ b/packages/medlarlb-peers/src/createPeerConnection.ts
@@ -12,6 +12,7 @@
     onReady: (peerId: InstanceId) => void;
     onMessage: (peerId: InstanceId, message: PeerMessage) => void;
     onClose: (reason: string) => void;
+    onSent: (bytes: number) => void;
 }
 
 interface ConnectionIdentity {
@@ -51,7 +52,9 @@
         if (closed || socket.writableLength > peerLimits.maxQueuedBytes) {
             return false;
         }
-        socket.write(encodeFrame(message));
+        const frame = encodeFrame(message);
+        socket.write(frame);
+        handlers.onSent(frame.length);
         return true;
     };
 
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -47,6 +47,7 @@
     let sequence = 0;
     let nextProbeMs = 0;
     let nextPullMs = 0;
+    let toldMembers = "";
     let timer: NodeJS.Timeout | undefined;
 
     const network = createPeerNetwork({
@@ -258,6 +259,16 @@
         }
     };
 
+    /** Tells of the members when they have changed. */
+    const tellMembers = (): void => {
+        const alive = membership.alive();
+        const text = alive.map(row => `${row.id}/${row.bootId}`).join(" ");
+        if (text !== toldMembers) {
+            toldMembers = text;
+            options.onMembers(alive);
+        }
+    };
+
     const tick = (): void => {
         const nowMs = options.now();
         checkProbes(nowMs);
@@ -270,7 +281,7 @@
             nextPullMs = nowMs + PULL_RUMOURS_MS;
             pullNext();
         }
-        options.onMembers(membership.alive());
+        tellMembers();
     };
 
     return {
--- a/packages/medlarlb-peers/src/createPeerNetwork.ts
+++ b/packages/medlarlb-peers/src/createPeerNetwork.ts
@@ -30,10 +30,7 @@
     const count = (socket: Socket): void => {
         sockets.add(socket);
         socket.on("data", chunk => options.countBytes("received", (chunk as Buffer).length));
-        socket.on("close", () => {
-            sockets.delete(socket);
-            options.countBytes("sent", socket.bytesWritten);
-        });
+        socket.on("close", () => sockets.delete(socket));
     };
 
     const server: Server = createServer(socket => {
@@ -42,6 +39,7 @@
             onReady: () => undefined,
             onMessage: (peerId, message) => options.onMessage(peerId, message, reply => connection.send(reply)),
             onClose: options.onClosed,
+            onSent: bytes => options.countBytes("sent", bytes),
         });
     });
 
@@ -65,6 +63,7 @@
                 }
                 options.onClosed(reason);
             },
+            onSent: bytes => options.countBytes("sent", bytes),
         });
         outgoing.set(peerId, { connection, waiting: [], address });
     };
