--- a/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
+++ b/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
@@ -1,10 +1,8 @@
-import type { ServerResponse } from "node:http";
 import type { ClaimRecord } from "medlarlb-types/claimRecord";
 import type { DecisionCommand } from "medlarlb-types/decisionCommand";
 import type { DecisionInput } from "medlarlb-types/decisionInput";
 import type { Problem } from "medlarlb-types/problem";
 import type { RequestId } from "medlarlb-types/requestId";
-import type { RequestSummary } from "medlarlb-types/requestSummary";
 import { createFrameOrder } from "medlarlb-targets/createFrameOrder";
 import type { createTargetCaller } from "medlarlb-targets/createTargetCaller";
 import type { createMetrics } from "../createMetrics.js";
@@ -26,15 +24,7 @@
 
 type Command<Kind extends DecisionCommand["kind"]> = Extract<DecisionCommand, { kind: Kind }>;
 
-interface Accepted {
-    summary: RequestSummary;
-    method: string;
-    path: string;
-    contentType: string;
-    body: Buffer;
-    res: ServerResponse;
-    callerId: string | undefined;
-}
+type Accepted = Pick<CallerRequest, "summary" | "method" | "path" | "contentType" | "body" | "res" | "callerId">;
 
 /** Creates the edge towards callers: it holds the open requests and carries out what the decisions say of them. */
 export const createCallerEdge = (options: EdgeOptions) => {
--- a/packages/medlarlb-daemon/src/config/buildSnapshot.ts
+++ b/packages/medlarlb-daemon/src/config/buildSnapshot.ts
@@ -1,5 +1,6 @@
 import type { ConfigEntry } from "medlarlb-types/configEntry";
 import type { ConfigSnapshot } from "medlarlb-types/configSnapshot";
+import { createEmptySnapshot } from "medlarlb-types/createEmptySnapshot";
 import { kvKeys } from "medlarlb-types/kvKeys";
 import { parseResource } from "./parseResource.js";
 
@@ -24,15 +25,7 @@
     previous: ConfigSnapshot | undefined,
     onBroken: (key: string) => void,
 ): ConfigSnapshot => {
-    const snapshot: ConfigSnapshot = {
-        revision,
-        models: new Map(),
-        adapters: new Map(),
-        modelversions: new Map(),
-        services: new Map(),
-        targets: new Map(),
-        placements: new Map(),
-    };
+    const snapshot = createEmptySnapshot(revision);
     const maps = snapshot as unknown as SpecMaps;
     for (const { key, value } of entries) {
         const [kind, name] = key.slice(kvKeys.configPrefix.length).split("/");
--- a/packages/medlarlb-decisions/src/createWorld.ts
+++ b/packages/medlarlb-decisions/src/createWorld.ts
@@ -1,3 +1,4 @@
+import { createEmptySnapshot } from "medlarlb-types/createEmptySnapshot";
 import type { DecisionConfig } from "./decisionConfig.js";
 import type { RandomSource } from "./randomSource.js";
 import type { World } from "./world.js";
@@ -9,17 +10,10 @@
     nowMs: 0,
     commands: [],
     sequence: 0,
-    config: {
-        revision: 0,
-        models: new Map(),
-        adapters: new Map(),
-        modelversions: new Map(),
-        services: new Map(),
-        targets: new Map(),
-        placements: new Map(),
-    },
+    config: createEmptySnapshot(),
     items: new Map(),
     itemsByName: new Map(),
+    zoneRanks: new Map(),
     targets: new Map(),
     replicas: new Map(),
     requests: new Map(),
--- a/packages/medlarlb-decisions/src/inputs/applyConfig.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyConfig.ts
@@ -86,6 +86,7 @@
         return;
     }
     world.config = snapshot;
+    world.zoneRanks.clear();
     rebuildItems(world, snapshot);
     applyTargets(world, snapshot);
     recordDecision(world, "configApplied", `revision/${snapshot.revision}`, "a newer configuration was accepted", {
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/putDocument.ts
@@ -0,0 +1,15 @@
+import type { OperationId } from "medlarlb-types/operationId";
+import type { World } from "../world.js";
+
+/** Writes one document to the KV service if its key is still at the given revision. */
+export const putDocument = (world: World, key: string, revision: number, document: { operationId: OperationId }): void => {
+    world.commands.push({
+        kind: "write",
+        write: {
+            operationId: document.operationId,
+            compares: [{ key, revision }],
+            puts: [{ key, value: JSON.stringify(document) }],
+            deletes: [],
+        },
+    });
+};
--- a/packages/medlarlb-decisions/src/placement/rankZones.ts
+++ b/packages/medlarlb-decisions/src/placement/rankZones.ts
@@ -4,11 +4,7 @@
 
 const HASH_RANGE = 2 ** 32;
 
-/**
- * Ranks the zones for the floor of an item by weighted rendezvous hashing, so that each zone gets a share of the
- * items that fits its memory, and all instances agree without messages.
- */
-export const rankZones = (world: World, item: ItemRow): string[] => {
+const computeRanks = (world: World, item: ItemRow): string[] => {
     const memory = new Map<string, number>();
     for (const target of world.targets.values()) {
         const allowed = item.zones.length === 0 || item.zones.includes(target.spec.zone);
@@ -24,3 +20,17 @@
     });
     return scored.sort((a, b) => b.score - a.score).map(each => each.zone);
 };
+
+/**
+ * Ranks the zones for the floor of an item by weighted rendezvous hashing, so that each zone gets a share of the
+ * items that fits its memory, and all instances agree without messages. Ranks are kept until the configuration changes.
+ */
+export const rankZones = (world: World, item: ItemRow): string[] => {
+    const known = world.zoneRanks.get(item.itemId);
+    if (known !== undefined) {
+        return known;
+    }
+    const ranks = computeRanks(world, item);
+    world.zoneRanks.set(item.itemId, ranks);
+    return ranks;
+};
--- a/packages/medlarlb-decisions/src/placement/writeAnchor.ts
+++ b/packages/medlarlb-decisions/src/placement/writeAnchor.ts
@@ -4,6 +4,7 @@
 import { createId } from "../createId.js";
 import type { AnchorRow } from "../rows/anchorRow.js";
 import type { World } from "../world.js";
+import { putDocument } from "./putDocument.js";
 
 /**
  * Writes the anchor of an item to a confirmed replica of this instance's own. Only the owner of a replica makes it an
@@ -15,13 +16,5 @@
     const document = { itemId: anchor.itemId, targetId, zone: world.cfg.zone, operationId };
     anchor.pending = { operationId, targetId };
     anchor.nextWriteMs = Number.POSITIVE_INFINITY;
-    world.commands.push({
-        kind: "write",
-        write: {
-            operationId,
-            compares: [{ key, revision: anchor.revision }],
-            puts: [{ key, value: JSON.stringify(document) }],
-            deletes: [],
-        },
-    });
+    putDocument(world, key, anchor.revision, document);
 };
--- a/packages/medlarlb-decisions/src/placement/writeLedger.ts
+++ b/packages/medlarlb-decisions/src/placement/writeLedger.ts
@@ -4,6 +4,7 @@
 import type { LedgerRow } from "../rows/ledgerRow.js";
 import type { World } from "../world.js";
 import { ledgerKey } from "./ledgerKey.js";
+import { putDocument } from "./putDocument.js";
 
 /** Writes a ledger to the KV service under the condition that nobody else has written it. */
 export const writeLedger = (world: World, ledger: LedgerRow, released = false): void => {
@@ -19,13 +20,5 @@
     };
     const key = ledgerKey(world, ledger.targetId);
     ledger.pendingWrite = { operationId, version: ledger.version, startedAtMs: world.nowMs };
-    world.commands.push({
-        kind: "write",
-        write: {
-            operationId,
-            compares: [{ key, revision: ledger.revision }],
-            puts: [{ key, value: JSON.stringify(document) }],
-            deletes: [],
-        },
-    });
+    putDocument(world, key, ledger.revision, document);
 };
--- a/packages/medlarlb-decisions/src/world.ts
+++ b/packages/medlarlb-decisions/src/world.ts
@@ -31,6 +31,8 @@
     items: Map<ItemId, ItemRow>;
     /** Items that a name of a request stands for, the preferred first. */
     itemsByName: Map<string, ItemId[]>;
+    /** Zones in the order of their rank for an item, since the configuration was last applied. */
+    zoneRanks: Map<ItemId, string[]>;
     targets: Map<TargetId, TargetRow>;
     /** Targets that hold an item ready for requests. */
     replicas: Map<ItemId, Set<TargetId>>;
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -1,7 +1,7 @@
-import type { DecisionRecord } from "medlarlb-types/decisionRecord";
 import type { DemandCount } from "medlarlb-types/demandCount";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
+import { createDecisionPulls } from "./createDecisionPulls.js";
 import { createMembership } from "./createMembership.js";
 import { createPeerNetwork } from "./createPeerNetwork.js";
 import { createRumourTable } from "./createRumourTable.js";
@@ -9,6 +9,7 @@
 import type { PeerGroupOptions } from "./peerGroupOptions.js";
 import type { PeerMessage } from "./peerMessage.js";
 import type { Rumour } from "./rumour.js";
+import { sampleItems } from "./sampleItems.js";
 
 const TICK_MS = 100;
 const PROBE_MS = 500;
@@ -17,13 +18,6 @@
 const SPREAD_TO = 3; // members that hear of news at once
 const RUMOURS_PER_MESSAGE = 24;
 const PULL_RUMOURS_MS = 10_000;
-const PULL_DECISIONS_TIMEOUT_MS = 1_000;
-
-interface Decisions {
-    bootId: string;
-    records: DecisionRecord[];
-    oldest: number;
-}
 
 interface Probe {
     id: InstanceId;
@@ -42,7 +36,7 @@
     const membership = createMembership(self);
     const rumours = createRumourTable(() => membership.alive().length);
     const probes = new Map<number, Probe>();
-    const pulls = new Map<number, (decisions: Decisions | undefined) => void>();
+    const pulls = createDecisionPulls();
     const [host, port] = self.address.split(":");
     let sequence = 0;
     let nextProbeMs = 0;
@@ -70,14 +64,7 @@
         }
     };
 
-    const sample = <Item>(items: Item[], count: number): Item[] => {
-        const rest = [...items];
-        const chosen: Item[] = [];
-        while (chosen.length < count && rest.length > 0) {
-            chosen.push(...rest.splice(Math.floor(options.random() * rest.length), 1));
-        }
-        return chosen;
-    };
+    const sample = <Item>(items: readonly Item[], count: number): Item[] => sampleItems(items, count, options.random);
 
     const probe = (id: InstanceId, zone: string, onAnswer?: (answered: boolean) => void): void => {
         sequence += 1;
@@ -213,8 +200,7 @@
                 reply({ kind: "decisions", sequence: message.sequence, bootId: self.bootId, ...options.decisionsAfter(message.after) });
                 break;
             case "decisions":
-                pulls.get(message.sequence)?.(message);
-                pulls.delete(message.sequence);
+                pulls.take(message);
                 break;
         }
     };
@@ -303,17 +289,8 @@
         spreadNow,
         sendDemand: (id: InstanceId, counts: DemandCount[]): void => send(id, { kind: "demand", counts }),
         /** Asks a member for its decisions after a sequence number. No answer gives undefined. */
-        pullDecisions: (id: InstanceId, after: number): Promise<Decisions | undefined> =>
-            new Promise(resolve => {
-                sequence += 1;
-                const pull = sequence;
-                pulls.set(pull, resolve);
-                send(id, { kind: "pullDecisions", sequence: pull, after });
-                setTimeout(() => {
-                    pulls.delete(pull);
-                    resolve(undefined);
-                }, PULL_DECISIONS_TIMEOUT_MS).unref();
-            }),
+        pullDecisions: (id: InstanceId, after: number) =>
+            pulls.ask(pull => send(id, { kind: "pullDecisions", sequence: pull, after })),
         alive: membership.alive,
         members: membership.all,
         /** Tells the group that this instance leaves, then closes all connections. */
--- /dev/null
+++ b/packages/medlarlb-peers/src/sampleItems.ts
@@ -0,0 +1,9 @@
+/** Picks some items at random, each at most once. */
+export const sampleItems = <Item>(items: readonly Item[], count: number, random: () => number): Item[] => {
+    const rest = [...items];
+    const chosen: Item[] = [];
+    while (chosen.length < count && rest.length > 0) {
+        chosen.push(...rest.splice(Math.floor(random() * rest.length), 1));
+    }
+    return chosen;
+};
