Let only a target's poller say that it is silent

Cause: reading the poller: a planner that couldn't reach a target spread it as silent, and since the poller's own report had not changed, nobody spread it as serving again; a poller that got its role back didn't spread its report anew either. Ruled out: the 2 s comparison polls of planners (they only report). Change: failures count at the poller only; an instance that isn't poller forgets what it had spread.

--- /dev/null
+++ b/packages/medlarlb-daemon/src/__tests__/createTargetPoller.test.ts
@@ -0,0 +1,98 @@
+import { expect } from "chai";
+import type { DecisionInput } from "medlarlb-types/decisionInput";
+import type { TargetReport } from "medlarlb-types/targetReport";
+import type { TargetSpec } from "medlarlb-types/targetSpec";
+import { Result } from "true-myth";
+import { choosePoller } from "../targets/choosePoller.js";
+import { createTargetPoller } from "../targets/createTargetPoller.js";
+
+const LIMIT_MS = 20_000;
+const members = [{ id: "a1", zone: "a" }, { id: "a2", zone: "a" }];
+const poller = choosePoller("e1", "a", members) ?? "";
+const other = members.find(member => member.id !== poller)?.id ?? "";
+
+const spec: TargetSpec = {
+    kind: "engine",
+    address: "127.0.0.1:1",
+    zone: "a",
+    memoryBytes: 1,
+    slots: 4,
+    fencing: "enforced",
+    services: [],
+    leaving: false,
+};
+
+const report = { bootId: "b", memoryBytes: 1, items: [], leaving: false, fence: 0, inFlight: 0, queued: 0 } as unknown as TargetReport;
+
+const until = async (condition: () => boolean): Promise<void> => {
+    const startedAtMs = Date.now();
+    while (!condition()) {
+        if (Date.now() - startedAtMs > LIMIT_MS) {
+            throw new Error("the condition didn't come to hold");
+        }
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+};
+
+const createPoller = (selfId: string) => {
+    const state = { alive: members, fails: true, polls: 0, spread: [] as { key: string; value: unknown }[], pushed: [] as DecisionInput[] };
+    const created = createTargetPoller({
+        selfId,
+        zone: "a",
+        peers: {
+            alive: () => state.alive,
+            nextVersion: () => 1,
+            spread: (rumour: { key: string; value: unknown }) => state.spread.push(rumour),
+        } as never,
+        control: {
+            poll: async () => {
+                state.polls += 1;
+                return state.fails ? Result.err("unreachable") : Result.ok(report);
+            },
+        } as never,
+        targets: () => new Map([["e1", spec]]),
+        push: input => state.pushed.push(input),
+        countPoll: () => undefined,
+    });
+    return { ...created, state };
+};
+
+const isSilent = (each: { value: unknown }): boolean => (each.value as { silent?: boolean }).silent === true;
+
+describe("createTargetPoller", () => {
+    const open: ReturnType<typeof createPoller>[] = [];
+    const start = (selfId: string) => {
+        const created = createPoller(selfId);
+        open.push(created);
+        return created;
+    };
+    afterEach(() => open.splice(0).forEach(each => each.stop()));
+
+    it("spreads that a target is silent when it is its poller", async () => {
+        const { state } = start(poller);
+        await until(() => state.spread.some(isSilent));
+    });
+
+    it("spreads nothing of a target that only this instance can't reach, when another is its poller", async () => {
+        const { state, pollNow } = start(other);
+        for (let count = 0; count < 6; count += 1) {
+            pollNow("e1");
+            await until(() => state.polls > count);
+        }
+        expect(state.spread).to.deep.equal([]);
+        expect(state.pushed.filter(input => input.kind === "targetSilent")).to.deep.equal([]);
+    });
+
+    it("spreads the report anew when it becomes the poller again", async () => {
+        const { state } = start(poller);
+        state.fails = false;
+        const reports = () => state.spread.filter(each => each.key === "target/e1").length;
+        await until(() => reports() === 1);
+        state.alive = members.filter(member => member.id === other);
+        const polled = state.polls;
+        await new Promise(resolve => setTimeout(resolve, 600));
+        expect(state.polls).to.be.at.most(polled + 1);
+        state.alive = members;
+        await until(() => reports() === 2);
+    });
+});
--- a/packages/medlarlb-daemon/src/targets/createTargetPoller.ts
+++ b/packages/medlarlb-daemon/src/targets/createTargetPoller.ts
@@ -77,7 +77,9 @@
     const takeFailure = (targetId: string, spec: TargetSpec, reason: string): void => {
         const state = stateOf(targetId);
         state.failures += 1;
-        if (state.failures === SILENT_AFTER_FAILURES) {
+        // Only the poller's word counts: another instance may be cut off from a target that serves.
+        const counts = pollerOf(targetId, spec) === options.selfId;
+        if (counts && state.failures === SILENT_AFTER_FAILURES) {
             options.push({ kind: "targetSilent", targetId: targetId as TargetId, reason: `polls fail: ${reason}` });
             share(targetId, spec, undefined);
         }
@@ -112,6 +114,10 @@
             if (pollerOf(targetId, spec) === options.selfId) {
                 void poll(targetId, spec);
             }
+            else {
+                // Another poller spreads meanwhile, so everything counts as new when this instance polls again.
+                states.delete(targetId);
+            }
         }
     };
 
