Lose no report that comes together with another, and record answers before repeats

Twice a model never became ready on an instance: reports got the clock as sequence number, so of two rumours in the same millisecond the second, with the loaded item, counted as old. Once a repeat right after the answer got 409, because the answer was recorded after it was sent. Ruled out: lost rumours (the full exchange every 10 s brought nothing new), load of the machine. Change: reports are numbered by a counter; the answer to a keyed request waits for its record, at most 250 ms. Also: scenarios for leaving by operator and by list, and decisions read at every instance.

--- a/packages/medlarlb-daemon/src/__tests__/createTargetPoller.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createTargetPoller.test.ts
@@ -83,6 +83,17 @@
         expect(state.pushed.filter(input => input.kind === "targetSilent")).to.deep.equal([]);
     });
 
+    it("takes every rumour into account, also of those that come at the same time", () => {
+        const { state, takeRumour } = start(other);
+        const shared = { bootId: "b", memoryBytes: 1, leaving: false, fence: 0, silent: false, level: 0 };
+        takeRumour({ key: "target/e1", version: 1, value: { ...shared, items: [] } });
+        takeRumour({ key: "load/e1", version: 1, value: 2 });
+        takeRumour({ key: "target/e1", version: 2, value: { ...shared, items: [{ itemId: "model/m@v1", bytes: 1, state: "resident" }] } });
+        const sequences = state.pushed.flatMap(input => (input.kind === "report" ? [input.report.sequence] : []));
+        expect(sequences).to.have.lengthOf(3);
+        expect(sequences).to.deep.equal([...new Set(sequences)].sort((a, b) => a - b));
+    });
+
     it("spreads the report anew when it becomes the poller again", async () => {
         const { state } = start(poller);
         state.fails = false;
--- a/packages/medlarlb-daemon/src/caller/createAttempts.ts
+++ b/packages/medlarlb-daemon/src/caller/createAttempts.ts
@@ -13,8 +13,8 @@
     idleMs: number;
     /** Tells the decisions what happened to an attempt. */
     report: (request: CallerRequest, attemptId: AttemptId, event: AttemptEvent) => void;
-    /** Sends a complete answer that isn't a stream. */
-    deliver: (request: CallerRequest, status: number, contentType: string, body: Buffer) => void;
+    /** Sends a complete answer that isn't a stream. Resolves when it was sent. */
+    deliver: (request: CallerRequest, status: number, contentType: string, body: Buffer) => Promise<void>;
 }
 
 interface Attempt {
@@ -91,8 +91,8 @@
             });
             return;
         }
-        options.deliver(request, status, contentType, body);
-        options.report(request, attempt.attemptId, { kind: "completed", status });
+        void options.deliver(request, status, contentType, body)
+            .then(() => options.report(request, attempt.attemptId, { kind: "completed", status }));
     };
 
     const endStream = (request: CallerRequest, attempt: Attempt): void => {
--- a/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
+++ b/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { ClaimRecord } from "medlarlb-types/claimRecord";
 import type { DecisionCommand } from "medlarlb-types/decisionCommand";
 import type { DecisionInput } from "medlarlb-types/decisionInput";
@@ -22,6 +23,8 @@
     push: (input: DecisionInput) => void;
 }
 
+const RECORD_WAIT_MS = 250; // longest delay of an answer while the KV service records it
+
 type Command<Kind extends DecisionCommand["kind"]> = Extract<DecisionCommand, { kind: Kind }>;
 
 type Accepted = Pick<CallerRequest, "summary" | "method" | "path" | "contentType" | "body" | "res" | "callerId">;
@@ -31,9 +34,9 @@
     const { metrics, claims, push } = options;
     const open = new Map<RequestId, CallerRequest>();
 
-    const settle = (request: CallerRequest, state: ClaimRecord["state"], answer?: ClaimRecord["answer"]): void => {
+    const settle = async (request: CallerRequest, state: ClaimRecord["state"], answer?: ClaimRecord["answer"]): Promise<void> => {
         if (request.summary.idempotencyKey !== undefined) {
-            claims.settle(request.summary, state, answer);
+            await claims.settle(request.summary, state, answer);
         }
     };
 
@@ -53,16 +56,22 @@
             if (event.kind === "completed") {
                 metrics.count("request.completed");
                 if (request.summary.streaming) {
-                    settle(request, "completed");
+                    void settle(request, "completed");
                 }
                 forget(request);
             }
         },
-        deliver: (request, status, contentType, body) => {
-            request.headSent = true;
-            request.res.writeHead(status, { "content-type": contentType, "content-length": body.length });
-            request.res.end(body);
-            settle(request, "completed", { status, contentType, body: body.toString("utf8") });
+        deliver: async (request, status, contentType, body) => {
+            if (request.summary.idempotencyKey !== undefined) {
+                // A repeat that follows the answer is to find it recorded.
+                const recorded = settle(request, "completed", { status, contentType, body: body.toString("utf8") });
+                await Promise.race([recorded, sleep(RECORD_WAIT_MS)]);
+            }
+            if (!request.finished) {
+                request.headSent = true;
+                request.res.writeHead(status, { "content-type": contentType, "content-length": body.length });
+                request.res.end(body);
+            }
         },
     });
 
@@ -84,7 +93,7 @@
         accepted.res.on("close", () => {
             if (!request.finished) {
                 metrics.count("request.cancelled");
-                settle(request, "unknown");
+                void settle(request, "unknown");
                 request.stopAttempt();
                 forget(request);
                 push({ kind: "cancelled", requestId });
@@ -133,7 +142,7 @@
         }
         request.stopAttempt();
         metrics.count("request.refused");
-        settle(request, problem.ran === "no" ? "notRun" : "unknown");
+        void settle(request, problem.ran === "no" ? "notRun" : "unknown");
         forget(request);
         sendError(request, problem);
     };
--- a/packages/medlarlb-daemon/src/caller/createClaims.ts
+++ b/packages/medlarlb-daemon/src/caller/createClaims.ts
@@ -84,7 +84,7 @@
     return {
         claim: (summary: RequestSummary): Promise<ClaimOutcome> => claimAt(summary, keyOf(summary.idempotencyKey ?? ""), 0),
         /** Records the final state of a claimed request. A larger answer isn't kept; a repeat learns that it ran. */
-        settle: (summary: RequestSummary, state: ClaimRecord["state"], answer?: ClaimRecord["answer"]): void => {
+        settle: async (summary: RequestSummary, state: ClaimRecord["state"], answer?: ClaimRecord["answer"]): Promise<void> => {
             const key = keyOf(summary.idempotencyKey ?? "");
             const claim = held.get(key);
             if (claim === undefined) {
@@ -93,7 +93,7 @@
             held.delete(key);
             const kept = answer !== undefined && answer.body.length <= MAX_KEPT_ANSWER_BYTES ? { answer } : {};
             const record = { ...claim.record, operationId: brandAs<OperationId>(randomUUID()), state, ...kept };
-            void settleAt(key, record, claim.revision, SETTLE_TRIES);
+            await settleAt(key, record, claim.revision, SETTLE_TRIES);
         },
         openClaims: () => held.size,
     };
--- a/packages/medlarlb-daemon/src/targets/createTargetPoller.ts
+++ b/packages/medlarlb-daemon/src/targets/createTargetPoller.ts
@@ -45,6 +45,14 @@
     const states = new Map<string, PollState>();
     const received = new Map<string, { report: SharedReport; load: number | undefined }>();
 
+    let lastSequence = 0;
+
+    /** Sequence number of the next report for the decisions. Reports that come at the same time differ too. */
+    const nextSequence = (): number => {
+        lastSequence += 1;
+        return lastSequence;
+    };
+
     const stateOf = (targetId: string): PollState => {
         const state = states.get(targetId) ?? { polling: false, failures: 0, shared: "", load: -1 };
         states.set(targetId, state);
@@ -100,8 +108,8 @@
             return;
         }
         state.failures = 0;
-        const sequence = peers.nextVersion(`target/${targetId}`);
-        options.push({ kind: "report", report: { ...answer.value, targetId: targetId as TargetId, sequence }, requestedAtMs });
+        const report = { ...answer.value, targetId: targetId as TargetId, sequence: nextSequence() };
+        options.push({ kind: "report", report, requestedAtMs });
         if (pollerOf(targetId, spec) === options.selfId) {
             share(targetId, spec, answer.value);
         }
@@ -142,8 +150,7 @@
             return;
         }
         const inFlight = found.load ?? busyLoad(found.report.level, spec.slots);
-        const sequence = peers.nextVersion(`target/${targetId}`);
-        const report: TargetReport = { ...found.report, targetId: targetId as TargetId, sequence, inFlight, queued: 0 };
+        const report: TargetReport = { ...found.report, targetId: targetId as TargetId, sequence: nextSequence(), inFlight, queued: 0 };
         options.push({ kind: "report", report, requestedAtMs: 0 });
     };
 
--- a/scenarios/features/targets.feature
+++ b/scenarios/features/targets.feature
@@ -95,6 +95,22 @@
     Then every streamed answer is complete and its own
     And the leaving engine started nothing since
 
+  Scenario Outline: A target that <source> says is leaving gets no new work either
+    When 4 callers stream from aurora through a1
+    And the engine that holds aurora is <how>
+    Then a1 sees models aurora ready on another engine
+    And a2 sees models aurora ready on another engine
+    And every streamed answer is complete and its own
+    When 6 callers stream from aurora through a1
+    And 6 callers stream from aurora through a2
+    Then every streamed answer is complete and its own
+    And the leaving engine started nothing since
+
+    Examples:
+      | source   | how                             |
+      | operator | drained by the operator         |
+      | list     | leaving by the platform's list  |
+
   Scenario: A request that crashes its targets is refused in the end, and bystanders are answered
     When the operator declares placements wide as {"item": "aurora", "minReplicas": 2}
     Then a1 sees models aurora with a replica on e1
--- a/scenarios/features/wholePath.feature
+++ b/scenarios/features/wholePath.feature
@@ -11,6 +11,7 @@
     When the operator declares models aurora as {"bytes": 400}
     Then b1 sees models aurora ready
     And a2 sees models aurora ready
+    And every instance shows the load of model/aurora@v1, then its confirmation with the load as cause
     When 10 callers stream from aurora through a1
     And 10 callers stream from aurora through a2
     And 10 callers stream from aurora through b1
--- a/scenarios/steps/targetSteps.ts
+++ b/scenarios/steps/targetSteps.ts
@@ -33,6 +33,18 @@
     await this.cluster.setFaults(this.chosen, { leaving: true });
 });
 
+When("the engine that holds {word} is drained by the operator", async function (this: ClusterWorld, model: string) {
+    this.chosen = await findHolder(this, model);
+    const spec = { ...this.cluster.targets.get(this.chosen)?.spec, leaving: true };
+    await this.cluster.declare([{ kind: "targets", name: this.chosen, spec }]);
+});
+
+When("the engine that holds {word} is leaving by the platform's list", async function (this: ClusterWorld, model: string) {
+    this.chosen = await findHolder(this, model);
+    const target = this.cluster.targets.get(this.chosen);
+    await this.cluster.enlist(this.chosen, "target", target?.zone ?? "", target?.address ?? "", "leaving");
+});
+
 Then("{word} sees {word} {word} ready on another engine", async function (this: ClusterWorld, daemon: string, kind: string, name: string) {
     await waitFor(`${kind}/${name} on another engine`, async () => {
         const item = (await list(this, daemon, kind)).find(each => each.name === name);
