Let a target that was leaving come back

Cause: reading the leaving path: an instance that starts later got the old news that a target is leaving, after the drain had been taken back, and a target that restarted under its name stayed leaving for good. Ruled out: the operator's undo on running instances (its test passed before). Change: such news counts for 30 s; a restart ends leaving unless the report, the list or the operator says otherwise.

--- a/packages/medlarlb-daemon/src/shared/createRumourTaker.ts
+++ b/packages/medlarlb-daemon/src/shared/createRumourTaker.ts
@@ -15,6 +15,9 @@
     push: (input: DecisionInput) => void;
 }
 
+/** Age up to which news of a leaving target counts. By then its report, the list or the operator says so. */
+const LEAVING_FRESH_MS = 30_000;
+
 /** Creates the part that turns shared knowledge into rumours, and rumours into inputs of the decisions. */
 export const createRumourTaker = ({ instanceId, zone, peers, poller, push }: TakerOptions) => {
     let planner: InstanceId | undefined;
@@ -28,7 +31,7 @@
                 return;
             }
             const [kind, name] = rumour.key.split("/");
-            if (kind === "leaving") {
+            if (kind === "leaving" && Date.now() - rumour.version < LEAVING_FRESH_MS) {
                 push({ kind: "targetLeaving", targetId: name as TargetId, source: "another instance" });
             }
             else if (kind === "suspect") {
--- a/packages/medlarlb-decisions/src/inputs/applyReport.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyReport.ts
@@ -20,6 +20,14 @@
     }
 };
 
+/** A target that restarted isn't leaving any more, unless somebody says so again. */
+const takeBackLeaving = (row: TargetRow, report: TargetReport): void => {
+    const restarted = row.report !== undefined && row.report.bootId !== report.bootId;
+    if (restarted && !report.leaving && !row.spec.leaving) {
+        row.leaving = false;
+    }
+};
+
 /** Takes over a target's report if it is newer than the last one. */
 export const applyReport = (world: World, report: TargetReport, requestedAtMs: number): void => {
     const row = world.targets.get(report.targetId);
@@ -30,6 +38,7 @@
     if (ledger !== undefined) {
         judgeLedger(world, ledger, report, requestedAtMs);
     }
+    takeBackLeaving(row, report);
     row.report = report;
     row.reportedAtMs = world.nowMs;
     row.connectFailures = 0;
