Let only the request that holds a claim settle it

A repeat that was refused on the same instance settled the claim of the first request; refused as not run, it would even have let a third request run beside the first. Change: a settlement counts only from the request that holds the claim. After: the test passes.

--- /dev/null
+++ b/packages/medlarlb-daemon/src/__tests__/createClaims.test.ts
@@ -0,0 +1,50 @@
+import { expect } from "chai";
+import type { ClaimRecord } from "medlarlb-types/claimRecord";
+import type { KvWrite } from "medlarlb-types/kvWrite";
+import type { KvWriteOutcome } from "medlarlb-types/kvWriteOutcome";
+import type { RequestSummary } from "medlarlb-types/requestSummary";
+import { Result } from "true-myth";
+import { createClaims } from "../caller/createClaims.js";
+
+const createKv = () => {
+    const keys = new Map<string, { value: string; revision: number }>();
+    let revision = 1;
+    return {
+        records: (): ClaimRecord[] => [...keys.values()].map(({ value }) => JSON.parse(value) as ClaimRecord),
+        grantLease: async () => Result.ok("lease"),
+        write: async (write: KvWrite): Promise<KvWriteOutcome> => {
+            const { key, revision: expected } = write.compares[0] as KvWrite["compares"][number];
+            if ((keys.get(key)?.revision ?? 0) !== expected) {
+                return { kind: "conflict", current: [{ key, revision: 0, ...keys.get(key) }] };
+            }
+            revision += 1;
+            keys.set(key, { value: write.puts[0]?.value ?? "", revision });
+            return { kind: "committed", revision };
+        },
+    };
+};
+
+const summary = (requestId: string): RequestSummary =>
+    ({ requestId, idempotencyKey: "alerts/k1", fingerprint: "f" }) as unknown as RequestSummary;
+
+describe("createClaims", () => {
+    it("lets only the request that holds a claim settle it", async () => {
+        const kv = createKv();
+        const claims = createClaims(kv as never, "a1" as never);
+        expect((await claims.claim(summary("first"))).outcome).to.equal("claimed");
+        expect((await claims.claim(summary("second"))).outcome).to.equal("repeat");
+        // The refusal of the repeat says nothing about the first request, which may be running.
+        await claims.settle(summary("second"), "notRun");
+        expect(kv.records().map(record => record.state)).to.deep.equal(["claimed"]);
+        expect((await claims.claim(summary("third"))).outcome).to.equal("repeat");
+        await claims.settle(summary("first"), "completed", { status: 200, contentType: "text/plain", body: "done" });
+        expect((await claims.claim(summary("fourth"))).record?.answer?.body).to.equal("done");
+    });
+
+    it("lets an equal request claim a key whose request was refused without a run", async () => {
+        const claims = createClaims(createKv() as never, "a1" as never);
+        await claims.claim(summary("first"));
+        await claims.settle(summary("first"), "notRun");
+        expect((await claims.claim(summary("second"))).outcome).to.equal("claimed");
+    });
+});
--- a/packages/medlarlb-daemon/src/caller/createClaims.ts
+++ b/packages/medlarlb-daemon/src/caller/createClaims.ts
@@ -87,7 +87,8 @@
         settle: async (summary: RequestSummary, state: ClaimRecord["state"], answer?: ClaimRecord["answer"]): Promise<void> => {
             const key = keyOf(summary.idempotencyKey ?? "");
             const claim = held.get(key);
-            if (claim === undefined) {
+            // A refused repeat of a key has nothing to say about the request that holds it.
+            if (claim?.record.requestId !== summary.requestId) {
                 return;
             }
             held.delete(key);
