--- a/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
+++ b/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
@@ -10,6 +10,7 @@
 import type { CallerRequest } from "./callerRequest.js";
 import { createAttempts } from "./createAttempts.js";
 import type { createClaims } from "./createClaims.js";
+import { createErrorBody } from "./createErrorBody.js";
 import { sendProblem } from "./sendProblem.js";
 
 interface EdgeOptions {
@@ -131,8 +132,7 @@
             return;
         }
         // The answer has begun, so it ends with an explicit error and without its closing event.
-        const error = { message: `${problem.detail}; ${problem.remedy}`, type: problem.type, code: problem.title, ran: problem.ran };
-        request.res.end(`event: error\ndata: ${JSON.stringify({ ...problem, error })}\n\n`);
+        request.res.end(`event: error\ndata: ${createErrorBody(problem)}\n\n`);
     };
 
     const refuse = ({ requestId, problem }: Command<"refuse">): void => {
--- a/packages/medlarlb-daemon/src/caller/createCallerServer.ts
+++ b/packages/medlarlb-daemon/src/caller/createCallerServer.ts
@@ -9,6 +9,7 @@
 import type { createCallerEdge } from "./createCallerEdge.js";
 import { readBody } from "./readBody.js";
 import { readSummary } from "./readSummary.js";
+import { sendJson } from "./sendJson.js";
 import { sendProblem } from "./sendProblem.js";
 
 interface CallerServerOptions {
@@ -40,18 +41,13 @@
     socket.end(`HTTP/1.1 ${fault.status}\r\ncontent-type: application/problem+json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`);
 };
 
-const listModels = (config: ConfigSnapshot): string => {
+const listModels = (config: ConfigSnapshot) => {
     const names = [...config.models.keys(), ...config.modelversions.keys(), ...config.adapters.keys()];
-    return JSON.stringify({ object: "list", data: names.map(id => ({ id, object: "model", created: 0, owned_by: "medlarlb" })) });
+    return { object: "list", data: names.map(id => ({ id, object: "model", created: 0, owned_by: "medlarlb" })) };
 };
 
 /** Creates the server for callers: inference in OpenAI style, and plain services under their name. */
 export const createCallerServer = (options: CallerServerOptions): Server => {
-    const sendJson = (res: ServerResponse, status: number, body: string): void => {
-        res.writeHead(status, { "content-type": "application/json" });
-        res.end(body);
-    };
-
     const serveRequest = async (
         req: IncomingMessage,
         res: ServerResponse,
@@ -102,7 +98,7 @@
             sendJson(res, 200, listModels(options.config()));
         }
         else if (path === "/readyz") {
-            sendJson(res, options.isReady() ? 200 : 503, JSON.stringify({ ready: options.isReady() }));
+            sendJson(res, options.isReady() ? 200 : 503, { ready: options.isReady() });
         }
         else {
             const remedy = "use /v1/chat/completions, /v1/completions, /v1/models or /services/<name>/…";
--- a/packages/medlarlb-daemon/src/caller/createClaims.ts
+++ b/packages/medlarlb-daemon/src/caller/createClaims.ts
@@ -96,6 +96,5 @@
             const record = { ...claim.record, operationId: brandAs<OperationId>(randomUUID()), state, ...kept };
             await settleAt(key, record, claim.revision, SETTLE_TRIES);
         },
-        openClaims: () => held.size,
     };
 };
--- /dev/null
+++ b/packages/medlarlb-daemon/src/caller/createErrorBody.ts
@@ -0,0 +1,7 @@
+import type { Problem } from "medlarlb-types/problem";
+
+/** Creates the JSON of a problem. `error` repeats it in the form that OpenAI-style clients read. */
+export const createErrorBody = (problem: Problem): string => {
+    const error = { message: `${problem.detail}; ${problem.remedy}`, type: problem.type, code: problem.title, ran: problem.ran };
+    return JSON.stringify({ ...problem, error });
+};
--- a/packages/medlarlb-daemon/src/createDaemon.ts
+++ b/packages/medlarlb-daemon/src/createDaemon.ts
@@ -207,7 +207,6 @@
         writeConfig: createConfigWriter({ kv, store, config: () => world.config }),
         readDecisions: createDecisionReader({ selfId: instanceId, bootId, feed, peers }),
         readAudit: () => readAudit(kv),
-        showInstances: () => showAll("instances"),
         showStatus: () => ({
             instance: instanceId,
             zone,
--- a/packages/medlarlb-daemon/src/operator/createOperatorServer.ts
+++ b/packages/medlarlb-daemon/src/operator/createOperatorServer.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createProblem } from "medlarlb-types/createProblem";
 import { declaredKinds } from "medlarlb-types/declaredKinds";
+import { kvKeys } from "medlarlb-types/kvKeys";
 import type { Resource } from "medlarlb-types/resource";
 import type { ResourceKind } from "medlarlb-types/resourceKind";
 import { readOnlyKinds } from "medlarlb-types/readOnlyKinds";
@@ -9,11 +10,11 @@
 import findMyWay from "find-my-way";
 import { Result } from "true-myth";
 import { readBody } from "../caller/readBody.js";
+import { sendJson } from "../caller/sendJson.js";
 import { sendProblem } from "../caller/sendProblem.js";
 import { encodePosition } from "./encodePosition.js";
 import { encodeWatchToken } from "./encodeWatchToken.js";
 import type { OperatorContext } from "./operatorContext.js";
-import { sendJson } from "./sendJson.js";
 import { showDecision } from "./showDecision.js";
 import { watchDecisions } from "./watchDecisions.js";
 import { watchResources } from "./watchResources.js";
@@ -99,7 +100,7 @@
             sendProblem(res, body.error);
             return;
         }
-        const known = context.store.entries().has(`/medlarlb/config/${target.kind}/${target.name}`);
+        const known = context.store.entries().has(kvKeys.resource(target.kind, target.name));
         if (req.method === "DELETE" && !known) {
             sendProblem(res, notFound(target));
             return;
--- a/packages/medlarlb-daemon/src/operator/operatorContext.ts
+++ b/packages/medlarlb-daemon/src/operator/operatorContext.ts
@@ -15,6 +15,5 @@
     writeConfig: ReturnType<typeof createConfigWriter>;
     readDecisions: (from: DecisionPosition) => Promise<{ records: DecisionRecord[]; position: DecisionPosition; gone: boolean }>;
     readAudit: () => Promise<Result<Resource[], Problem>>;
-    showInstances: () => Resource[];
     showStatus: () => Record<string, unknown>;
 }
--- a/packages/medlarlb-daemon/src/operator/showResources.ts
+++ b/packages/medlarlb-daemon/src/operator/showResources.ts
@@ -52,7 +52,7 @@
 
 /** Shows the declared resources of one kind with their status, as this instance sees it. */
 export const showResources = (store: ReturnType<typeof createConfigStore>, world: World, kind: ResourceKind): Resource[] => {
-    const prefix = `${kvKeys.configPrefix}${kind}/`;
+    const prefix = kvKeys.kindPrefix(kind);
     const maps = world.config as unknown as Record<string, Map<string, Record<string, unknown>>>;
     return [...store.entries().values()].filter(entry => entry.key.startsWith(prefix)).map(entry => {
         const name = entry.key.slice(prefix.length);
--- a/packages/medlarlb-daemon/src/operator/watchResources.ts
+++ b/packages/medlarlb-daemon/src/operator/watchResources.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { kvKeys } from "medlarlb-types/kvKeys";
 import type { ResourceKind } from "medlarlb-types/resourceKind";
 import { sendProblem } from "../caller/sendProblem.js";
 import { decodeWatchToken } from "./decodeWatchToken.js";
@@ -41,7 +42,7 @@
     if (!resumed) {
         const type = token === undefined ? "ADDED" : "MODIFIED";
         listed.items.forEach(object => writeLine(type, object, last));
-        const prefix = `/medlarlb/config/${kind}/`;
+        const prefix = kvKeys.kindPrefix(kind);
         const deleted = changes?.entries.filter(entry => entry.value === undefined && entry.key.startsWith(prefix)) ?? [];
         deleted.forEach(entry => writeLine("DELETED", { kind, name: entry.key.slice(prefix.length) }, last));
     }
--- a/packages/medlarlb-decisions/src/inputs/applyDemand.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyDemand.ts
@@ -1,18 +1,19 @@
 import type { DemandCount } from "medlarlb-types/demandCount";
+import { demandPeriods } from "../placement/demandPeriods.js";
 import type { World } from "../world.js";
 
-const FAST_PERIOD_S = 8;
-const SLOW_PERIOD_S = 300;
+const MS_PER_SECOND = 1_000;
+const fastSeconds = demandPeriods.fastMs / MS_PER_SECOND;
+const slowSeconds = demandPeriods.slowMs / MS_PER_SECOND;
 
 /** Adds counted requests to the demand averages of the zone. */
 export const applyDemand = (world: World, counts: DemandCount[]): void => {
     for (const { itemId, arrivals, unmet } of counts) {
         const row = world.demand.get(itemId)
-            ?? { itemId, fastRate: 0, slowRate: 0, unmetRate: 0, updatedAtMs: world.nowMs, lastRequestMs: 0 };
-        row.fastRate += arrivals / FAST_PERIOD_S;
-        row.slowRate += arrivals / SLOW_PERIOD_S;
-        row.unmetRate += unmet / FAST_PERIOD_S;
-        row.lastRequestMs = world.nowMs;
+            ?? { itemId, fastRate: 0, slowRate: 0, unmetRate: 0, updatedAtMs: world.nowMs };
+        row.fastRate += arrivals / fastSeconds;
+        row.slowRate += arrivals / slowSeconds;
+        row.unmetRate += unmet / fastSeconds;
         world.demand.set(itemId, row);
     }
 };
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/demandPeriods.ts
@@ -0,0 +1,5 @@
+/** Periods of the demand averages: the fast one sees bursts, the slow one remembers what is wanted now and then. */
+export const demandPeriods = {
+    fastMs: 8_000,
+    slowMs: 300_000,
+};
--- a/packages/medlarlb-decisions/src/placement/dropLedger.ts
+++ b/packages/medlarlb-decisions/src/placement/dropLedger.ts
@@ -1,12 +1,9 @@
 import type { LedgerRow } from "../rows/ledgerRow.js";
 import type { World } from "../world.js";
+import { dropOrders } from "./dropOrders.js";
 
 /** Forgets a ledger and its orders. The next read of the KV service starts it anew. */
 export const dropLedger = (world: World, ledger: LedgerRow): void => {
     world.ledgers.delete(ledger.targetId);
-    for (const [orderId, row] of [...world.orders]) {
-        if (row.targetId === ledger.targetId) {
-            world.orders.delete(orderId);
-        }
-    }
+    dropOrders(world, ledger.targetId);
 };
--- /dev/null
+++ b/packages/medlarlb-decisions/src/placement/dropOrders.ts
@@ -0,0 +1,11 @@
+import type { TargetId } from "medlarlb-types/targetId";
+import type { World } from "../world.js";
+
+/** Forgets the orders to a target. Call it only when they are void or no longer this instance's to follow. */
+export const dropOrders = (world: World, targetId: TargetId): void => {
+    for (const [orderId, row] of [...world.orders]) {
+        if (row.targetId === targetId) {
+            world.orders.delete(orderId);
+        }
+    }
+};
--- a/packages/medlarlb-decisions/src/placement/startFencing.ts
+++ b/packages/medlarlb-decisions/src/placement/startFencing.ts
@@ -13,5 +13,5 @@
         return;
     }
     ledger.stage = "fencing";
-    ledger.fenceOrderId = addOrder(world, ledger, { action: "fence" });
+    addOrder(world, ledger, { action: "fence" });
 };
--- a/packages/medlarlb-decisions/src/placement/writeLedger.ts
+++ b/packages/medlarlb-decisions/src/placement/writeLedger.ts
@@ -19,6 +19,6 @@
         ...(released ? { released } : {}),
     };
     const key = ledgerKey(world, ledger.targetId);
-    ledger.pendingWrite = { operationId, version: ledger.version, startedAtMs: world.nowMs };
+    ledger.pendingWrite = { operationId, version: ledger.version };
     putDocument(world, key, ledger.revision, document);
 };
--- a/packages/medlarlb-decisions/src/requests/chargeRetry.ts
+++ b/packages/medlarlb-decisions/src/requests/chargeRetry.ts
@@ -1,10 +1,9 @@
 import type { World } from "../world.js";
-
-const FULL_BUCKET = 10;
+import { fullRetryBucket } from "./fullRetryBucket.js";
 
 /** Takes one retry out of the budget of a name. Returns false when the budget is spent. */
 export const chargeRetry = (world: World, name: string): boolean => {
-    const row = world.retries.get(name) ?? { tokens: FULL_BUCKET };
+    const row = world.retries.get(name) ?? { tokens: fullRetryBucket };
     world.retries.set(name, row);
     if (row.tokens < 1) {
         return false;
--- a/packages/medlarlb-decisions/src/requests/earnRetry.ts
+++ b/packages/medlarlb-decisions/src/requests/earnRetry.ts
@@ -1,11 +1,10 @@
 import type { World } from "../world.js";
-
-const FULL_BUCKET = 10;
+import { fullRetryBucket } from "./fullRetryBucket.js";
 
 /** Fills the retry budget of a name by its share for one new request. */
 export const earnRetry = (world: World, name: string): void => {
     const row = world.retries.get(name);
     if (row !== undefined) {
-        row.tokens = Math.min(FULL_BUCKET, row.tokens + world.cfg.retryShare);
+        row.tokens = Math.min(fullRetryBucket, row.tokens + world.cfg.retryShare);
     }
 };
--- /dev/null
+++ b/packages/medlarlb-decisions/src/requests/fullRetryBucket.ts
@@ -0,0 +1,2 @@
+/** Retries that the budget of a name holds at most, and starts with. */
+export const fullRetryBucket = 10;
--- a/packages/medlarlb-decisions/src/rows/demandRow.ts
+++ b/packages/medlarlb-decisions/src/rows/demandRow.ts
@@ -8,5 +8,4 @@
     /** Rate of requests that found no free replica. */
     unmetRate: number;
     updatedAtMs: number;
-    lastRequestMs: number;
 }
--- a/packages/medlarlb-decisions/src/rows/ledgerRow.ts
+++ b/packages/medlarlb-decisions/src/rows/ledgerRow.ts
@@ -3,7 +3,6 @@
 import type { LedgerDocument } from "medlarlb-types/ledgerDocument";
 import type { LedgerEntry } from "medlarlb-types/ledgerEntry";
 import type { OperationId } from "medlarlb-types/operationId";
-import type { OrderId } from "medlarlb-types/orderId";
 import type { TargetId } from "medlarlb-types/targetId";
 
 /**
@@ -18,14 +17,13 @@
     document: LedgerDocument | undefined;
     revision: number;
     fence: number;
-    fenceOrderId: OrderId | undefined;
     entries: Map<ItemId, LedgerEntry>;
     /** When each entry got its present state. */
     changedAtMs: Map<ItemId, number>;
     /** Counts changes of the entries, and up to which of them the KV service has. */
     version: number;
     savedVersion: number;
-    pendingWrite: { operationId: OperationId; version: number; startedAtMs: number } | undefined;
+    pendingWrite: { operationId: OperationId; version: number } | undefined;
     nextWriteMs: number;
     bootId: BootId | undefined;
     /** Reports asked for before this time don't count for judging. */
--- a/packages/medlarlb-decisions/src/systems/syncLedgers.ts
+++ b/packages/medlarlb-decisions/src/systems/syncLedgers.ts
@@ -14,7 +14,6 @@
     document: undefined,
     revision: 0,
     fence: 0,
-    fenceOrderId: undefined,
     entries: new Map(),
     changedAtMs: new Map(),
     version: 0,
--- a/packages/medlarlb-types/src/kvKeys.ts
+++ b/packages/medlarlb-types/src/kvKeys.ts
@@ -3,6 +3,7 @@
     /** Written with each change of the configuration; its revision is the configuration's. */
     configHead: "/medlarlb/config/head",
     configPrefix: "/medlarlb/config/",
+    kindPrefix: (kind: string): string => `/medlarlb/config/${kind}/`,
     resource: (kind: string, name: string): string => `/medlarlb/config/${kind}/${name}`,
     auditPrefix: "/medlarlb/audit/",
     audit: (id: string): string => `/medlarlb/audit/${id}`,
