End the processes of a cluster that were still starting when it stops

The crash scenario restarts engines that die; one that was starting when the scenario stopped wasn't among the processes to end, lived on, and its open pipes kept the runner from ending. Two such engines of earlier runs were found alive. Ruled out: the daemons (all ended). Change: the cluster ends everything that it ever launched, waits for what is starting, and launches nothing once stopped.

--- a/packages/medlarlb-fakes/src/cluster/createCluster.ts
+++ b/packages/medlarlb-fakes/src/cluster/createCluster.ts
@@ -49,7 +49,20 @@
     const folder = await mkdtemp(join(tmpdir(), "medlarlb-"));
     const platformPort = await findFreePort();
     const platform = `http://127.0.0.1:${platformPort}`;
-    const platformProcess = await startProcess(join(fakesFolder, "platformMain.js"), [String(platformPort)]);
+    const launched: Promise<Running>[] = [];
+    let stopped = false;
+
+    /** Starts a process that `stopAll` ends, also when it is still starting then. */
+    const launch = (script: string, args: string[]): Promise<Running> => {
+        if (stopped) {
+            return Promise.reject(new Error(`${script} isn't started: the cluster was stopped`));
+        }
+        const running = startProcess(script, args);
+        launched.push(running);
+        return running;
+    };
+
+    await launch(join(fakesFolder, "platformMain.js"), [String(platformPort)]);
     const daemons = new Map<string, DaemonHandle>();
     const targets = new Map<string, TargetHandle>();
 
@@ -96,7 +109,7 @@
         const plan = { id, zone, caller: addresses.caller, operator: addresses.operator, peer: addresses.peer };
         const path = await writeSettings(plan);
         await enlist(id, "daemon", zone, plan.peer);
-        const handle = { ...plan, process: await startProcess(daemonScript, ["--config", path]) };
+        const handle = { ...plan, process: await launch(daemonScript, ["--config", path]) };
         daemons.set(id, handle);
         return handle;
     };
@@ -109,7 +122,7 @@
         args: (port: number) => string[],
     ): Promise<TargetHandle> => {
         const port = await findFreePort();
-        const start = (): Promise<Running> => startProcess(join(fakesFolder, script), args(port));
+        const start = (): Promise<Running> => launch(join(fakesFolder, script), args(port));
         const address = `127.0.0.1:${port}`;
         const restart = async (): Promise<Running> => {
             const running = await start();
@@ -155,7 +168,8 @@
         inspect: (id: string): Promise<Record<string, unknown>> =>
             call("GET", `http://${targets.get(id)?.address}/stand-in`),
         stopAll: async (): Promise<void> => {
-            const all = [...daemons.values(), ...targets.values()].map(each => each.process).concat(platformProcess);
+            stopped = true;
+            const all = (await Promise.allSettled(launched)).flatMap(each => (each.status === "fulfilled" ? [each.value] : []));
             for (const { child } of all) {
                 child.kill("SIGCONT");
                 child.kill("SIGKILL");
--- a/packages/medlarlb-fakes/src/cluster/startProcess.ts
+++ b/packages/medlarlb-fakes/src/cluster/startProcess.ts
@@ -24,7 +24,10 @@
     const exited = new Promise<number | undefined>(resolve => child.once("exit", code => resolve(code ?? undefined)));
     const isRunning = (): boolean => (child.exitCode ?? undefined) === undefined && (child.signalCode ?? undefined) === undefined;
     return new Promise((resolve, reject) => {
-        const timer = setTimeout(() => reject(new Error(`${script} wasn't ready in time: ${errors}`)), READY_TIMEOUT_MS);
+        const timer = setTimeout(() => {
+            child.kill("SIGKILL");
+            reject(new Error(`${script} wasn't ready in time: ${errors}`));
+        }, READY_TIMEOUT_MS);
         child.stdout.on("data", chunk => {
             output += String(chunk);
             const match = /^ready ?(.*)$/m.exec(output);
--- a/scenarios/steps/targetSteps.ts
+++ b/scenarios/steps/targetSteps.ts
@@ -74,8 +74,8 @@
         const target = this.cluster.targets.get(id);
         await target?.process.exited;
         if (!this.ended) {
-            await target?.restart();
-            void guard(id);
+            // The scenario may end meanwhile; then nothing is started any more.
+            await target?.restart().then(() => void guard(id), () => undefined);
         }
     };
     [...this.cluster.targets.values()].filter(each => each.spec.kind === "engine").forEach(each => void guard(each.id));
