Tell the number of heartbeats from the number of orders

Cause: an entry's and a report's field of one name count different things, so that every report looked old and no order was ever sent (log: reportIgnored, isOld, orderCount 0, knownCount 1). Ruled out: lost reports (no reportFailed line).

--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -66,7 +66,8 @@
     wanted: (world, { service, model, adapter, targetId }) => wantModel(world, service, model, adapter, targetId),
     duty: (world, { fence }) => applyDuty(world, fence),
     report: applyReport,
-    reportFailed: (world, { targetId }) => {
+    reportFailed: (world, { targetId, reason }) => {
+        logEvent(world, "reportFailed", { target: targetId, reason });
         const duty = world.duties.get(targetId);
         if (duty !== undefined) {
             duty.reportAskedAtMs = undefined;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyNews.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyNews.ts
@@ -5,7 +5,7 @@
 /** Takes over what the planner of a zone knows of an engine, if it is newer than what stands here. */
 export const applyNews = (world: GatewayWorld, news: PlacementNews): void => {
     const target = world.targets.get(news.targetId);
-    if (target === undefined || target.entry.startedAtMs !== news.startedAtMs || news.orderCount < target.entry.orderCount) {
+    if (target === undefined || target.entry.startedAtMs !== news.startedAtMs || news.orderCount < target.newsOrderCount) {
         return;
     }
     const held = new Map(news.held.map(model => [model.name, new Set(model.adapters)]));
@@ -14,7 +14,8 @@
             forgetPrompts(target, name);
         }
     }
-    target.entry = { ...target.entry, orderCount: news.orderCount };
+    target.newsOrderCount = news.orderCount;
+    target.newsAtMs = world.nowMs;
     target.models = held;
     target.opening = new Set(news.opening);
     target.closing = new Set(news.closing);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -10,6 +10,9 @@
 const FIRST_MS_PER_TOKEN = 0.055;
 const FIRST_MS_PER_REQUEST = 50;
 
+/** Time in ms for which what a planner told of an engine counts for more than the list. */
+const NEWS_MS = 5_000;
+
 const addTarget = (world: GatewayWorld, entry: TargetEntry): PoolTarget => {
     const isEngine = world.config?.services.get(entry.service)?.engine !== undefined || entry.models.length > 0;
     const msPerUnit = world.serviceMsPerUnit.get(entry.service) ?? (isEngine ? FIRST_MS_PER_TOKEN : FIRST_MS_PER_REQUEST);
@@ -44,14 +47,13 @@
         addTarget(world, entry);
         return;
     }
-    // News of the planner may be ahead of the list.
-    const older = entry.orderCount < known.entry.orderCount;
-    if (!older) {
+    // What the planner tells is ahead of the list, which follows with the next heartbeat.
+    if (world.nowMs - known.newsAtMs > NEWS_MS) {
         updateHeld(known, entry);
     }
     if (known.leaving !== entry.leaving) {
         logEvent(world, "targetState", { target: entry.targetId, leaving: entry.leaving, remainingMs: entry.remainingMs, source: "list" });
     }
     known.leaving = entry.leaving;
-    known.entry = older ? { ...entry, models: known.entry.models, orderCount: known.entry.orderCount } : entry;
+    known.entry = entry;
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
@@ -54,6 +54,7 @@
     const restarted = report.startedAtMs !== 0 && duty.startedAtMs !== 0 && report.startedAtMs !== duty.startedAtMs;
     const isOld = report.orderCount < duty.orderCount;
     if (restarted || isOld || report.orderRunning) {
+        logEvent(world, "reportIgnored", { target: duty.targetId, restarted, isOld, orderRunning: report.orderRunning, startedAtMs: report.startedAtMs, knownStartMs: duty.startedAtMs, orderCount: report.orderCount, knownCount: duty.orderCount });
         return;
     }
     duty.synced = true;
--- a/packages/medlarlb-decisions/src/gateway/placement/syncDuties.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/syncDuties.ts
@@ -6,7 +6,7 @@
     targetId: target.entry.targetId,
     startedAtMs: target.entry.startedAtMs,
     synced: false,
-    orderCount: target.entry.orderCount,
+    orderCount: 0,
     models: new Map(),
     inMemory: new Set(target.entry.inMemory),
     onDisk: new Set(target.entry.onDisk),
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -18,4 +18,6 @@
     avoidUntilMs: 0,
     lastHeardMs: nowMs,
     cache: { parts: new Map(), tokens: 0 },
+    newsOrderCount: 0,
+    newsAtMs: Number.NEGATIVE_INFINITY,
 });
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -35,4 +35,7 @@
     avoidUntilMs: number;
     lastHeardMs: number;
     cache: PromptCache;
+    /** Orders that the engine had accepted when its planner last told of it, and when that was. */
+    newsOrderCount: number;
+    newsAtMs: number;
 }
--- a/packages/medlarlb-types/src/targetEntry.ts
+++ b/packages/medlarlb-types/src/targetEntry.ts
@@ -18,8 +18,6 @@
     /** Time in ms that is left to a target that is taken away at short notice. */
     remainingMs: number | undefined;
     models: HeldModel[];
-    /** Orders that this incarnation has accepted. */
-    orderCount: number;
     /** Models whose weights the target has in its own memory or on its disk, from which loads are faster. */
     inMemory: string[];
     onDisk: string[];
