Stop without cutting requests, tell resets from ends, share the weight store's window

Ruled out: a stop that is too short (what was cut had been taken 3 to 7 s after the signal). Change: the listener closes once the balancer knows, waiting requests are refused before the grace period ends; an answer without a length counts only if its connection was closed in order; planners learn of store loads from each other's news.

--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -35,10 +35,14 @@
 
 const MS_PER_SECOND = 1_000;
 /** Time in ms that is kept of the grace period for the process to end. */
-const END_RESERVE_MS = 1_200;
+const END_RESERVE_MS = 350;
+/** Time in ms before the end of the grace period at which requests that still wait are refused. */
+const REFUSE_RESERVE_MS = 1_500;
 /** Time in ms in which the platform's balancer sees that an instance isn't ready: two checks, a second apart. */
 const UNREADY_MS = 2_500;
 const DRAIN_CHECK_MS = 50;
+/** Time in ms in which the last answers leave the process. */
+const FLUSH_MS = 100;
 const CONFIG_ENTRY = "config";
 
 const listen = (server: Server, address: string): Promise<void> =>
@@ -65,6 +69,7 @@
     let config: RoutingConfig | undefined;
     let configText = "";
     let stopping = false;
+    let closing = false;
 
     const decisions = createGatewayDecisions({
         instanceId,
@@ -89,6 +94,7 @@
     const ingress = createIngressServer({
         adapter,
         config: () => config,
+        isClosing: () => closing,
         now,
         random,
         onCall: edge.accept,
@@ -295,7 +301,14 @@
             void registration.stop();
             const graceMs = settings.limits.graceSeconds * MS_PER_SECOND - END_RESERVE_MS;
             await waitUntil(() => false, Math.min(UNREADY_MS, graceMs));
+            // New connections go to other instances now. Callers on open ones were told to close them.
+            ingress.server.close();
+            ingress.server.closeIdleConnections();
+            await waitUntil(() => edge.openCount() === 0, graceMs - REFUSE_RESERVE_MS - (now() - startedAtMs));
+            closing = true;
+            push({ kind: "stop" });
             await waitUntil(() => edge.openCount() === 0, graceMs - (now() - startedAtMs));
+            await waitUntil(() => false, FLUSH_MS);
             write("stopped", { open: edge.openCount(), tookMs: Math.round(now() - startedAtMs) });
             directory.stop();
             log.close();
--- a/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
+++ b/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
@@ -12,6 +12,8 @@
 interface IngressOptions {
     adapter: GatewayAdapter;
     config: () => RoutingConfig | undefined;
+    /** Whether this instance is about to end and takes no more requests. */
+    isClosing: () => boolean;
     now: () => number;
     random: () => number;
     onCall: (call: IngressCall) => void;
@@ -63,8 +65,9 @@
     const handle = (req: IncomingMessage, res: ServerResponse): void => {
         const config = options.config();
         const arrivedAtMs = now();
-        if (config === undefined) {
-            reject(req, res, 503, "no configuration is known yet; try again soon");
+        if (config === undefined || options.isClosing()) {
+            res.setHeader("connection", "close");
+            reject(req, res, 503, config === undefined ? "no configuration is known yet; try again soon" : "this instance stops; connect again");
             return;
         }
         if (countHeaderBytes(req) > config.limits.maxHeaderBytes) {
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -1,3 +1,4 @@
+import { answerCall } from "./calls/answerCall.js";
 import { removeCall } from "./calls/removeCall.js";
 import { logEvent } from "./calls/logEvent.js";
 import type { GatewayInput } from "./gatewayInput.js";
@@ -61,6 +62,13 @@
         world.instanceCount = count;
         world.planners = planners;
     },
+    stop: world => {
+        for (const queue of world.queues.values()) {
+            for (const row of [...queue]) {
+                answerCall(world, row, "this instance stops", 0);
+            }
+        }
+    },
     status: (world, { status }) => applyStatus(world, status),
     news: (world, { news }) => applyNews(world, news),
     wanted: (world, { service, model, adapter, targetId }) => wantModel(world, service, model, adapter, targetId),
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -26,6 +26,8 @@
     | { kind: "progress"; callId: RequestId; attempt: number }
     | { kind: "finished"; callId: RequestId; attempt: number; status: number }
     | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string }
+    /** This instance stops: what still waits is refused now, so that callers can go elsewhere. */
+    | { kind: "stop" }
     /** Instances that serve, this one among them. */
     | { kind: "instances"; count: number; planners: Map<ZoneId, InstanceId> }
     | { kind: "status"; status: InstanceStatus }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyNews.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyNews.ts
@@ -5,6 +5,9 @@
 /** Takes over what the planner of a zone knows of an engine, if it is newer than what stands here. */
 export const applyNews = (world: GatewayWorld, news: PlacementNews): void => {
     const target = world.targets.get(news.targetId);
+    if (news.storeLoadBegun && target?.entry.zone === world.settings.zone) {
+        world.storeLoads.push(world.nowMs);
+    }
     if (target === undefined || target.entry.startedAtMs !== news.startedAtMs || news.orderCount < target.newsOrderCount) {
         return;
     }
--- a/packages/medlarlb-decisions/src/gateway/placement/applyDuty.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyDuty.ts
@@ -1,16 +1,15 @@
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
 
-/**
- * Loads from the weight store that a new planner counts as begun by the one before it, since the limit's window may
- * still hold them.
- */
+/** Loads from the weight store that a new planner counts as begun without having heard of them. */
 const ASSUMED_STORE_LOADS = 2;
 
 /** Takes in whether this instance may give orders. What it knew as planner before is dropped either way. */
 export const applyDuty = (world: GatewayWorld, fence: number | undefined): void => {
     world.fence = fence;
     world.duties.clear();
-    world.storeLoads = fence === undefined ? [] : Array.from({ length: ASSUMED_STORE_LOADS }, () => world.nowMs);
+    if (fence !== undefined) {
+        world.storeLoads.push(...Array.from({ length: ASSUMED_STORE_LOADS }, () => world.nowMs));
+    }
     logEvent(world, "duty", { held: fence !== undefined, fence, zone: world.settings.zone });
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
@@ -33,17 +33,16 @@
     }
 };
 
-const acceptModel = (world: GatewayWorld, duty: EngineDuty, order: PlacementOrder): void => {
+/** Takes in that an engine carries an order out. Returns whether that is a load from the weight store. */
+const acceptModel = (world: GatewayWorld, duty: EngineDuty, order: PlacementOrder): boolean => {
     const tookMs = loadMs(world, duty, order);
     if (order.action === "load") {
-        if (!duty.inMemory.has(order.model) && !duty.onDisk.has(order.model)) {
-            world.storeLoads.push(world.nowMs);
-        }
         // The bytes count from now on; runs begin when the report shows the model.
         duty.nextModel = undefined;
     }
     duty.running = { order, doneAtMs: world.nowMs + tookMs };
     duty.nextReportMs = duty.running.doneAtMs;
+    return order.action === "load" && !duty.inMemory.has(order.model) && !duty.onDisk.has(order.model);
 };
 
 const resync = (duty: EngineDuty): void => {
@@ -70,10 +69,9 @@
     }
     duty.orderCount += 1;
     if (order.adapter === undefined) {
-        acceptModel(world, duty, order);
-    }
-    else {
-        acceptAdapter(world, duty, order, order.adapter);
+        shareNews(world, duty, acceptModel(world, duty, order));
+        return;
     }
+    acceptAdapter(world, duty, order, order.adapter);
     shareNews(world, duty);
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/shareNews.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/shareNews.ts
@@ -4,7 +4,7 @@
 import type { EngineDuty } from "./engineDuty.js";
 
 /** Tells all instances what the planner knows of an engine, this one first. */
-export const shareNews = (world: GatewayWorld, duty: EngineDuty): void => {
+export const shareNews = (world: GatewayWorld, duty: EngineDuty, storeLoadBegun = false): void => {
     const running = duty.running?.order;
     const nameIf = (action: "load" | "unload"): string[] => (running?.action === action ? [running.model] : []);
     const arriving = new Set(duty.arriving.map(each => `${each.model}/${each.adapter}`));
@@ -18,6 +18,7 @@
         })),
         opening: duty.nextModel === undefined ? nameIf("load") : [...nameIf("load"), duty.nextModel],
         closing: nameIf("unload"),
+        storeLoadBegun,
     };
     applyNews(world, news);
     world.commands.push({ kind: "shareNews", news });
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -1,4 +1,4 @@
-import { Client } from "undici";
+import { Client, buildConnector } from "undici";
 import type { Dispatcher } from "undici";
 import type { Exchange } from "./exchange.js";
 import type { ExchangeHandlers } from "./exchangeHandlers.js";
@@ -15,6 +15,10 @@
     client: Client;
     idleSinceMs: number;
     timer: NodeJS.Timeout | undefined;
+    /** Whether the connection ended by an error, such as a reset. */
+    broken: boolean;
+    /** Whether the target closed the connection in order. */
+    closedByTarget: boolean;
 }
 
 interface PoolOptions {
@@ -30,11 +34,16 @@
 const MAX_IDLE = 32;
 const GARBLED_CODE = /^HPE_|^UND_ERR_(RES_|REQ_|HEADERS_OVERFLOW)/;
 
+/** Tells whether the end of an answer is marked, so that it doesn't end with its connection only. */
+const isFramed = (headers: Record<string, string | string[] | undefined>): boolean =>
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+
 /**
  * Creates the connections to targets. Each carries one request at a time, so that an answer that isn't whole, or holds
  * more than an answer, spoils that connection only.
  */
 export const createConnectionPool = ({ now, countConnection }: PoolOptions) => {
+    const connect = buildConnector({ timeout: CONNECT_MS, keepAlive: true, keepAliveInitialDelay: CONNECT_MS });
     const idle = new Map<string, Connection[]>();
 
     const discard = (address: string, connection: Connection): void => {
@@ -48,15 +57,25 @@
     };
 
     const open = (address: string): Connection => {
+        const connection: Connection = { client: undefined as never, idleSinceMs: 0, timer: undefined, broken: false, closedByTarget: false };
         const client = new Client(`http://${address}`, {
             pipelining: 1,
             keepAliveTimeout: IDLE_MS,
             keepAliveMaxTimeout: IDLE_MS,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: { timeout: CONNECT_MS, keepAlive: true, keepAliveInitialDelay: CONNECT_MS },
+            connect: (options, callback) => connect(options, (...result) => {
+                // The client takes a reset for the end of an answer without a length, so that it has to be known before.
+                result[1]?.prependListener("error", () => {
+                    connection.broken = true;
+                });
+                result[1]?.prependListener("end", () => {
+                    connection.closedByTarget = true;
+                });
+                callback(...result);
+            }),
         });
-        const connection: Connection = { client, idleSinceMs: 0, timer: undefined };
+        connection.client = client;
         client.on("connect", countConnection);
         client.on("disconnect", () => discard(address, connection));
         return connection;
@@ -91,6 +110,7 @@
         const connection = take(address);
         let sent = false;
         let ended = false;
+        let framed = true;
         let controller: Dispatcher.DispatchController | undefined;
         const fail = (err: NodeJS.ErrnoException): void => {
             if (!ended) {
@@ -111,6 +131,7 @@
                 controller = each;
             },
             onResponseStart: (_controller, status, headers) => {
+                framed = isFramed(headers);
                 if (!ended && status >= 200) {
                     handlers.onHead(status, headers);
                 }
@@ -121,7 +142,10 @@
                 }
             },
             onResponseEnd: () => {
-                if (!ended) {
+                if (connection.broken || (!framed && !connection.closedByTarget)) {
+                    fail(new Error("the connection was reset inside the answer"));
+                }
+                else if (!ended) {
                     ended = true;
                     // The connection is free only after this callback has returned.
                     setImmediate(() => giveBack(address, connection));
--- a/packages/medlarlb-types/src/placementNews.ts
+++ b/packages/medlarlb-types/src/placementNews.ts
@@ -10,4 +10,6 @@
     /** Models that are being loaded, and being unloaded. */
     opening: string[];
     closing: string[];
+    /** Whether the engine has just begun a load from the weight store, which the zone's share of the store counts. */
+    storeLoadBegun: boolean;
 }
