--- a/packages/medlarlb-daemon/src/gateway/createDirectory.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectory.ts
@@ -49,10 +49,10 @@
             }
         });
 
-    const listPlanners = (): Map<ZoneId, InstanceId> => {
+    const listPlanners = (): Map<ZoneId, { instance: InstanceId; revision: number }> => {
         const prefix = directoryKeys.planner("");
         return new Map([...known.values()].filter(item => item.key.startsWith(prefix))
-            .map(item => [item.key.slice(prefix.length) as ZoneId, (item.value ?? "") as InstanceId]));
+            .map(item => [item.key.slice(prefix.length) as ZoneId, { instance: (item.value ?? "") as InstanceId, revision: item.revision }]));
     };
 
     const removeTarget = (key: string): void => {
@@ -98,7 +98,7 @@
 
     const takeItems = (items: StoreItem[]): void => {
         const ownChanged = items.map(takeItem).some(Boolean);
-        if (ownChanged) {
+        if (ownChanged || revision === undefined) {
             handlers.onInstances(listInstances());
             handlers.onPlanners(listPlanners());
         }
--- a/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
@@ -25,9 +25,12 @@
     active: boolean;
 }
 
-/** Time to live of the lease in ms. Shorter ones bring a new holder sooner, but end in a short pause of the process. */
-const TTL_MS = 2_000;
-const RENEW_MS = 500;
+/**
+ * Time to live of the lease in ms. A shorter one brings a new holder sooner after a crash, a longer one lets the holder go
+ * on through an outage of the store.
+ */
+const TTL_MS = 6_000;
+const RENEW_MS = 1_000;
 /** How long before its end the lease is no longer relied on, in ms: an order takes time to arrive. */
 const MARGIN_MS = 500;
 const TICK_MS = 50;
@@ -45,7 +48,8 @@
 export const createDutyLease = (options: DutyOptions) => {
     const { store, zone, instanceId, now, wallNow, leaseMs, onChange } = options;
     let held: Held | undefined;
-    let taken = true;
+    let holder: { instance: InstanceId; revision: number } | undefined;
+    let known = false;
     let busy = false;
     let stopped = false;
     let nextCallMs = 0;
@@ -87,18 +91,19 @@
             return;
         }
         const key = directoryKeys.planner(zone);
+        // A machine that has started again takes the duty back from its own earlier life, which can't order any more.
+        const before = holder;
         const change = await store.change({
-            conditions: [{ key, revision: 0 }],
+            conditions: [{ key, revision: before?.revision ?? 0 }],
             puts: [{ key, value: instanceId, lease: lease.value }],
             removes: [],
         });
         if (change.isErr) {
-            taken = change.error.kind === "conflict" || taken;
             // The change may still happen; without its lease it can't.
             await store.endLease(lease.value);
             return;
         }
-        held = { lease: lease.value, fence: change.value, validUntilMs: startedMs + TTL_MS - MARGIN_MS, activeAtMs: now() + leaseMs + APART_MS, active: false };
+        held = { lease: lease.value, fence: change.value, validUntilMs: startedMs + TTL_MS - MARGIN_MS, activeAtMs: before === undefined ? now() + leaseMs + APART_MS : now(), active: false };
     };
 
     const renew = async (duty: Held): Promise<void> => {
@@ -123,7 +128,7 @@
             if (held !== undefined) {
                 await renew(held);
             }
-            else if (!taken) {
+            else if (known && (holder === undefined || holder.instance === instanceId)) {
                 await acquire();
             }
         }
@@ -149,11 +154,12 @@
     const timer = setInterval(tick, TICK_MS);
     return {
         mayAct,
-        /** Tells whether the store names a planner of the zone. */
-        setTaken: (planner: InstanceId | undefined): void => {
-            taken = planner !== undefined;
-            if (planner !== undefined && planner !== instanceId && held !== undefined) {
-                pauseDuty(`the store names ${planner} as planner`);
+        /** Tells which planner of the zone the store names, and by which change. */
+        setHolder: (named: { instance: InstanceId; revision: number } | undefined): void => {
+            known = true;
+            holder = named;
+            if (named !== undefined && named.instance !== instanceId && held !== undefined) {
+                pauseDuty(`the store names ${named.instance} as planner`);
                 held = undefined;
             }
         },
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -14,6 +14,7 @@
 import type { GatewayCommand } from "medlarlb-decisions/gateway/gatewayCommand";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
 import { createPeerGroup } from "medlarlb-peers/createPeerGroup";
+import { callerPatienceMs } from "medlarlb-site-adapter/callerPatienceMs";
 import { createEngineControl } from "medlarlb-site-adapter/createEngineControl";
 import { createStoreClient } from "medlarlb-site-adapter/createStoreClient";
 import { createTargetHeaders } from "medlarlb-site-adapter/createTargetHeaders";
@@ -89,7 +90,7 @@
     const engineAgent = new Agent({ keepAliveTimeout: 4_000, connect: { timeout: MS_PER_SECOND } });
     const engines = createEngineControl(engineAgent, instanceId);
     const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc() });
-    const adapter = { readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
+    const adapter = { callerPatienceMs, readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
     const edge = createCallEdge({ adapter, pool, metrics, now, push, isStopping: () => stopping });
     const ingress = createIngressServer({
         adapter,
@@ -191,8 +192,8 @@
                 tellInstances();
             },
             onPlanners: each => {
-                planners = each;
-                duty.setTaken(planners.get(zone));
+                planners = new Map([...each].map(([name, holder]) => [name, holder.instance]));
+                duty.setHolder(each.get(zone));
                 tellInstances();
             },
             onContact: (reachable, reason) => write("storeContact", { reachable, reason }),
@@ -223,9 +224,10 @@
         }
     };
 
-    /** Members of this zone, and the planners of the others: those who need to know this instance's load. */
+    /** Members of this zone, and the planners of the others. A planner tells everyone, so that all know who plans. */
     const listListeners = (): InstanceId[] => {
-        const ids = new Set(peers.alive().filter(member => member.zone === zone).map(member => member.id));
+        const isPlanner = decisions.view().fence !== undefined;
+        const ids = new Set(peers.alive().filter(member => isPlanner || member.zone === zone).map(member => member.id));
         planners.forEach(planner => ids.add(planner));
         ids.delete(instanceId);
         return [...ids];
--- a/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
+++ b/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
@@ -97,6 +97,7 @@
                     service: chooseDestination(route, random),
                     arrivedAtMs,
                     targetAtMs: arrivedAtMs + route.latencyTargetMs,
+                    startByMs: arrivedAtMs + Math.min(allowedMs, adapter.callerPatienceMs(route) ?? allowedMs),
                     deadlineAtMs: arrivedAtMs + allowedMs,
                     fingerprint: "",
                 },
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -10,7 +10,7 @@
     onTargetEntry: (id: string, text: string) => void;
     onTargetGone: (targetId: TargetId) => void;
     onInstances: (instances: ListedInstance[]) => void;
-    onPlanners: (planners: Map<ZoneId, InstanceId>) => void;
+    onPlanners: (planners: Map<ZoneId, { instance: InstanceId; revision: number }>) => void;
     /** The store began or ceased to answer. */
     onContact: (reachable: boolean, reason: string) => void;
 }
--- a/packages/medlarlb-daemon/src/gateway/gatewayAdapter.ts
+++ b/packages/medlarlb-daemon/src/gateway/gatewayAdapter.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { PromptPart } from "medlarlb-types/promptPart";
+import type { Route } from "medlarlb-types/route";
 import type { TargetId } from "medlarlb-types/targetId";
 
 /** Translation between callers' and targets' headers and the project's types. The adapter of a platform provides it. */
@@ -14,6 +15,8 @@
         promptParts: PromptPart[];
         lastEventId: string | undefined;
     };
+    /** How long a caller waits for the first event of a stream, in ms; undefined if as long as for the answer. */
+    callerPatienceMs: (route: Route) => number | undefined;
     createTargetHeaders: (rawHeaders: readonly string[], options: {
         targetId: TargetId;
         deadlineMs: number;
--- a/packages/medlarlb-decisions/src/gateway/calls/askForModel.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/askForModel.ts
@@ -1,4 +1,5 @@
 import type { TargetId } from "medlarlb-types/targetId";
+import type { ZoneId } from "medlarlb-types/zoneId";
 import type { CallRow } from "../rows/callRow.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import { listHomeZones } from "../placement/listHomeZones.js";
@@ -9,6 +10,12 @@
 /** Time in ms after which the next zone is asked too. */
 const NEXT_ZONE_MS = 1_500;
 
+/** Time in ms after which a planner that doesn't tell that it plans is passed over. */
+const PLANNING_MS = 800;
+
+const canPlan = (world: GatewayWorld, zone: ZoneId): boolean =>
+    (zone === world.settings.zone && world.fence !== undefined) || world.nowMs - (world.planningAtMs.get(zone) ?? Number.NEGATIVE_INFINITY) < PLANNING_MS;
+
 /** Asks the planner of a zone for the model or adapter that a call waits for. */
 export const askForModel = (world: GatewayWorld, row: CallRow, targetId: TargetId | undefined): void => {
     const { service, model, adapter } = row.facts;
@@ -18,7 +25,7 @@
     row.askedAtMs = world.nowMs;
     const targetZone = targetId === undefined ? undefined : world.targets.get(targetId)?.entry.zone;
     const zones = targetZone === undefined ? listHomeZones(world, service, model) : [targetZone];
-    const wanted = zones.filter(zone => world.planners.has(zone));
+    const wanted = zones.filter(zone => canPlan(world, zone));
     const skipped = Math.floor((world.nowMs - row.facts.arrivedAtMs) / NEXT_ZONE_MS);
     const zone = wanted[Math.min(skipped, wanted.length - 1)];
     const planner = zone === undefined ? undefined : world.planners.get(zone);
--- a/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
@@ -21,7 +21,10 @@
 /** Ends calls whose time is over, and tries repeatable ones elsewhere whose target says nothing. */
 export const expireCalls = (world: GatewayWorld): void => {
     for (const row of [...world.calls.values()]) {
-        if (world.nowMs >= row.facts.deadlineAtMs) {
+        if (row.flight === undefined && world.nowMs >= row.facts.startByMs) {
+            answerCall(world, row, "no target took it in time");
+        }
+        else if (world.nowMs >= row.facts.deadlineAtMs) {
             row.mayHaveRun ||= row.flight !== undefined;
             if (row.flight !== undefined) {
                 world.commands.push({ kind: "abort", callId: row.facts.callId, attempt: row.flight.attempt });
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -36,7 +36,7 @@
     if (choice === undefined) {
         askForModel(world, row, undefined);
         const hopeless = facts.model === undefined && (world.targetsByService.get(facts.service) ?? []).length === 0;
-        if (hopeless || world.nowMs + (facts.model === undefined ? 0 : LOAD_MS / 4) > facts.deadlineAtMs) {
+        if (hopeless || world.nowMs + (facts.model === undefined ? 0 : LOAD_MS / 4) > facts.startByMs) {
             answerCall(world, row, hopeless ? "the service has no target" : "no target can take it in time", LOAD_MS);
             return true;
         }
@@ -54,7 +54,7 @@
     }
     const predictedAtMs = world.nowMs + queuedMs + choice.prediction.answerMs;
     aheadMs.set(model, queuedMs + choice.prediction.workTokens * choice.target.msPerUnit);
-    if (predictedAtMs > facts.deadlineAtMs) {
+    if (predictedAtMs > facts.startByMs) {
         answerCall(world, row, "the predicted wait passes the deadline", queuedMs + choice.prediction.waitMs);
         return true;
     }
--- a/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
@@ -29,6 +29,8 @@
     retries: Map<string, RetryBudget>;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
+    /** When the planner of a zone last told that it may give orders. */
+    planningAtMs: Map<ZoneId, number>;
     /** Fence of the orders that this instance may give, if it holds the duty of its zone. */
     fence: number | undefined;
     duties: Map<TargetId, EngineDuty>;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -11,5 +11,8 @@
     for (const { targetId, backlogTokens, running } of status.loads) {
         world.targets.get(targetId as TargetId)?.peerLoads.set(status.instanceId, { backlogTokens, running, atMs: world.nowMs });
     }
+    if (status.planning) {
+        world.planningAtMs.set(status.zone, world.nowMs);
+    }
     noteDemand(world, status);
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
@@ -40,7 +40,7 @@
         // The bytes count from now on; runs begin when the report shows the model.
         duty.nextModel = undefined;
     }
-    duty.running = { order, doneAtMs: world.nowMs + tookMs };
+    duty.running = { order, doneAtMs: world.nowMs + tookMs, announced: false, followed: false };
     duty.nextReportMs = duty.running.doneAtMs;
     return order.action === "load" && !duty.inMemory.has(order.model) && !duty.onDisk.has(order.model);
 };
@@ -63,10 +63,18 @@
     logEvent(world, "orderAnswered", { target: input.targetId, action: order.action, model: order.model, adapter: order.adapter, answer: input.answer, reason: input.reason, tookMs: Math.round(world.nowMs - pending.sentAtMs) });
     // An adapter that nobody uses is unloaded at once, so that its order holds already when it is answered.
     const done = input.answer === "accepted" || (input.answer === "holds" && order.action === "unload" && order.adapter !== undefined);
+    const follows = duty.running?.order.action === "unload" && duty.running.followed;
+    if (!done && follows && input.answer === "conflict") {
+        // The unload still waits for runs; its end is seen in the report, and the load follows then.
+        return;
+    }
     if (!done) {
         resync(duty);
         return;
     }
+    if (follows) {
+        duty.models.delete(duty.running?.order.model ?? "");
+    }
     duty.orderCount += 1;
     if (order.adapter === undefined) {
         shareNews(world, duty, acceptModel(world, duty, order));
--- a/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
@@ -8,12 +8,16 @@
 
 const takeHeld = (world: GatewayWorld, duty: EngineDuty, report: EngineReport): void => {
     const known = duty.models;
+    const loaded = duty.running?.order;
+    // What was there before this planner may go at once.
+    const loadedAtMs = (name: string): number =>
+        (loaded?.action === "load" && loaded.model === name ? world.nowMs : Number.NEGATIVE_INFINITY);
     duty.models = new Map(report.models.map(({ name, adapters }) => {
         const before = known.get(name);
         const atMs = (adapter: string): number => before?.adapters.get(adapter) ?? world.nowMs;
         return [name, {
             adapters: new Map(adapters.map(adapter => [adapter, atMs(adapter)] as const)),
-            loadedAtMs: before?.loadedAtMs ?? world.nowMs,
+            loadedAtMs: before?.loadedAtMs ?? loadedAtMs(name),
         }];
     }));
     duty.arriving = [];
--- a/packages/medlarlb-decisions/src/gateway/placement/engineDuty.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/engineDuty.ts
@@ -16,7 +16,14 @@
     /** Order that was sent and not answered yet. */
     pending: { order: PlacementOrder; sentAtMs: number } | undefined;
     /** Order for a model that is being carried out, and when it is expected to be done. */
-    running: { order: PlacementOrder; doneAtMs: number } | undefined;
+    running: {
+        order: PlacementOrder;
+        doneAtMs: number;
+        /** Whether the instances were told that a load is done. */
+        announced: boolean;
+        /** Whether the load behind an unload was tried without waiting for the engine's report. */
+        followed: boolean;
+    } | undefined;
     /** Adapters that are on their way to the engine. */
     arriving: { model: string; adapter: string; doneAtMs: number }[];
     /** Model that is to be loaded as soon as there is room. */
--- a/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
@@ -24,12 +24,12 @@
 
 /** How much more a new replica must be worth than the one that it displaces. */
 const HYSTERESIS = 1.5;
-/** Least worth of a load, in requests a second: an order and the reads of the weights cost something, too. */
-const MIN_VALUE = 0.08;
+/** Least worth of a load, in requests a second: while an engine loads, it can't load what is needed more. */
+const MIN_VALUE = 0.3;
 /** Shortest stay of a replica in ms, so that two models don't take turns at one place. */
 const MIN_STAY_MS = 2_000;
 /** Cost of a second of loading, and of an engine that is busy all the time, in requests a second. */
-const LOAD_SECOND_COST = 0.2;
+const LOAD_SECOND_COST = 0.8;
 const BUSY_COST = 0.5;
 /** Cost of each run that an unload has to wait for, in requests a second. */
 const RUN_COST = 0.2;
@@ -43,7 +43,7 @@
     const { zone } = world.settings;
     for (const model of profile.models.keys()) {
         const load = modelLoad(world, service, model);
-        if (load.requests < MIN_VALUE / 4 && load.waiting === 0) {
+        if (load.requests < MIN_VALUE && load.waiting === 0) {
             continue;
         }
         const replicas = listReplicas(world, service, model);
--- a/packages/medlarlb-decisions/src/gateway/placement/planPlacement.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planPlacement.ts
@@ -2,7 +2,7 @@
 import { askReports } from "./askReports.js";
 import { planAdapters } from "./planAdapters.js";
 import { planModels } from "./planModels.js";
-import { settleAdapters } from "./settleAdapters.js";
+import { settleLoads } from "./settleLoads.js";
 import { syncDuties } from "./syncDuties.js";
 
 /** Interval in ms at which the placement of models is judged anew. */
@@ -14,7 +14,7 @@
         return;
     }
     syncDuties(world);
-    settleAdapters(world);
+    settleLoads(world);
     for (const duty of world.duties.values()) {
         const service = world.targets.get(duty.targetId)?.entry.service ?? "";
         const profile = world.config.services.get(service)?.engine;
--- a/packages/medlarlb-decisions/src/gateway/status/buildStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/buildStatus.ts
@@ -41,6 +41,7 @@
     const status: InstanceStatus = {
         instanceId: world.settings.instanceId,
         zone: world.settings.zone,
+        planning: world.fence !== undefined,
         arrivals: [...world.arrivals.values()],
         waiting: listWaiting(world),
         loads: listLoads(world),
--- a/packages/medlarlb-types/src/callFacts.ts
+++ b/packages/medlarlb-types/src/callFacts.ts
@@ -19,6 +19,8 @@
     arrivedAtMs: number;
     /** Time up to which an answer is in time. */
     targetAtMs: number;
+    /** Time at which the caller leaves unless an answer has begun. */
+    startByMs: number;
     /** Time at which the caller or the route gives up. */
     deadlineAtMs: number;
     /** Digest of what the caller sent, equal for equal requests. */
--- a/packages/medlarlb-types/src/instanceStatus.ts
+++ b/packages/medlarlb-types/src/instanceStatus.ts
@@ -5,6 +5,8 @@
 export interface InstanceStatus {
     instanceId: InstanceId;
     zone: ZoneId;
+    /** Whether this instance may give orders to the engines of its zone now. */
+    planning: boolean;
     /** Prompt tokens and requests that arrived since the last status, by service and model. */
     arrivals: { service: string; model: string; tokens: number; requests: number }[];
     /** Requests that wait for a target now. */
