See a reset that comes together with the end of an answer

Ruled out: an error event after the end (none came within the life of the socket). Change: at the end of such an answer an empty line is written; a reset connection refuses it.

--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -19,6 +19,8 @@
     broken: boolean;
     /** Whether the target closed the connection in order. */
     closedByTarget: boolean;
+    /** Whether the answer under way ends with the connection, for want of a length. */
+    unframed: boolean;
 }
 
 interface PoolOptions {
@@ -57,7 +59,7 @@
     };
 
     const open = (address: string): Connection => {
-        const connection: Connection = { client: undefined as never, idleSinceMs: 0, timer: undefined, broken: false, closedByTarget: false };
+        const connection: Connection = { client: undefined as never, idleSinceMs: 0, timer: undefined, broken: false, closedByTarget: false, unframed: false };
         const client = new Client(`http://${address}`, {
             pipelining: 1,
             keepAliveTimeout: IDLE_MS,
@@ -71,6 +73,13 @@
                 });
                 result[1]?.prependListener("end", () => {
                     connection.closedByTarget = true;
+                    if (connection.unframed) {
+                        // Data and a reset that come together look like an orderly end. Only a write shows the reset; an
+                        // empty line between requests means nothing to a target that has closed.
+                        result[1]?.write("\r\n", err => {
+                            connection.broken ||= err instanceof Error;
+                        });
+                    }
                 });
                 callback(...result);
             }),
@@ -110,7 +119,6 @@
         const connection = take(address);
         let sent = false;
         let ended = false;
-        let framed = true;
         let controller: Dispatcher.DispatchController | undefined;
         const fail = (err: NodeJS.ErrnoException): void => {
             if (!ended) {
@@ -119,6 +127,17 @@
                 handlers.onFailure({ sent, garbled: GARBLED_CODE.test(err.code ?? ""), reason: err.message });
             }
         };
+        const finish = (wasReset: boolean): void => {
+            if (wasReset) {
+                fail(new Error("the connection was reset inside the answer"));
+            }
+            else if (!ended) {
+                ended = true;
+                // The connection is free only after the client's callback has returned.
+                setImmediate(() => giveBack(address, connection));
+                handlers.onEnd();
+            }
+        };
         connection.client.dispatch({
             method: req.method as Dispatcher.HttpMethod,
             path: req.path,
@@ -131,7 +150,7 @@
                 controller = each;
             },
             onResponseStart: (_controller, status, headers) => {
-                framed = isFramed(headers);
+                connection.unframed = !isFramed(headers);
                 if (!ended && status >= 200) {
                     handlers.onHead(status, headers);
                 }
@@ -142,14 +161,12 @@
                 }
             },
             onResponseEnd: () => {
-                if (connection.broken || (!framed && !connection.closedByTarget)) {
-                    fail(new Error("the connection was reset inside the answer"));
+                if (connection.unframed) {
+                    // The outcome of the write at the connection's end is known by then.
+                    setImmediate(() => finish(connection.broken || !connection.closedByTarget));
                 }
-                else if (!ended) {
-                    ended = true;
-                    // The connection is free only after this callback has returned.
-                    setImmediate(() => giveBack(address, connection));
-                    handlers.onEnd();
+                else {
+                    finish(connection.broken);
                 }
             },
             onResponseError: (_controller, err) => fail(err),
