Copy long streams, weigh zones, count runs of all instances

Change: long streams that can't be repeated send their memory to a second engine and go on there; instances tell their runs by model; a zone without a word for 0.7 s costs 3 s; another zone costs a quarter of the latency target.

--- a/admin/checkExports.mjs
+++ b/admin/checkExports.mjs
@@ -11,7 +11,7 @@
         return path.endsWith(".ts") ? [path] : [];
     });
 
-const faults = listSources("packages").flatMap(path => {
+const faults = ["packages", "platform"].flatMap(listSources).flatMap(path => {
     const names = new Set([...readFileSync(path, "utf8").matchAll(/^export (?:const|type|interface|class|enum|async function|function) (\w+)/gm)].map(match => match[1]));
     return names.size > 1 ? [`${path}: exports ${[...names].join(", ")}; move all but one to files of their own`] : [];
 });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/lib/**", "**/node_modules/**", ".checks/**"] },
+    { ignores: ["target/**", "**/lib/**", "**/node_modules/**", ".checks/**"] },
     js.configs.recommended,
     ...tseslint.configs.recommended,
     stylistic.configs.customize({
--- a/packages/medlarlb-daemon/src/gateway/createCallEdge.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallEdge.ts
@@ -71,6 +71,8 @@
             deadlineMs: command.deadlineMs,
             priority: command.priority,
             lastEventId: entry.deliveredId,
+            copyTo: command.copyTo,
+            continueFrom: command.fromCopy ? command.address : undefined,
         });
         const relay = createAnswerRelay({
             call,
--- a/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
@@ -103,7 +103,13 @@
             await store.endLease(lease.value);
             return;
         }
-        held = { lease: lease.value, fence: change.value, validUntilMs: startedMs + TTL_MS - MARGIN_MS, activeAtMs: before === undefined ? now() + leaseMs + APART_MS : now(), active: false };
+        held = {
+            lease: lease.value,
+            fence: change.value,
+            validUntilMs: startedMs + TTL_MS - MARGIN_MS,
+            activeAtMs: before === undefined ? now() + leaseMs + APART_MS : now(),
+            active: false,
+        };
     };
 
     const renew = async (duty: Held): Promise<void> => {
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -127,7 +127,10 @@
         now,
         random,
         configRevision: () => config?.version ?? 0,
-        configSince: () => ({ revision: config?.version ?? 0, base: 0, entries: [{ key: CONFIG_ENTRY, value: configText, revision: config?.version ?? 0 }] }),
+        configSince: () => {
+            const revision = config?.version ?? 0;
+            return { revision, base: 0, entries: [{ key: CONFIG_ENTRY, value: configText, revision }] };
+        },
         onConfig: ({ entries }) => entries.forEach(entry => takeConfig(entry.value ?? "", "peer")),
         onRumour: rumour => {
             const [kind, name] = rumour.key.split("/");
@@ -287,7 +290,11 @@
 
     return {
         start: async (): Promise<void> => {
-            await Promise.all([listen(readiness, settings.readiness.address), listen(ingress.server, settings.caller.address), listen(metrics.server, settings.metrics.address)]);
+            await Promise.all([
+                listen(readiness, settings.readiness.address),
+                listen(ingress.server, settings.caller.address),
+                listen(metrics.server, settings.metrics.address),
+            ]);
             await peers.start();
             directory.start();
             registration.start();
--- a/packages/medlarlb-daemon/src/gateway/gatewayAdapter.ts
+++ b/packages/medlarlb-daemon/src/gateway/gatewayAdapter.ts
@@ -12,6 +12,7 @@
         adapter: string | undefined;
         promptTokens: number;
         outputTokens: number;
+        expectedTokens: number;
         promptParts: PromptPart[];
         lastEventId: string | undefined;
     };
@@ -22,6 +23,8 @@
         deadlineMs: number;
         priority: number | undefined;
         lastEventId: string | undefined;
+        copyTo: string | undefined;
+        continueFrom: string | undefined;
     }) => string[];
     readAnswer: (status: number, headers: Record<string, string | string[] | undefined>) => {
         callerRequestId: string | undefined;
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -50,9 +50,10 @@
     },
     begun: applyBegun,
     progress: (world, { callId }) => {
-        const targetId = world.calls.get(callId)?.flight?.targetId;
-        const target = targetId === undefined ? undefined : world.targets.get(targetId);
-        if (target !== undefined) {
+        const flight = world.calls.get(callId)?.flight;
+        const target = flight === undefined ? undefined : world.targets.get(flight.targetId);
+        if (flight !== undefined && target !== undefined) {
+            flight.lastByteMs = world.nowMs;
             target.lastHeardMs = world.nowMs;
         }
     },
--- a/packages/medlarlb-decisions/src/gateway/calls/answerCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/answerCall.ts
@@ -16,7 +16,8 @@
     const failed = late ? 504 : 502;
     const status = row.mayHaveRun ? failed : 503;
     const leftMs = facts.deadlineAtMs - world.nowMs;
-    const retryAfterMs = row.mayHaveRun || late || retryInMs === undefined ? undefined : Math.max(0, Math.min(retryInMs, leftMs * RETRY_AFTER_SHARE));
+    const mayReturn = !row.mayHaveRun && !late && retryInMs !== undefined;
+    const retryAfterMs = mayReturn ? Math.max(0, Math.min(retryInMs, leftMs * RETRY_AFTER_SHARE)) : undefined;
     logEvent(world, "answered", {
         request: facts.callerRequestId,
         route: facts.route.name,
--- a/packages/medlarlb-decisions/src/gateway/calls/backlogTokens.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/backlogTokens.ts
@@ -7,7 +7,7 @@
 export const backlogTokens = (target: PoolTarget, nowMs: number): number => {
     let tokens = 0;
     for (const flight of target.flights.values()) {
-        if (flight.begunAtMs === undefined && !flight.stale) {
+        if (flight.begunAtMs === undefined) {
             tokens += flight.workTokens;
         }
     }
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseCopyTarget.ts
@@ -0,0 +1,33 @@
+import type { CallRow } from "../rows/callRow.js";
+import type { PoolTarget } from "../rows/poolTarget.js";
+import type { GatewayWorld } from "../gatewayWorld.js";
+import { holdsFor } from "./holdsFor.js";
+import { isUsable } from "./isUsable.js";
+import { runningCount } from "./runningCount.js";
+
+/** Tokens of an answer from which a run is copied: a shorter one is over before its engine is likely to die. */
+const MIN_COPIED_TOKENS = 60;
+/** Share of an engine's places up to which it takes copies for others. */
+const FREE_SHARE = 0.7;
+
+/**
+ * Chooses the engine that keeps a copy of a long stream that can't be repeated, so that the stream goes on there if its
+ * own engine dies: one of the same zone, which holds the model, with the fewest requests.
+ */
+export const chooseCopyTarget = (world: GatewayWorld, row: CallRow, target: PoolTarget): PoolTarget | undefined => {
+    const { facts } = row;
+    const engine = world.config?.services.get(facts.service)?.engine;
+    const isWorthIt = facts.route.kind === "streaming" && !facts.route.resumable && facts.expectedTokens >= MIN_COPIED_TOKENS;
+    if (engine?.copiesRuns !== true || !isWorthIt) {
+        return undefined;
+    }
+    let best: { target: PoolTarget; running: number } | undefined;
+    for (const each of world.targetsByService.get(facts.service) ?? []) {
+        const fits = each !== target && each.entry.zone === target.entry.zone && isUsable(each, world.nowMs) && holdsFor(each, facts, false);
+        const running = fits ? runningCount(each, world.nowMs) : Number.POSITIVE_INFINITY;
+        if (running < each.entry.slots * FREE_SHARE && (best === undefined || running < best.running)) {
+            best = { target: each, running };
+        }
+    }
+    return best?.target;
+};
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -1,3 +1,4 @@
+import type { ZoneId } from "medlarlb-types/zoneId";
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
@@ -13,8 +14,12 @@
     costMs: number;
 }
 
-/** What a request to another zone costs beyond its time, in ms of waiting: bytes between zones are dear. */
-const OTHER_ZONE_MS = 60;
+/** Share of the latency target that a request rather waits than goes to another zone: bytes between zones are dear. */
+const OTHER_ZONE_SHARE = 0.25;
+/** What a target costs in a zone that has fallen silent, in ms: it is likely cut off. */
+const SILENT_ZONE_MS = 3_000;
+/** Time in ms without a word from a zone after which it counts as silent. */
+const ZONE_SILENT_MS = 700;
 /** What it costs to bring an adapter to a target first, in ms: an order and a load from the target's memory. */
 const ADAPTER_MS = 40;
 /** What a target costs whose recent attempts have all failed, in ms. */
@@ -24,12 +29,21 @@
 /** Differences below this are settled at random, so that instances don't all choose the same target. */
 const JITTER_MS = 8;
 
+const zoneCostMs = (world: GatewayWorld, row: CallRow, zone: ZoneId): number => {
+    if (zone === world.settings.zone) {
+        return 0;
+    }
+    const heardMs = world.zoneHeardMs.get(zone);
+    const isSilent = heardMs !== undefined && world.nowMs - heardMs > ZONE_SILENT_MS;
+    return OTHER_ZONE_SHARE * row.facts.route.latencyTargetMs + (isSilent ? SILENT_ZONE_MS : 0);
+};
+
 const costOf = (world: GatewayWorld, row: CallRow, target: PoolTarget): Choice => {
     const prediction = predictStartMs(target, row.facts, world.nowMs);
     const ready = holdsFor(target, row.facts, true);
     const failureShare = target.failureShare * 0.5 ** ((world.nowMs - target.failureAtMs) / FAILURE_HALF_LIFE_MS);
     const costMs = prediction.answerMs
-        + (target.entry.zone === world.settings.zone ? 0 : OTHER_ZONE_MS)
+        + zoneCostMs(world, row, target.entry.zone)
         + (ready ? 0 : ADAPTER_MS)
         + failureShare * FAILURE_MS
         + world.random() * JITTER_MS;
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -1,6 +1,7 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
+import { chooseCopyTarget } from "./chooseCopyTarget.js";
 import { logEvent } from "./logEvent.js";
 import type { predictStartMs } from "./predictStartMs.js";
 import { rememberPrompt } from "./rememberPrompt.js";
@@ -8,8 +9,9 @@
 const MAX_PRIORITY = 9;
 
 /** Sends a request to a target. */
-export const sendCall = (world: GatewayWorld, row: CallRow, target: PoolTarget, prediction: ReturnType<typeof predictStartMs>): void => {
+export const sendCall = (world: GatewayWorld, row: CallRow, target: PoolTarget, prediction: ReturnType<typeof predictStartMs>, fromCopy = false): void => {
     const { facts } = row;
+    const copy = chooseCopyTarget(world, row, target);
     row.attempts += 1;
     row.flight = {
         targetId: target.entry.targetId,
@@ -20,7 +22,9 @@
         sentAtMs: world.nowMs,
         predictedMs: prediction.answerMs,
         begunAtMs: undefined,
-        stale: false,
+        lastByteMs: world.nowMs,
+        model: facts.model,
+        copyTargetId: copy?.entry.targetId,
     };
     target.flights.set(facts.callId, row.flight);
     const engine = world.config?.services.get(facts.service)?.engine;
@@ -36,7 +40,8 @@
         deadlineMs: facts.deadlineAtMs - world.nowMs,
         predictedMs: prediction.answerMs,
         priority: engine === undefined ? undefined : Math.min(MAX_PRIORITY, facts.route.priority),
-        resume: row.delivered,
+        copyTo: copy?.entry.address,
+        fromCopy,
     });
     logEvent(world, "sent", {
         request: facts.callerRequestId,
@@ -44,6 +49,8 @@
         target: target.entry.targetId,
         attempt: row.attempts,
         waitedMs: Math.round(world.nowMs - facts.arrivedAtMs),
+        copy: copy?.entry.targetId,
+        fromCopy: fromCopy || undefined,
         predictedMs: Math.round(prediction.answerMs),
         aheadTokens: Math.round(prediction.aheadTokens),
     });
--- a/packages/medlarlb-decisions/src/gateway/createGatewayWorld.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayWorld.ts
@@ -17,6 +17,7 @@
     retries: new Map(),
     instanceCount: 1,
     planners: new Map(),
+    zoneHeardMs: new Map(),
     planningAtMs: new Map(),
     fence: undefined,
     duties: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -5,9 +5,25 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { PlacementNews } from "medlarlb-types/placementNews";
 
+/** Sends a request to a target. */
+interface SendCommand {
+    kind: "send";
+    callId: RequestId;
+    targetId: TargetId;
+    address: string;
+    attempt: number;
+    deadlineMs: number;
+    predictedMs: number;
+    priority: number | undefined;
+    /** Address of the engine that is to get a copy of the run's memory as it grows. */
+    copyTo: string | undefined;
+    /** Whether the run goes on from the copy that the target has of it. */
+    fromCopy: boolean;
+}
+
 /** Everything that the decisions of the gateway can ask of the edge. */
 export type GatewayCommand =
-    | { kind: "send"; callId: RequestId; targetId: TargetId; address: string; attempt: number; deadlineMs: number; predictedMs: number; priority: number | undefined; resume: boolean }
+    | SendCommand
     /** Ends the present attempt of a call. */
     | { kind: "abort"; callId: RequestId; attempt: number }
     /** Final answer of this instance's own. */
--- a/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
@@ -29,6 +29,8 @@
     retries: Map<string, RetryBudget>;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
+    /** When anything was last heard from an instance of a zone. */
+    zoneHeardMs: Map<ZoneId, number>;
     /** When the planner of a zone last told that it may give orders. */
     planningAtMs: Map<ZoneId, number>;
     /** Fence of the orders that this instance may give, if it holds the duty of its zone. */
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -1,3 +1,4 @@
+import { continueCall } from "../calls/continueCall.js";
 import { logEvent } from "../calls/logEvent.js";
 import { retryCall } from "../calls/retryCall.js";
 import type { GatewayInput } from "../gatewayInput.js";
@@ -65,5 +66,8 @@
     if (target !== undefined) {
         blame(world, row, target, input);
     }
+    if (input.cause === "cut" && continueCall(world, row, input.reason)) {
+        return;
+    }
     retryCall(world, row, input);
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -8,9 +8,10 @@
     for (const target of world.targets.values()) {
         target.peerLoads.delete(status.instanceId);
     }
-    for (const { targetId, backlogTokens, running } of status.loads) {
-        world.targets.get(targetId as TargetId)?.peerLoads.set(status.instanceId, { backlogTokens, running, atMs: world.nowMs });
+    for (const { targetId, backlogTokens, running, runs } of status.loads) {
+        world.targets.get(targetId as TargetId)?.peerLoads.set(status.instanceId, { backlogTokens, running, runs, atMs: world.nowMs });
     }
+    world.zoneHeardMs.set(status.zone, world.nowMs);
     if (status.planning) {
         world.planningAtMs.set(status.zone, world.nowMs);
     }
--- a/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
@@ -7,8 +7,10 @@
 
 /** Time in ms that an adapter takes to arrive, with some reserve for a busy store. */
 const ADAPTER_MS = 12;
+/** How old an engine's report is, in ms. */
+const REPORT_LAG_MS = 100;
 /** Time in ms after which the end of an unload is looked for. */
-const UNLOAD_MS = 20;
+const UNLOAD_MS = 60;
 
 const loadMs = (world: GatewayWorld, duty: EngineDuty, order: PlacementOrder): number => {
     const service = world.targets.get(duty.targetId)?.entry.service ?? "";
@@ -41,7 +43,7 @@
         duty.nextModel = undefined;
     }
     duty.running = { order, doneAtMs: world.nowMs + tookMs, announced: false, followed: false };
-    duty.nextReportMs = duty.running.doneAtMs;
+    duty.nextReportMs = duty.running.doneAtMs + REPORT_LAG_MS;
     return order.action === "load" && !duty.inMemory.has(order.model) && !duty.onDisk.has(order.model);
 };
 
--- a/packages/medlarlb-decisions/src/gateway/placement/askReports.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/askReports.ts
@@ -3,7 +3,7 @@
 import { sendOrder } from "./sendOrder.js";
 
 /** Interval in ms between reports that are needed and don't yet say what is waited for. */
-const REPORT_AGAIN_MS = 60;
+const REPORT_AGAIN_MS = 100;
 /** Time in ms after which a report that didn't come is asked for again. */
 const REPORT_LOST_MS = 900;
 
--- a/packages/medlarlb-decisions/src/gateway/placement/findDemand.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/findDemand.ts
@@ -9,7 +9,17 @@
     const key = `${service}/${model}`;
     let row = world.demand.get(key);
     if (row === undefined) {
-        row = { service, model, fastTokens: 0, slowTokens: 0, fastRequests: 0, slowRequests: 0, zoneRequests: 0, updatedAtMs: world.nowMs, waiting: new Map() };
+        row = {
+            service,
+            model,
+            fastTokens: 0,
+            slowTokens: 0,
+            fastRequests: 0,
+            slowRequests: 0,
+            zoneRequests: 0,
+            updatedAtMs: world.nowMs,
+            waiting: new Map(),
+        };
         world.demand.set(key, row);
     }
     const ageMs = world.nowMs - row.updatedAtMs;
--- a/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
@@ -32,7 +32,7 @@
 const LOAD_SECOND_COST = 0.8;
 const BUSY_COST = 0.5;
 /** Cost of each run that an unload has to wait for, in requests a second. */
-const RUN_COST = 0.2;
+const RUN_COST = 0.5;
 const MS_PER_SECOND = 1_000;
 
 const isIdle = (duty: EngineDuty): boolean =>
@@ -73,9 +73,13 @@
 };
 
 const runsOf = (world: GatewayWorld, duty: EngineDuty, model: string): number => {
+    const target = world.targets.get(duty.targetId);
     let runs = 0;
-    for (const callId of world.targets.get(duty.targetId)?.flights.keys() ?? []) {
-        runs += world.calls.get(callId)?.facts.model === model ? 1 : 0;
+    for (const flight of target?.flights.values() ?? []) {
+        runs += flight.model === model ? 1 : 0;
+    }
+    for (const load of target?.peerLoads.values() ?? []) {
+        runs += load.runs[model] ?? 0;
     }
     return runs;
 };
@@ -105,13 +109,24 @@
     return duty.onDisk.has(name) ? model.diskLoadMs : model.storeLoadMs;
 };
 
-const findMove = (world: GatewayWorld, service: string, profile: EngineProfile, wish: Wish, fromStore: boolean): Move | undefined => {
+/** Tells whether an engine could be ordered to load a model now. */
+const isOpenTo = (world: GatewayWorld, service: string, duty: EngineDuty, model: string): boolean => {
+    const target = world.targets.get(duty.targetId);
+    return target !== undefined && !target.leaving && target.entry.service === service && isIdle(duty) && !duty.models.has(model);
+};
+
+const findMove = (
+    world: GatewayWorld,
+    service: string,
+    profile: EngineProfile,
+    wish: Wish,
+    fromStore: boolean,
+): Move | undefined => {
     let best: Move | undefined;
     const needMb = profile.models.get(wish.model)?.weightsMb ?? Number.POSITIVE_INFINITY;
     for (const duty of world.duties.values()) {
-        const target = world.targets.get(duty.targetId);
         const atHand = duty.inMemory.has(wish.model) || duty.onDisk.has(wish.model);
-        if (target === undefined || target.leaving || target.entry.service !== service || !isIdle(duty) || duty.models.has(wish.model) || (!fromStore && !atHand)) {
+        if (!isOpenTo(world, service, duty, wish.model) || (!fromStore && !atHand)) {
             continue;
         }
         const hasRoom = usedWeightsMb(profile, duty) + needMb <= profile.weightsMb;
--- a/packages/medlarlb-decisions/src/gateway/placement/replicaValue.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/replicaValue.ts
@@ -7,6 +7,9 @@
 /** Worth of a model's last replica that nobody asks for now, in requests a second. */
 const IDLE_VALUE = 0.01;
 
+/** Worth of answering a request that waits already, beside the requests a second that come. */
+const WAITING_VALUE = 3;
+
 const overload = (engines: number, replicas: number): number =>
     Math.max(0, Math.min(1, (engines / replicas - FULL_SHARE) / FULL_SHARE));
 
@@ -17,7 +20,7 @@
 export const replicaValue = (load: ReturnType<typeof modelLoad>, replicas: number, inZone: number): number => {
     const own = inZone === 0 ? OWN_ZONE_SHARE * load.zoneRequests : 0;
     if (replicas === 0) {
-        return IDLE_VALUE + load.requests + load.waiting + own;
+        return IDLE_VALUE + load.requests + load.waiting * WAITING_VALUE + own;
     }
     return load.requests * overload(load.engines, replicas) + own;
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/wantModel.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/wantModel.ts
@@ -3,7 +3,13 @@
 import { findDemand } from "./findDemand.js";
 
 /** Takes in that callers wait for a model, or for an adapter on an engine that holds its model. */
-export const wantModel = (world: GatewayWorld, service: string, model: string, adapter: string | undefined, targetId: TargetId | undefined): void => {
+export const wantModel = (
+    world: GatewayWorld,
+    service: string,
+    model: string,
+    adapter: string | undefined,
+    targetId: TargetId | undefined,
+): void => {
     if (targetId === undefined) {
         const row = findDemand(world, service, model);
         const asked = row.waiting.get(world.settings.instanceId)?.requests ?? 0;
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -8,6 +8,8 @@
 interface PeerLoad {
     backlogTokens: number;
     running: number;
+    /** Requests that run, by model. */
+    runs: Record<string, number>;
     atMs: number;
 }
 
--- a/packages/medlarlb-decisions/src/gateway/status/buildStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/buildStatus.ts
@@ -22,11 +22,15 @@
     const loads: InstanceStatus["loads"] = [];
     for (const [targetId, target] of world.targets) {
         let backlogTokens = 0;
+        const runs: Record<string, number> = {};
         for (const flight of target.flights.values()) {
-            backlogTokens += flight.begunAtMs === undefined && !flight.stale ? flight.workTokens : 0;
+            backlogTokens += flight.begunAtMs === undefined ? flight.workTokens : 0;
+            if (flight.model !== undefined) {
+                runs[flight.model] = (runs[flight.model] ?? 0) + 1;
+            }
         }
         if (target.flights.size > 0) {
-            loads.push({ targetId, backlogTokens, running: target.flights.size });
+            loads.push({ targetId, backlogTokens, running: target.flights.size, runs });
         }
     }
     return loads;
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -59,7 +59,14 @@
     };
 
     const open = (address: string): Connection => {
-        const connection: Connection = { client: undefined as never, idleSinceMs: 0, timer: undefined, broken: false, closedByTarget: false, unframed: false };
+        const connection: Connection = {
+            client: undefined as never,
+            idleSinceMs: 0,
+            timer: undefined,
+            broken: false,
+            closedByTarget: false,
+            unframed: false,
+        };
         const client = new Client(`http://${address}`, {
             pipelining: 1,
             keepAliveTimeout: IDLE_MS,
@@ -142,7 +149,7 @@
             method: req.method as Dispatcher.HttpMethod,
             path: req.path,
             headers: req.headers,
-            body: req.body ?? null, // eslint-disable-line no-restricted-syntax -- undici's word for no body
+            ...(req.body === undefined ? {} : { body: req.body }),
             idempotent: false,
         }, {
             onRequestStart: each => {
--- a/packages/medlarlb-types/src/callFacts.ts
+++ b/packages/medlarlb-types/src/callFacts.ts
@@ -15,6 +15,8 @@
     promptTokens: number;
     /** Most tokens of the answer. */
     outputTokens: number;
+    /** Expected tokens of the answer. */
+    expectedTokens: number;
     promptParts: PromptPart[];
     arrivedAtMs: number;
     /** Time up to which an answer is in time. */
--- a/packages/medlarlb-types/src/engineProfile.ts
+++ b/packages/medlarlb-types/src/engineProfile.ts
@@ -12,5 +12,7 @@
     adapterSlots: number;
     /** Loads a second that the weight store allows over all targets. */
     storeLoadsPerSecond: number;
+    /** Whether a run's memory can be sent to another engine as it grows, so that the run can go on there. */
+    copiesRuns: boolean;
     models: Map<string, ModelProfile>;
 }
--- a/packages/medlarlb-types/src/instanceStatus.ts
+++ b/packages/medlarlb-types/src/instanceStatus.ts
@@ -11,6 +11,6 @@
     arrivals: { service: string; model: string; tokens: number; requests: number }[];
     /** Requests that wait for a target now. */
     waiting: { service: string; model: string; requests: number }[];
-    /** Own load on targets: prompt tokens not yet read, and requests that run. */
-    loads: { targetId: string; backlogTokens: number; running: number }[];
+    /** Own load on targets: prompt tokens not yet read, requests that run, and those of each model. */
+    loads: { targetId: string; backlogTokens: number; running: number; runs: Record<string, number> }[];
 }
