Never send anew what may have run, and take no request late in a stop

Ruled out: copies of other requests (the continued ids match). Change: no answer takes back an earlier run; only a connection that the target broke lets a stream go on elsewhere; open connections end with their answer during a stop, and new requests are refused once the balancer knows.

--- a/packages/medlarlb-daemon/src/gateway/createCallEdge.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallEdge.ts
@@ -48,6 +48,12 @@
         if (isStopping()) {
             call.res.setHeader("connection", "close");
         }
+        call.res.once("finish", () => {
+            if (isStopping()) {
+                // An answer that had begun before the stop didn't tell the caller to connect again.
+                call.req.socket.end();
+            }
+        });
         push({ kind: "call", facts: call.facts });
     };
 
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -313,8 +313,8 @@
             // New connections go to other instances now. Callers on open ones were told to close them.
             ingress.server.close();
             ingress.server.closeIdleConnections();
-            await waitUntil(() => edge.openCount() === 0, graceMs - REFUSE_RESERVE_MS - (now() - startedAtMs));
             closing = true;
+            await waitUntil(() => edge.openCount() === 0, graceMs - REFUSE_RESERVE_MS - (now() - startedAtMs));
             push({ kind: "stop" });
             await waitUntil(() => edge.openCount() === 0, graceMs - (now() - startedAtMs));
             await waitUntil(() => false, FLUSH_MS);
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -52,8 +52,7 @@
     progress: (world, { callId }) => {
         const flight = world.calls.get(callId)?.flight;
         const target = flight === undefined ? undefined : world.targets.get(flight.targetId);
-        if (flight !== undefined && target !== undefined) {
-            flight.lastByteMs = world.nowMs;
+        if (target !== undefined) {
             target.lastHeardMs = world.nowMs;
         }
     },
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseCopyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseCopyTarget.ts
@@ -12,7 +12,7 @@
 
 /**
  * Chooses the engine that keeps a copy of a long stream that can't be repeated, so that the stream goes on there if its
- * own engine dies: one of the same zone, which holds the model, with the fewest requests.
+ * own engine dies: one that holds the model, of the same zone if there is one, with the fewest requests.
  */
 export const chooseCopyTarget = (world: GatewayWorld, row: CallRow, target: PoolTarget): PoolTarget | undefined => {
     const { facts } = row;
@@ -21,12 +21,13 @@
     if (engine?.copiesRuns !== true || !isWorthIt) {
         return undefined;
     }
-    let best: { target: PoolTarget; running: number } | undefined;
+    let best: { target: PoolTarget; cost: number } | undefined;
     for (const each of world.targetsByService.get(facts.service) ?? []) {
-        const fits = each !== target && each.entry.zone === target.entry.zone && isUsable(each, world.nowMs) && holdsFor(each, facts, false);
+        const fits = each !== target && isUsable(each, world.nowMs) && holdsFor(each, facts, false);
         const running = fits ? runningCount(each, world.nowMs) : Number.POSITIVE_INFINITY;
-        if (running < each.entry.slots * FREE_SHARE && (best === undefined || running < best.running)) {
-            best = { target: each, running };
+        const cost = running + (each.entry.zone === target.entry.zone ? 0 : each.entry.slots);
+        if (running < each.entry.slots * FREE_SHARE && (best === undefined || cost < best.cost)) {
+            best = { target: each, cost };
         }
     }
     return best?.target;
--- a/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
@@ -19,7 +19,8 @@
 const RETRY_SOON_MS = 300;
 
 const mayRepeat = (row: CallRow, failure: Failure): boolean => {
-    if (failure.ran === "no") {
+    // A refused attempt to go on from a copy doesn't undo the run before it.
+    if (failure.ran === "no" && !row.mayHaveRun) {
         return true;
     }
     const { kind, resumable, maxAttempts } = row.facts.route;
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -9,7 +9,13 @@
 const MAX_PRIORITY = 9;
 
 /** Sends a request to a target. */
-export const sendCall = (world: GatewayWorld, row: CallRow, target: PoolTarget, prediction: ReturnType<typeof predictStartMs>, fromCopy = false): void => {
+export const sendCall = (
+    world: GatewayWorld,
+    row: CallRow,
+    target: PoolTarget,
+    prediction: ReturnType<typeof predictStartMs>,
+    fromCopy = false,
+): void => {
     const { facts } = row;
     const copy = chooseCopyTarget(world, row, target);
     row.attempts += 1;
@@ -22,7 +28,6 @@
         sentAtMs: world.nowMs,
         predictedMs: prediction.answerMs,
         begunAtMs: undefined,
-        lastByteMs: world.nowMs,
         model: facts.model,
         copyTargetId: copy?.entry.targetId,
     };
--- a/packages/medlarlb-decisions/src/gateway/placement/listHomeZones.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/listHomeZones.ts
@@ -3,19 +3,25 @@
 import type { GatewayWorld } from "../gatewayWorld.js";
 
 /**
- * Lists the zones that hold engines of a service, in the order in which they are to hold a model that few ask for.
- * Every instance computes the same order without a message; the share of a zone follows its number of engines.
+ * Lists the zones that hold engines of a service, in the order in which they are to hold a model that few ask for: first
+ * those with an engine that has the weights in its memory or on its disk, from where a load is faster and costs the
+ * weight store nothing. Every instance computes the same order without a message; the share of a zone among equals
+ * follows its number of engines.
  */
 export const listHomeZones = (world: GatewayWorld, service: string, model: string): ZoneId[] => {
     const engines = new Map<ZoneId, number>();
+    const nearness = new Map<ZoneId, number>();
     for (const target of world.targetsByService.get(service) ?? []) {
+        const { zone, inMemory, onDisk } = target.entry;
         if (!target.leaving) {
-            engines.set(target.entry.zone, (engines.get(target.entry.zone) ?? 0) + 1);
+            engines.set(zone, (engines.get(zone) ?? 0) + 1);
+            const onTarget = onDisk.includes(model) ? 1 : 0;
+            nearness.set(zone, Math.max(nearness.get(zone) ?? 0, inMemory.includes(model) ? 2 : onTarget));
         }
     }
     // Weighted rendezvous hashing: the zone whose draw over its weight is the least comes first.
     const draw = (zone: ZoneId, weight: number): number => -Math.log(hashText(`${model}/${zone}`)) / weight;
     return [...engines].map(([zone, weight]) => ({ zone, rank: draw(zone, weight) }))
-        .sort((one, other) => one.rank - other.rank)
+        .sort((one, other) => (nearness.get(other.zone) ?? 0) - (nearness.get(one.zone) ?? 0) || one.rank - other.rank)
         .map(each => each.zone);
 };
--- a/packages/medlarlb-decisions/src/gateway/rows/flight.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/flight.ts
@@ -14,8 +14,6 @@
     sentAtMs: number;
     predictedMs: number;
     begunAtMs: number | undefined;
-    /** When the last byte of the answer came. */
-    lastByteMs: number;
     model: string | undefined;
     /** Engine that is sent a copy of the run's memory as it grows, where the run can go on if its own engine dies. */
     copyTargetId: TargetId | undefined;
