--- a/packages/medlarlb-daemon/src/createDaemon.ts
+++ b/packages/medlarlb-daemon/src/createDaemon.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from "node:crypto";
-import type { Server } from "node:http";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import createDebug from "debug";
@@ -41,22 +40,16 @@
 import { readLedgers } from "./planner/readLedgers.js";
 import type { Settings } from "./settings/settings.js";
 import { createRumourTaker } from "./shared/createRumourTaker.js";
+import { listenAt } from "./shared/listenAt.js";
+import { waitUntil } from "./shared/waitUntil.js";
 import { createTargetPoller } from "./targets/createTargetPoller.js";
 
 const LIST_MS = 1_000;
 const GRACE_MS = 1_000; // time for the platform's balancer to see that the instance isn't ready
-const DRAIN_CHECK_MS = 50;
 const RELEASE_MS = 2_000; // longest wait for the ledgers to be given up
 
 const log = createDebug("medlarlb:daemon");
 
-const listen = (server: Server, address: string): Promise<void> =>
-    new Promise((resolve, reject) => {
-        const [host, port] = address.split(":");
-        server.once("error", reject);
-        server.listen(Number(port), host, () => resolve());
-    });
-
 /** Wires the parts of a daemon. This is the only module that knows all of them. */
 export const createDaemon = (settings: Settings) => {
     const instanceId = brandAs<InstanceId>(settings.instance.id);
@@ -241,8 +234,8 @@
 
     const start = async (): Promise<void> => {
         await peers.start();
-        await listen(operatorServer, settings.operator.address);
-        await listen(callerServer, settings.caller.address);
+        await listenAt(operatorServer, settings.operator.address);
+        await listenAt(callerServer, settings.caller.address);
         sync.start();
         lease.start();
         await refreshList();
@@ -251,17 +244,6 @@
         log("ready for callers at %s", settings.caller.address);
     };
 
-    const waitUntil = (done: () => boolean, limitMs: number): Promise<void> =>
-        new Promise(resolve => {
-            const startedAtMs = Date.now();
-            const timer = setInterval(() => {
-                if (done() || Date.now() - startedAtMs > limitMs) {
-                    clearInterval(timer);
-                    resolve();
-                }
-            }, DRAIN_CHECK_MS);
-        });
-
     /** Stops without cutting off a request: not ready first, then closed to new work, then everything finished. */
     const stop = async (): Promise<void> => {
         log("stopping: no new requests are welcome");
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
-import type { Server } from "node:http";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Agent } from "undici";
@@ -26,6 +25,8 @@
 import { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import { createLoop } from "../createLoop.js";
 import type { GatewaySettingsFile } from "../settings/gatewaySettingsFile.js";
+import { listenAt } from "../shared/listenAt.js";
+import { waitUntil } from "../shared/waitUntil.js";
 import { createCallEdge } from "./createCallEdge.js";
 import { createDirectory } from "./createDirectory.js";
 import { createDutyLease } from "./createDutyLease.js";
@@ -41,18 +42,10 @@
 const REFUSE_RESERVE_MS = 1_500;
 /** Time in ms in which the platform's balancer sees that an instance isn't ready: two checks, a second apart. */
 const UNREADY_MS = 2_500;
-const DRAIN_CHECK_MS = 50;
 /** Time in ms in which the last answers leave the process. */
 const FLUSH_MS = 100;
 const CONFIG_ENTRY = "config";
 
-const listen = (server: Server, address: string): Promise<void> =>
-    new Promise((resolve, reject) => {
-        const [host, port] = address.split(":");
-        server.once("error", reject);
-        server.listen(Number(port), host, () => resolve());
-    });
-
 /** Wires the parts of an instance that routes by the operator's configuration in the platform's store. */
 export const createGateway = (settings: GatewaySettingsFile) => {
     const instanceId = brandAs<InstanceId>(settings.peer.address);
@@ -281,23 +274,12 @@
         res.writeHead(config !== undefined && !stopping ? 200 : 503, { "content-length": "0" }).end();
     });
 
-    const waitUntil = (done: () => boolean, limitMs: number): Promise<void> =>
-        new Promise(resolve => {
-            const startedAtMs = now();
-            const timer = setInterval(() => {
-                if (done() || now() - startedAtMs > limitMs) {
-                    clearInterval(timer);
-                    resolve();
-                }
-            }, DRAIN_CHECK_MS);
-        });
-
     return {
         start: async (): Promise<void> => {
             await Promise.all([
-                listen(readiness, settings.readiness.address),
-                listen(ingress.server, settings.caller.address),
-                listen(metrics.server, settings.metrics.address),
+                listenAt(readiness, settings.readiness.address),
+                listenAt(ingress.server, settings.caller.address),
+                listenAt(metrics.server, settings.metrics.address),
             ]);
             await peers.start();
             directory.start();
--- a/packages/medlarlb-decisions/src/gateway/__tests__/placement.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/placement.test.ts
@@ -1,9 +1,11 @@
 import { expect } from "chai";
 import { createVirtualSite } from "./support/createVirtualSite.js";
 
+const slowRoute = { timeoutMs: 8_000, latencyTargetMs: 2_000 };
+
 describe("placement of models", () => {
     it("reaches every model in turn when more are declared than fit, and refuses at once what can't be loaded in time", () => {
-        const site = createVirtualSite({ seed: 1, zones: 1, enginesPerZone: 4, models: 16, route: { timeoutMs: 8_000, latencyTargetMs: 2_000 } });
+        const site = createVirtualSite({ seed: 1, zones: 1, enginesPerZone: 4, models: 16, route: slowRoute });
         site.run(1_000);
         for (let round = 0; round < 3; round += 1) {
             for (let model = 0; model < 16; model += 1) {
@@ -48,7 +50,7 @@
     });
 
     it("keeps within the weight store's rate in every window", () => {
-        const site = createVirtualSite({ seed: 4, zones: 3, enginesPerZone: 4, models: 60, route: { timeoutMs: 8_000, latencyTargetMs: 2_000 } });
+        const site = createVirtualSite({ seed: 4, zones: 3, enginesPerZone: 4, models: 60, route: slowRoute });
         site.run(1_000);
         const counts: number[] = [];
         for (let tick = 0; tick < 400; tick += 1) {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
@@ -68,8 +68,18 @@
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     };
     const defaultRoute: Route = {
-        name: "r", host: "h", prefix: "/", kind: "streaming", timeoutMs: 6_000, latencyTargetMs: 800, gapTargetMs: 400,
-        priority: 1, maxAttempts: 1, resumable: false, destinations: [{ service: "llm", weight: 1 }], ...route,
+        name: "r",
+        host: "h",
+        prefix: "/",
+        kind: "streaming",
+        timeoutMs: 6_000,
+        latencyTargetMs: 800,
+        gapTargetMs: 400,
+        priority: 1,
+        maxAttempts: 1,
+        resumable: false,
+        destinations: [{ service: "llm", weight: 1 }],
+        ...route,
     };
     const engines = Array.from({ length: zones * enginesPerZone }, (_, index) => createVirtualEngine({
         id: `e${index}`,
@@ -103,6 +113,9 @@
     };
     const engineOf = (targetId: string) => engines.find(each => each.id === targetId);
 
+    const tellOthers = (from: (typeof instances)[number], input: GatewayInput): void =>
+        instances.filter(each => each !== from).forEach(each => after(DELAY_MS, () => each.inputs.push(input)));
+
     const send = (from: (typeof instances)[number], command: Extract<GatewayCommand, { kind: "send" }>): void => {
         const { callId, attempt, targetId } = command;
         const call = from.decisions.view().calls.get(callId)?.facts;
@@ -160,10 +173,10 @@
                 break;
             }
             case "shareStatus":
-                instances.filter(each => each !== from).forEach(each => after(DELAY_MS, () => each.inputs.push({ kind: "status", status: command.status })));
+                tellOthers(from, { kind: "status", status: command.status });
                 break;
             case "shareNews":
-                instances.filter(each => each !== from).forEach(each => after(DELAY_MS, () => each.inputs.push({ kind: "news", news: command.news })));
+                tellOthers(from, { kind: "news", news: command.news });
                 break;
             default:
         }
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualEngine.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualEngine.ts
@@ -26,7 +26,7 @@
  * condition, and fails the test when it is ordered to hold more than fits.
  */
 export const createVirtualEngine = ({ id, zone, models, profile, msPerToken }: EngineOptions) => {
-    const held = new Map<string, { name: string; adapters: Set<string> }>(models.map(name => [name, { name, adapters: new Set<string>() }]));
+    const held = new Map(models.map(name => [name, { name, adapters: new Set<string>() }]));
     const onDisk = new Set(models);
     const history: { atMs: number; report: EngineReport }[] = [];
     let orderCount = 0;
