Bring adapters to engines that don't load a model, and to one engine

Ruled out: adapter orders during a model's load (tried: 9 of 9 refused). Change: such engines cost 1.5 s more for a request without its adapter; the engine that was asked is preferred.

--- a/packages/medlarlb-decisions/src/gateway/calls/askForModel.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/askForModel.ts
@@ -21,10 +21,12 @@
 /** Asks the planner of a zone for the model or adapter that a call waits for. */
 export const askForModel = (world: GatewayWorld, row: CallRow, targetId: TargetId | undefined): void => {
     const { service, model, adapter } = row.facts;
-    if (model === undefined || world.nowMs - row.askedAtMs < ASK_AGAIN_MS) {
+    const isAsked = row.askedTargetId === targetId && world.nowMs - row.askedAtMs < ASK_AGAIN_MS;
+    if (model === undefined || isAsked) {
         return;
     }
     row.askedAtMs = world.nowMs;
+    row.askedTargetId = targetId;
     const targetZone = targetId === undefined ? undefined : world.targets.get(targetId)?.entry.zone;
     const zones = targetZone === undefined ? listHomeZones(world, service, model) : [targetZone];
     const wanted = zones.filter(zone => canPlan(world, zone));
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -22,8 +22,12 @@
 const SILENT_ZONE_MS = 3_000;
 /** Time in ms without a word from a zone after which it counts as silent. */
 const ZONE_SILENT_MS = 700;
-/** What it costs to bring an adapter to a target first, in ms: an order and a load from the target's memory. */
-const ADAPTER_MS = 40;
+/** What it costs to bring an adapter to a target first, in ms: orders, a load, and the adapter that has to go for it. */
+const ADAPTER_MS = 100;
+/** What it costs if the engine loads a model meanwhile, in ms: it refuses other orders until then. */
+const BUSY_ADAPTER_MS = 1_500;
+/** Advantage in ms of the engine that was asked to bring the adapter already. */
+const ASKED_MS = 50;
 /** What a target costs whose recent attempts have all failed, in ms. */
 const FAILURE_MS = 2_000;
 /** Time after which half of a target's failures are forgotten, in ms. */
@@ -36,13 +40,18 @@
     return heardMs !== undefined && world.nowMs - heardMs > ZONE_SILENT_MS ? SILENT_ZONE_MS : 0;
 };
 
+const adapterCostMs = (row: CallRow, target: PoolTarget): number => {
+    const isBusy = target.opening.size > 0 || target.closing.size > 0;
+    return ADAPTER_MS + (isBusy ? BUSY_ADAPTER_MS : 0) - (row.askedTargetId === target.entry.targetId ? ASKED_MS : 0);
+};
+
 const costOf = (world: GatewayWorld, row: CallRow, target: PoolTarget): Choice => {
     const prediction = predictStartMs(target, row.facts, world.nowMs);
     const ready = holdsFor(target, row.facts, true);
     const failureShare = target.failureShare * 0.5 ** ((world.nowMs - target.failureAtMs) / FAILURE_HALF_LIFE_MS);
     const costMs = prediction.answerMs
         + (target.entry.zone === world.settings.zone ? 0 : silentZoneMs(world, target.entry.zone))
-        + (ready ? 0 : ADAPTER_MS)
+        + (ready ? 0 : adapterCostMs(row, target))
         + failureShare * FAILURE_MS
         + world.random() * JITTER_MS;
     return { target, prediction, ready, costMs };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -15,6 +15,7 @@
         excluded: new Set(),
         delivered: false,
         askedAtMs: Number.NEGATIVE_INFINITY,
+        askedTargetId: undefined,
         notBeforeMs: 0,
     };
     world.calls.set(facts.callId, row);
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -18,6 +18,8 @@
     delivered: boolean;
     /** When a model or adapter was last asked for on its behalf. */
     askedAtMs: number;
+    /** Engine that was asked to bring the adapter. */
+    askedTargetId: TargetId | undefined;
     /** Earliest time of the next attempt. */
     notBeforeMs: number;
 }
