Lose no requests in a zone that is cut off, and load its models elsewhere

Ruled out: silence of the zone's planner alone (it may be the planner that is gone: its targets answer on). Change: a zone counts as cut off when neither its instances nor its targets were heard for 550 ms; it gets one request a target at a time to find out when it is back, and its replicas don't count. Without a planner every instance of a zone tells all others of its load, so that silence says something.

--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -44,6 +44,8 @@
 const UNREADY_MS = 2_500;
 /** Time in ms in which the last answers leave the process. */
 const FLUSH_MS = 100;
+/** Time in ms without a word from the zone's planner after which every instance tells all others of its load. */
+const PLANNER_SILENT_MS = 400;
 const CONFIG_ENTRY = "config";
 
 /** Wires the parts of an instance that routes by the operator's configuration in the platform's store. */
@@ -224,10 +226,15 @@
         }
     };
 
-    /** Members of this zone, and the planners of the others. A planner tells everyone, so that all know who plans. */
+    /**
+     * Members of this zone, and the planners of the others. A planner tells everyone, so that all know who plans and which
+     * zones they reach; without one, all instances of the zone do.
+     */
     const listListeners = (): InstanceId[] => {
-        const isPlanner = decisions.view().fence !== undefined;
-        const ids = new Set(peers.alive().filter(member => isPlanner || member.zone === zone).map(member => member.id));
+        const { fence, planningAtMs } = decisions.view();
+        const hasPlanner = now() - (planningAtMs.get(zone) ?? Number.NEGATIVE_INFINITY) < PLANNER_SILENT_MS;
+        const tellsAll = fence !== undefined || !hasPlanner;
+        const ids = new Set(peers.alive().filter(member => tellsAll || member.zone === zone).map(member => member.id));
         planners.forEach(planner => ids.add(planner));
         ids.delete(instanceId);
         return [...ids];
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
@@ -149,7 +149,8 @@
             case "answer": {
                 const outcome = outcomes.get(command.callId);
                 if (outcome !== undefined) {
-                    Object.assign(outcome, { status: command.status, heldMs: nowMs - outcome.arrivedAtMs, retryAfterMs: command.retryAfterMs });
+                    const heldMs = nowMs - outcome.arrivedAtMs;
+                    Object.assign(outcome, { status: command.status, heldMs, retryAfterMs: command.retryAfterMs });
                 }
                 break;
             }
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -4,6 +4,7 @@
 import type { GatewayWorld } from "../gatewayWorld.js";
 import { holdsFor } from "./holdsFor.js";
 import { isUsable } from "./isUsable.js";
+import { isZoneCut } from "./isZoneCut.js";
 import { predictStartMs } from "./predictStartMs.js";
 
 interface Choice {
@@ -18,10 +19,6 @@
 const OWN_ZONE_SHARE = 0.7;
 /** Time in ms that another zone costs when the own one is too late. */
 const OTHER_ZONE_MS = 15;
-/** What a target costs in a zone that has fallen silent, in ms: it is likely cut off. */
-const SILENT_ZONE_MS = 3_000;
-/** Time in ms without a word from a zone after which it counts as silent. */
-const ZONE_SILENT_MS = 700;
 /** What it costs to bring an adapter to a target first, in ms: orders, a load, and the adapter that has to go for it. */
 const ADAPTER_MS = 100;
 /** What it costs if the engine loads a model meanwhile, in ms: it refuses other orders until then. */
@@ -35,11 +32,6 @@
 /** Differences below this are settled at random, so that instances don't all choose the same target. */
 const JITTER_MS = 8;
 
-const silentZoneMs = (world: GatewayWorld, zone: ZoneId): number => {
-    const heardMs = world.zoneHeardMs.get(zone);
-    return heardMs !== undefined && world.nowMs - heardMs > ZONE_SILENT_MS ? SILENT_ZONE_MS : 0;
-};
-
 const adapterCostMs = (row: CallRow, target: PoolTarget): number => {
     const isBusy = target.opening.size > 0 || target.closing.size > 0;
     return ADAPTER_MS + (isBusy ? BUSY_ADAPTER_MS : 0) - (row.askedTargetId === target.entry.targetId ? ASKED_MS : 0);
@@ -50,7 +42,6 @@
     const ready = holdsFor(target, row.facts, true);
     const failureShare = target.failureShare * 0.5 ** ((world.nowMs - target.failureAtMs) / FAILURE_HALF_LIFE_MS);
     const costMs = prediction.answerMs
-        + (target.entry.zone === world.settings.zone ? 0 : silentZoneMs(world, target.entry.zone))
         + (ready ? 0 : adapterCostMs(row, target))
         + failureShare * FAILURE_MS
         + world.random() * JITTER_MS;
@@ -76,8 +67,16 @@
 /** Chooses the target on which a request is predicted to be answered first, at the least cost. */
 export const chooseTarget = (world: GatewayWorld, row: CallRow): Choice | undefined => {
     const choices: Choice[] = [];
+    const cutZones = new Map<ZoneId, boolean>();
+    // One request finds out whether a target behind a cut answers again; more would be lost with it.
+    const isReachable = ({ entry, flights }: PoolTarget): boolean => {
+        const isCut = cutZones.get(entry.zone) ?? isZoneCut(world, entry.zone);
+        cutZones.set(entry.zone, isCut);
+        return !isCut || flights.size === 0;
+    };
     for (const target of world.targetsByService.get(row.facts.service) ?? []) {
-        if (isUsable(target, world.nowMs) && !row.excluded.has(target.entry.targetId) && holdsFor(target, row.facts, false)) {
+        const isOpen = isUsable(target, world.nowMs) && !row.excluded.has(target.entry.targetId);
+        if (isOpen && holdsFor(target, row.facts, false) && isReachable(target)) {
             choices.push(costOf(world, row, target));
         }
     }
@@ -85,7 +84,7 @@
         return baselines[world.settings.policy](world, choices);
     }
     const own = pickCheapest(choices.filter(each => each.target.entry.zone === world.settings.zone));
-    const best = pickCheapest(choices);
+    const best = pickCheapest(choices.filter(each => cutZones.get(each.target.entry.zone) !== true)) ?? pickCheapest(choices);
     const spareMs = (row.facts.targetAtMs - world.nowMs) * OWN_ZONE_SHARE;
     return own !== undefined && (own.costMs <= spareMs || own.costMs <= (best?.costMs ?? 0) + OTHER_ZONE_MS) ? own : best;
 };
--- a/packages/medlarlb-decisions/src/gateway/createGatewayWorld.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayWorld.ts
@@ -18,6 +18,7 @@
     instanceCount: 1,
     planners: new Map(),
     zoneHeardMs: new Map(),
+    cutZones: new Set(),
     planningAtMs: new Map(),
     fence: undefined,
     duties: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
@@ -31,6 +31,8 @@
     planners: Map<ZoneId, InstanceId>;
     /** When anything was last heard from an instance of a zone. */
     zoneHeardMs: Map<ZoneId, number>;
+    /** Zones that seemed to be cut off when the placement was last judged. */
+    cutZones: Set<ZoneId>;
     /** When the planner of a zone last told that it may give orders. */
     planningAtMs: Map<ZoneId, number>;
     /** Fence of the orders that this instance may give, if it holds the duty of its zone. */
--- a/packages/medlarlb-decisions/src/gateway/placement/planPlacement.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planPlacement.ts
@@ -1,3 +1,5 @@
+import { isZoneCut } from "../calls/isZoneCut.js";
+import { logEvent } from "../calls/logEvent.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import { askReports } from "./askReports.js";
 import { planAdapters } from "./planAdapters.js";
@@ -8,6 +10,17 @@
 /** Interval in ms at which the placement of models is judged anew. */
 const PLAN_MS = 100;
 
+const noteCutZones = (world: GatewayWorld): void => {
+    const zones = new Set([...world.targets.values()].map(target => target.entry.zone));
+    const cut = new Set([...zones].filter(zone => isZoneCut(world, zone)));
+    for (const zone of zones) {
+        if (cut.has(zone) !== world.cutZones.has(zone)) {
+            logEvent(world, "zoneReach", { zone, cut: cut.has(zone) });
+        }
+    }
+    world.cutZones = cut;
+};
+
 /** Gives the engines of this zone their next orders, if this instance holds the duty. */
 export const planPlacement = (world: GatewayWorld): void => {
     if (world.fence === undefined || world.config === undefined) {
@@ -24,6 +37,7 @@
     }
     if (world.nowMs >= world.nextPlanMs) {
         world.nextPlanMs = world.nowMs + PLAN_MS;
+        noteCutZones(world);
         for (const [service, { engine }] of world.config.services) {
             if (engine !== undefined && engine.models.size > 0) {
                 planModels(world, service, engine);
