Send nothing that can't be repeated behind a cut

Change: only requests that may be repeated find that out; the zone's own instances tell of it anyhow.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/placement.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/placement.test.ts
@@ -63,6 +63,34 @@
         expect(most).to.be.at.most(2.5 * 5 * 1.1 + 3);
     });
 
+    it("loses few requests to a zone that is cut off, and loads its models in the others", () => {
+        const site = createVirtualSite({ seed: 6, zones: 3, enginesPerZone: 3, models: 20 });
+        site.run(1_000);
+        const elsewhere = new Set<string>();
+        const play = (ms: number): number => {
+            const startMs = site.now();
+            for (let tick = 0; site.now() - startMs < ms; tick += 1) {
+                const callId = site.ask(tick, `m${Math.floor(site.random() * 20)}`, { tokens: 600 });
+                if (tick % 3 !== 1) {
+                    elsewhere.add(callId);
+                }
+                site.run(50);
+            }
+            return startMs;
+        };
+        play(4_000);
+        site.cut("z1");
+        const cutAtMs = play(8_000);
+        site.run(6_000);
+        // What was sent before the cut showed can't be helped. Callers of the other zones reach every model all the same.
+        const after = site.outcomes().filter(each => each.arrivedAtMs > cutAtMs + 2_000);
+        const served = after.filter(each => elsewhere.has(each.callId) && each.status === 200).length;
+        expect(served / after.filter(each => elsewhere.has(each.callId)).length).to.be.above(0.95);
+        // Callers of the zone that is cut off are told at once what can't be served there, instead of losing it behind the cut.
+        const lost = after.filter(each => each.status === 504).length / after.length;
+        expect(lost).to.be.below(0.05);
+    });
+
     it("never holds more than fits over random days, and answers every request once", () => {
         for (let seed = 100; seed < 112; seed += 1) {
             const site = createVirtualSite({ seed, zones: 2, enginesPerZone: 2, models: 14 });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
@@ -111,16 +111,20 @@
     const after = (delayMs: number, run: () => void): void => {
         events.push({ atMs: nowMs + delayMs, run });
     };
+    /** Zone that is cut off from the others; messages across the cut are lost. */
+    let cutZone: string | undefined;
+    const isCut = (one: string, other: string): boolean => cutZone !== undefined && one !== other && (one === cutZone || other === cutZone);
     const engineOf = (targetId: string) => engines.find(each => each.id === targetId);
 
     const tellOthers = (from: (typeof instances)[number], input: GatewayInput): void =>
-        instances.filter(each => each !== from).forEach(each => after(DELAY_MS, () => each.inputs.push(input)));
+        instances.filter(each => each !== from && !isCut(from.settings.zone, each.settings.zone))
+            .forEach(each => after(DELAY_MS, () => each.inputs.push(input)));
 
     const send = (from: (typeof instances)[number], command: Extract<GatewayCommand, { kind: "send" }>): void => {
         const { callId, attempt, targetId } = command;
         const call = from.decisions.view().calls.get(callId)?.facts;
         const engine = engineOf(targetId);
-        if (call === undefined || engine === undefined) {
+        if (call === undefined || engine === undefined || isCut(from.settings.zone, engine.zone)) {
             return;
         }
         after(DELAY_MS, () => {
@@ -170,7 +174,9 @@
                 break;
             case "want": {
                 const to = instances.find(each => each.settings.instanceId === command.to);
-                after(DELAY_MS, () => to?.inputs.push({ ...command, kind: "wanted" }));
+                if (to !== undefined && !isCut(from.settings.zone, to.settings.zone)) {
+                    after(DELAY_MS, () => to.inputs.push({ ...command, kind: "wanted" }));
+                }
                 break;
             }
             case "shareStatus":
@@ -237,6 +243,10 @@
             });
             return callId;
         },
+        /** Cuts a zone off from the others, or heals the cut. */
+        cut: (zone: string | undefined): void => {
+            cutZone = zone;
+        },
         /** Runs on for a time in ms. */
         run: (ms: number): void => {
             for (const endMs = nowMs + ms; nowMs < endMs;) {
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -68,11 +68,14 @@
 export const chooseTarget = (world: GatewayWorld, row: CallRow): Choice | undefined => {
     const choices: Choice[] = [];
     const cutZones = new Map<ZoneId, boolean>();
-    // One request finds out whether a target behind a cut answers again; more would be lost with it.
+    // A request that may be repeated finds out whether a target behind a cut answers again; others would be lost with it,
+    // while the model can be loaded elsewhere.
+    const { kind, resumable } = row.facts.route;
+    const mayProbe = kind === "safe" || resumable || row.facts.model === undefined || world.planningAtMs.size === 0;
     const isReachable = ({ entry, flights }: PoolTarget): boolean => {
         const isCut = cutZones.get(entry.zone) ?? isZoneCut(world, entry.zone);
         cutZones.set(entry.zone, isCut);
-        return !isCut || flights.size === 0;
+        return !isCut || (mayProbe && flights.size === 0);
     };
     for (const target of world.targetsByService.get(row.facts.service) ?? []) {
         const isOpen = isUsable(target, world.nowMs) && !row.excluded.has(target.entry.targetId);
