--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -6,6 +6,12 @@
 const LEDGERS = `${DECISIONS}/__tests__/ledgers.test.ts`;
 const HISTORIES = `${DECISIONS}/__tests__/histories.test.ts`;
 
+const GATEWAY = `${DECISIONS}/gateway`;
+const CALLS = `${GATEWAY}/__tests__/calls.test.ts`;
+const SITE = `${GATEWAY}/__tests__/placement.test.ts`;
+const DUTY = "packages/medlarlb-daemon/src/__tests__/createDutyLease.test.ts";
+const POOL = "packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts";
+
 const mutations = [
     {
         invariant: "memory: bytes are freed at the unload order, not at its confirmation",
@@ -91,6 +97,83 @@
         to: "false && refusal.ran === \"no\"",
         check: HISTORIES,
     },
+    {
+        invariant: "gateway, one holder: a new planner orders before the orders of the one before it are past",
+        file: "packages/medlarlb-daemon/src/gateway/createDutyLease.ts",
+        from: "before === undefined ? now() + leaseMs + APART_MS : now()",
+        to: "now()",
+        check: DUTY,
+    },
+    {
+        invariant: "gateway, one holder: a planner orders after it stood still",
+        file: "packages/medlarlb-daemon/src/gateway/createDutyLease.ts",
+        from: "if (!still && held !== undefined) {",
+        to: "if (!still && held === undefined) {",
+        check: DUTY,
+    },
+    {
+        invariant: "gateway, one holder: a planner relies on a lease that wasn't renewed",
+        file: "packages/medlarlb-daemon/src/gateway/createDutyLease.ts",
+        from: "if (held?.active === true && now() >= held.validUntilMs) {",
+        to: "if (held?.active === false && now() >= held.validUntilMs) {",
+        check: DUTY,
+    },
+    {
+        invariant: "gateway, at most once: a refused continuation lets a request run anew",
+        file: `${GATEWAY}/calls/retryCall.ts`,
+        from: "if (failure.ran === \"no\" && !row.mayHaveRun) {",
+        to: "if (failure.ran === \"no\") {",
+        check: CALLS,
+    },
+    {
+        invariant: "gateway, at most once: a request that can't be repeated is repeated",
+        file: `${GATEWAY}/calls/retryCall.ts`,
+        from: "return repeatable && row.ranOn < maxAttempts;",
+        to: "return row.ranOn <= maxAttempts;",
+        check: CALLS,
+    },
+    {
+        invariant: "gateway, true refusals: an answer forgets that the request may have run",
+        file: `${GATEWAY}/calls/answerCall.ts`,
+        from: "const status = row.mayHaveRun ? failed : 503;",
+        to: "const status = 503;",
+        check: CALLS,
+    },
+    {
+        invariant: "gateway, retry budget: retries are not counted",
+        file: `${GATEWAY}/retries/takeRetry.ts`,
+        from: "bucket.retries += 1;",
+        to: "bucket.retries += 0;",
+        check: CALLS,
+    },
+    {
+        invariant: "gateway, memory: what an engine holds isn't counted",
+        file: `${GATEWAY}/placement/usedWeightsMb.ts`,
+        from: "used += profile.models.get(name)?.weightsMb ?? profile.weightsMb;",
+        to: "used += 0 * (profile.models.get(name)?.weightsMb ?? profile.weightsMb);",
+        check: SITE,
+    },
+    {
+        invariant: "gateway, weight store: planned loads aren't counted",
+        file: `${GATEWAY}/placement/storeLoadsLeft.ts`,
+        from: "planned += duty.nextModel",
+        to: "planned += 0 * Number(duty.nextModel !== undefined) && duty.nextModel",
+        check: SITE,
+    },
+    {
+        invariant: "gateway, zones: requests go to targets behind a cut",
+        file: `${GATEWAY}/calls/isZoneCut.ts`,
+        from: "return true;",
+        to: "return false;",
+        check: SITE,
+    },
+    {
+        invariant: "gateway, own complete answer: a reset counts as the end of an answer without a length",
+        file: "packages/medlarlb-targets/src/createConnectionPool.ts",
+        from: "setImmediate(() => finish(connection.broken || !connection.closedByTarget));",
+        to: "setImmediate(() => finish(false));",
+        check: POOL,
+    },
 ];
 
 const only = process.argv[2];
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -0,0 +1,164 @@
+import { expect } from "chai";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { RequestId } from "medlarlb-types/requestId";
+import type { Route } from "medlarlb-types/route";
+import { createGatewayDecisions } from "../createGatewayDecisions.js";
+import type { GatewayCommand } from "../gatewayCommand.js";
+import type { GatewayInput } from "../gatewayInput.js";
+
+type Send = Extract<GatewayCommand, { kind: "send" }>;
+
+const callId = brandAs<RequestId>("c1");
+
+const createBench = (route: Partial<Route>) => {
+    let nowMs = 1_000;
+    const decisions = createGatewayDecisions({
+        instanceId: "i1" as never,
+        zone: "z" as never,
+        policy: "predict",
+        retryRatio: 0.2,
+        retryWindowMs: 10_000,
+        retryExtra: 56,
+        storeLoadWindowMs: 5_000,
+        storeLoadFactor: 1.1,
+        drainMs: 2_000,
+    }, () => 0.5);
+    const give = (...inputs: GatewayInput[]): GatewayCommand[] => {
+        nowMs += 10;
+        return decisions.step(nowMs, inputs);
+    };
+    const models = new Map([["m", { name: "m", weightsMb: 1, adapterMb: 0, storeLoadMs: 1, diskLoadMs: 1, memoryLoadMs: 1 }]]);
+    const engine = { slots: 64, contextTokens: 100_000, weightsMb: 10, adapterSlots: 0, storeLoadsPerSecond: 1, copiesRuns: true, models };
+    give({
+        kind: "config",
+        config: {
+            version: 1,
+            routes: [],
+            services: new Map([["llm", { name: "llm", healthPath: "/", maxConnections: 9, engine }]]),
+            limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+        },
+    }, ...["e1", "e2", "e3"].map((id, index): GatewayInput => ({
+        kind: "target",
+        entry: {
+            targetId: id as never,
+            service: "llm",
+            address: `10.0.0.${index}:80`,
+            zone: "z" as never,
+            slots: 64,
+            leaving: false,
+            startedAtMs: 0,
+            remainingMs: undefined,
+            models: [{ name: "m", version: 1, adapters: [] }],
+            inMemory: [],
+            onDisk: [],
+        },
+    })));
+    const sends = (commands: GatewayCommand[]): Send[] => commands.filter((each): each is Send => each.kind === "send");
+    const answers = (commands: GatewayCommand[]) => commands.flatMap(each => (each.kind === "answer" ? [each.status] : []));
+    const call = (): Send => {
+        const full: Route = {
+            name: "r",
+            host: "h",
+            prefix: "/",
+            kind: "streaming",
+            timeoutMs: 9_000,
+            latencyTargetMs: 800,
+            gapTargetMs: 400,
+            priority: 1,
+            maxAttempts: 1,
+            resumable: false,
+            destinations: [],
+            ...route,
+        };
+        const sent = sends(give({
+            kind: "call",
+            facts: {
+                callId,
+                callerRequestId: "r1",
+                route: full,
+                service: "llm",
+                model: "m",
+                adapter: undefined,
+                promptTokens: 1_000,
+                outputTokens: 200,
+                expectedTokens: 200,
+                promptParts: [],
+                arrivedAtMs: nowMs,
+                targetAtMs: nowMs + 800,
+                startByMs: nowMs + 3_200,
+                deadlineAtMs: nowMs + 9_000,
+                fingerprint: "",
+            },
+        }))[0];
+        if (sent === undefined) {
+            throw new Error("the call wasn't sent");
+        }
+        return sent;
+    };
+    const fail = (attempt: number, ran: "no" | "unknown", cause: "cut" | "full" | "notHeld"): GatewayInput =>
+        ({ kind: "failed", callId, attempt, ran, cause, reason: "test" });
+    /** Lets some time pass and collects what is done in it. */
+    const pass = (steps = 20): GatewayCommand[] => Array.from({ length: steps }, () => give()).flat();
+    return { give, call, fail, pass, sends, answers };
+};
+
+describe("attempts of a call", () => {
+    it("go on elsewhere when a target says that it hasn't run the request", () => {
+        const { give, call, fail, pass, sends } = createBench({});
+        call();
+        expect(sends([...give(fail(1, "no", "full")), ...pass()])).to.have.length(1);
+    });
+
+    it("end when a request that can't be repeated may have run", () => {
+        const { give, call, fail, pass, sends, answers } = createBench({});
+        call();
+        const commands = [...give(fail(1, "unknown", "cut")), ...pass()];
+        expect(sends(commands)).to.deep.equal([]);
+        expect(answers(commands)).to.deep.equal([502]);
+    });
+
+    it("go on from the copy of a stream whose engine is lost, and end when the copy is refused", () => {
+        const { give, call, fail, pass, sends, answers } = createBench({});
+        const first = call();
+        expect(first.copyTo).to.be.a("string");
+        give({ kind: "begun", callId, attempt: 1 });
+        const [second] = sends([...give(fail(1, "unknown", "cut")), ...pass()]);
+        expect(second).to.include({ fromCopy: true, address: first.copyTo });
+        const commands = [...give(fail(2, "no", "notHeld")), ...pass()];
+        expect(sends(commands)).to.deep.equal([]);
+        expect(answers(commands)).to.deep.equal([502]);
+    });
+
+    it("of a resumable stream reach no more targets than its route allows", () => {
+        const { give, call, fail, pass, sends, answers } = createBench({ resumable: true, maxAttempts: 2 });
+        call();
+        give({ kind: "begun", callId, attempt: 1 });
+        expect(sends([...give(fail(1, "unknown", "cut")), ...pass()])).to.have.length(1);
+        const commands = [...give(fail(2, "unknown", "cut")), ...pass()];
+        expect(sends(commands)).to.deep.equal([]);
+        expect(answers(commands)).to.deep.equal([502]);
+    });
+
+    it("that are refused draw on the retry budget, and end as not run when it is used up", () => {
+        const { give, call, fail, pass, sends, answers } = createBench({});
+        call();
+        let attempt = 1;
+        let commands: GatewayCommand[] = [];
+        for (; attempt < 80; attempt += 1) {
+            commands = [...give(fail(attempt, "no", "full")), ...pass(4)];
+            if (sends(commands).length === 0) {
+                break;
+            }
+        }
+        // A single instance has the whole allowance of 56, and no other requests to earn more by.
+        expect(attempt).to.be.within(20, 57);
+        expect(answers(commands)).to.deep.equal([503]);
+    });
+
+    it("end at once when the caller leaves", () => {
+        const { give, call, pass, sends, answers } = createBench({});
+        call();
+        const commands = [...give({ kind: "callerLeft", callId }), ...pass()];
+        expect([...sends(commands), ...answers(commands)]).to.deep.equal([]);
+    });
+});
--- /dev/null
+++ b/packages/medlarlb-fakes/src/site/createSiteEngine.ts
@@ -0,0 +1,93 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** How the engine treats the next requests. */
+type EngineMood = "well" | "full" | "cut" | "cutStream" | "failing" | "other";
+
+const EVENTS = 5;
+const EVENT_MS = 20;
+
+/** Creates a stand-in of the users' engines: it answers with its signature, streams events, and takes orders. */
+export const createSiteEngine = (id: string) => {
+    const runs: { requestId: string; method: string; path: string; body: string }[] = [];
+    let mood: EngineMood = "well";
+    let orders = 0;
+
+    const stream = (res: ServerResponse, firstEvent: number): void => {
+        let event = firstEvent;
+        res.writeHead(200, { "content-type": "text/event-stream" });
+        const timer = setInterval(() => {
+            if (mood === "cutStream" && event > firstEvent) {
+                clearInterval(timer);
+                res.write(`id: ${event}\nda`);
+                res.socket?.resetAndDestroy();
+                return;
+            }
+            res.write(`id: ${event}\ndata: event ${event}\n\n`);
+            event += 1;
+            if (event > EVENTS) {
+                clearInterval(timer);
+                res.end();
+            }
+        }, EVENT_MS);
+        res.on("close", () => clearInterval(timer));
+    };
+
+    const run = (req: IncomingMessage, res: ServerResponse, body: string): void => {
+        const requestId = String(req.headers["x-request-id"]);
+        if (mood === "full") {
+            res.writeHead(503, { "x-not-run": "1", "x-request-id": requestId }).end();
+            return;
+        }
+        if (req.headers["x-expect-instance"] !== id) {
+            res.writeHead(421, { "x-instance-id": id, "x-request-id": requestId }).end();
+            return;
+        }
+        runs.push({ requestId, method: req.method ?? "", path: req.url ?? "", body });
+        if (mood === "cut") {
+            res.socket?.resetAndDestroy();
+            return;
+        }
+        res.setHeader("x-request-id", mood === "other" ? "another" : requestId);
+        res.setHeader("x-response-stamp", `stamp-${id}`);
+        if (mood === "failing") {
+            res.writeHead(500).end("broken");
+            return;
+        }
+        if (req.url?.startsWith("/stream/") === true) {
+            stream(res, Number(req.headers["last-event-id"] ?? "0") + 1);
+            return;
+        }
+        res.writeHead(200, { "content-type": "text/plain" }).end(`answer of ${id}`);
+    };
+
+    const server = createServer((req, res) => {
+        const chunks: Buffer[] = [];
+        req.on("data", chunk => chunks.push(chunk as Buffer));
+        req.on("end", () => {
+            if (req.url === "/api/report") {
+                res.end(JSON.stringify({ models: [], in_flight: false, seq: orders }));
+                return;
+            }
+            if (req.url === "/api/order") {
+                orders += 1;
+                res.writeHead(202).end();
+                return;
+            }
+            run(req, res, Buffer.concat(chunks).toString());
+        });
+    });
+
+    return {
+        id,
+        server,
+        runs,
+        setMood: (next: EngineMood): void => {
+            mood = next;
+        },
+        close: (): void => {
+            server.closeAllConnections();
+            server.close();
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-types/src/answerDescription.ts
@@ -0,0 +1,15 @@
+/** What the headers of a target's answer say, and those that the caller gets. */
+export interface AnswerDescription {
+    callerRequestId: string | undefined;
+    /** Whether the answer bears the signature of a target. */
+    stamped: boolean;
+    /** Whether the target states that it has not run the request. */
+    notRun: boolean;
+    /** Whether the target is about to close this connection. */
+    closing: boolean;
+    encoded: boolean;
+    contentLength: number | undefined;
+    load: { running: number; waiting: number; slots: number } | undefined;
+    targetId: string | undefined;
+    forwarded: [string, string][];
+}
