End a stream as cut when the target that goes on with it fails; keep the duty while the store is away

Cause: a stream's engine died, the engine with its copy answered 500, and that answer's body was put behind the events that the caller had, with the end of a whole answer. Ruled out: a wrong event order in the copy (no event came from it). Change: once a caller has a part of a stream, any other answer than more of its events ends the connection; a stopping planner hands its duty over only if the store answered its last renewal. Measured: a new test of the real process failed first (the caller got the event and 'broken' as a whole answer) and passes.

--- a/packages/medlarlb-daemon/src/__tests__/createDutyLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDutyLease.test.ts
@@ -115,6 +115,20 @@
         });
     }
 
+    it("is handed over by an instance that stops, but kept while the store is away", async () => {
+        const { lease, pass, setReachable } = createBench();
+        lease.setHolder(undefined);
+        await pass(5_000);
+        setReachable(false);
+        await pass(1_200);
+        expect(await lease.handOver()).to.equal(false);
+        expect(lease.mayAct()).to.equal(true);
+        setReachable(true);
+        await pass(1_200);
+        expect(await lease.handOver()).to.equal(true);
+        expect(lease.mayAct()).to.equal(false);
+    });
+
     it("is given up when the store names another holder", async () => {
         const { lease, pass } = createBench();
         lease.setHolder(undefined);
--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -133,6 +133,11 @@
         if (facts.route.kind === "streaming" && success) {
             return "events";
         }
+        if (res.headersSent) {
+            // The caller has a part of a stream already; nothing but more of its events may follow.
+            failAndClose("error", `the target that was to go on with the stream answered ${status}`);
+            return "drop";
+        }
         return answer.contentLength !== undefined && answer.contentLength > MAX_HELD_BYTES ? "relay" : "hold";
     };
 
--- a/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
@@ -53,6 +53,8 @@
     let holder: { instance: InstanceId; revision: number } | undefined;
     let known = false;
     let busy = false;
+    /** Whether the store answered the last renewal. */
+    let reachable = true;
     let stopped = false;
     let nextCallMs = 0;
     let lastTickMs = now();
@@ -117,6 +119,7 @@
     const renew = async (duty: Held): Promise<void> => {
         const sentMs = now();
         const renewed = await store.renewLease(duty.lease);
+        reachable = renewed.isOk || renewed.error.kind !== "unknown";
         if (held !== duty) {
             return;
         }
@@ -159,6 +162,16 @@
         }
     };
 
+    const release = async (reason: string): Promise<void> => {
+        stopped = true;
+        const lease = held?.lease;
+        pauseDuty(reason);
+        held = undefined;
+        if (lease !== undefined) {
+            await store.endLease(lease);
+        }
+    };
+
     const end = every(TICK_MS, tick);
     return {
         mayAct,
@@ -171,16 +184,15 @@
                 held = undefined;
             }
         },
-        /** Gives the duty up at once, so that another instance can take it. */
-        release: async (): Promise<void> => {
-            stopped = true;
-            const lease = held?.lease;
-            pauseDuty("this instance stops");
-            held = undefined;
-            if (lease !== undefined) {
-                await store.endLease(lease);
+        /** Gives the duty up if the store answers, so that another instance can take it. Returns whether it did. */
+        handOver: async (): Promise<boolean> => {
+            if (!reachable) {
+                return false;
             }
+            await release("this instance stops");
+            return true;
         },
+        release,
         close: end,
     };
 };
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -26,6 +26,7 @@
 import { createLoop } from "../createLoop.js";
 import type { GatewaySettingsFile } from "../settings/gatewaySettingsFile.js";
 import { listenAt } from "../shared/listenAt.js";
+import { repeatEvery } from "../shared/repeatEvery.js";
 import { waitUntil } from "../shared/waitUntil.js";
 import { createCallEdge } from "./createCallEdge.js";
 import { createDirectory } from "./createDirectory.js";
@@ -42,8 +43,7 @@
 const REFUSE_RESERVE_MS = 1_500;
 /** Time in ms in which the platform's balancer sees that an instance isn't ready: two checks, a second apart. */
 const UNREADY_MS = 2_500;
-/** Time in ms in which the last answers leave the process. */
-const FLUSH_MS = 100;
+const FLUSH_MS = 100; // time in which the last answers leave the process
 /** Time in ms without a word from the zone's planner after which every instance tells all others of its load. */
 const PLANNER_SILENT_MS = 400;
 const CONFIG_ENTRY = "config";
@@ -161,10 +161,7 @@
         now,
         wallNow: Date.now,
         leaseMs: settings.limits.leaseMs,
-        every: (ms, run) => {
-            const timer = setInterval(run, ms);
-            return () => clearInterval(timer);
-        },
+        every: repeatEvery,
         onChange: (fence, reason) => {
             write("dutyChanged", { fence, reason });
             push({ kind: "duty", fence });
@@ -299,7 +296,8 @@
             stopping = true;
             write("stopping", { open: edge.openCount() });
             peers.leave();
-            void duty.release();
+            // While the store is away nobody can take the duty, so that this instance keeps it as long as it lives.
+            const handedOver = duty.handOver();
             void registration.stop();
             const graceMs = settings.limits.graceSeconds * MS_PER_SECOND - END_RESERVE_MS;
             await waitUntil(() => false, Math.min(UNREADY_MS, graceMs));
@@ -310,6 +308,9 @@
             await waitUntil(() => edge.openCount() === 0, graceMs - REFUSE_RESERVE_MS - (now() - startedAtMs));
             push({ kind: "stop" });
             await waitUntil(() => edge.openCount() === 0, graceMs - (now() - startedAtMs));
+            if (!await handedOver) {
+                void duty.release("this instance ends");
+            }
             await waitUntil(() => false, FLUSH_MS);
             write("stopped", { open: edge.openCount(), tookMs: Math.round(now() - startedAtMs) });
             directory.stop();
--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -179,6 +179,13 @@
         }
     });
 
+    it("shows a caller that its stream was cut when the target that goes on with it fails", async () => {
+        engines.forEach(engine => engine.setMood("failingResume"));
+        const { status, text } = await ask("POST", "/stream/again/x", { body: "x" });
+        expect({ status, text }).to.deep.equal({ status: 200, text: "cut" });
+        expect(countRuns()).to.equal(2);
+    });
+
     it("keeps the last good configuration when a document can't be read, and takes a later one", async () => {
         store.put("op/config", "{\"version\": 4");
         store.put("servers/broken", "not an entry");
--- a/packages/medlarlb-fakes/src/site/createSiteEngine.ts
+++ b/packages/medlarlb-fakes/src/site/createSiteEngine.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
 /** How the engine treats the next requests. */
-type EngineMood = "well" | "full" | "cut" | "cutStream" | "failing" | "other";
+type EngineMood = "well" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
 
 const EVENTS = 5;
 const EVENT_MS = 20;
@@ -17,7 +17,7 @@
         let event = firstEvent;
         res.writeHead(200, { "content-type": "text/event-stream" });
         const timer = setInterval(() => {
-            if (mood === "cutStream" && event > firstEvent) {
+            if (["cutStream", "failingResume"].includes(mood) && event > firstEvent) {
                 clearInterval(timer);
                 res.write(`id: ${event}\nda`);
                 res.socket?.resetAndDestroy();
@@ -50,7 +50,8 @@
         }
         res.setHeader("x-request-id", mood === "other" ? "another" : requestId);
         res.setHeader("x-response-stamp", `stamp-${id}`);
-        if (mood === "failing") {
+        const isResume = req.headers["last-event-id"] !== undefined;
+        if (mood === "failing" || (mood === "failingResume" && isResume)) {
             res.writeHead(500).end("broken");
             return;
         }
