Don't take a renewal from before a suspension for proof of the lease

Cause: during a suspension the steady clock stands still, so that a renewal sent before it and answered after it gave the planner more time than the store does; a tick that noticed the suspension first was overruled by that answer. Ruled out: a freeze in which the steady clock runs on (the time counts from before the call was sent). Change: an answer counts only if the process hasn't stood still since its call, and the clocks are judged first. Measured: the new test failed first (mayAct true) and passes.

--- a/packages/medlarlb-daemon/src/__tests__/createDutyLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDutyLease.test.ts
@@ -18,6 +18,8 @@
         let steadyMs = 1_000;
         let wallMs = 5_000_000;
         let reachable = true;
+        /** Renewals whose answer is still on its way, if answers are held back. */
+        let heldBack: (() => void)[] | undefined;
         let tick: () => void = () => undefined;
         const changes: (number | undefined)[] = [];
         const lost: StoreError = { kind: "unknown", message: "no answer" };
@@ -26,7 +28,12 @@
         const store = {
             grantLease: () => answer(7),
             change: () => answer(41),
-            renewLease: () => answer(true as const),
+            renewLease: () => {
+                const waiting = heldBack;
+                return waiting === undefined
+                    ? answer(true as const)
+                    : new Promise<Result<true, StoreError>>(resolve => waiting.push(() => resolve(Result.ok(true as const))));
+            },
             endLease: () => answer(true as const),
         } as unknown as SharedStore;
         const lease = createDutyLease({
@@ -57,6 +64,16 @@
             setReachable: (value: boolean): void => {
                 reachable = value;
             },
+            holdAnswers: (): void => {
+                heldBack = [];
+            },
+            giveAnswers: async (): Promise<void> => {
+                const waiting = heldBack ?? [];
+                heldBack = undefined;
+                reachable = false;
+                waiting.forEach(give => give());
+                await settle();
+            },
             freeze: (ms: number, { steady }: { steady: boolean }): void => {
                 steadyMs += steady ? ms : 0;
                 wallMs += ms;
@@ -115,6 +132,19 @@
         });
     }
 
+    it("isn't proved by a renewal that was sent before a suspension and is answered after it", async () => {
+        const { lease, pass, holdAnswers, giveAnswers, freeze } = createBench();
+        lease.setHolder(undefined);
+        await pass(5_000);
+        holdAnswers();
+        await pass(1_100);
+        freeze(5_000, { steady: false });
+        await pass(50);
+        await giveAnswers();
+        await pass(100);
+        expect(lease.mayAct()).to.equal(false);
+    });
+
     it("is handed over by an instance that stops, but kept while the store is away", async () => {
         const { lease, pass, setReachable } = createBench();
         lease.setHolder(undefined);
--- a/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDutyLease.ts
@@ -53,6 +53,8 @@
     let holder: { instance: InstanceId; revision: number } | undefined;
     let known = false;
     let busy = false;
+    /** Counts the times that the process stood still, so that an answer from before doesn't prove anything after. */
+    let standstills = 0;
     /** Whether the store answered the last renewal. */
     let reachable = true;
     let stopped = false;
@@ -74,6 +76,7 @@
         lastTickMs = now();
         lastWallMs = wallNow();
         const still = steadyMs <= GAP_MS && Math.abs(wallMs - steadyMs) <= DRIFT_MS;
+        standstills += still ? 0 : 1;
         if (!still && held !== undefined) {
             // Only a renewal that is sent after this moment proves that the lease is still held.
             held.validUntilMs = Number.NEGATIVE_INFINITY;
@@ -118,15 +121,17 @@
 
     const renew = async (duty: Held): Promise<void> => {
         const sentMs = now();
+        const sentIn = standstills;
         const renewed = await store.renewLease(duty.lease);
         reachable = renewed.isOk || renewed.error.kind !== "unknown";
         if (held !== duty) {
             return;
         }
-        if (renewed.isOk) {
+        checkClocks();
+        if (renewed.isOk && sentIn === standstills) {
             duty.validUntilMs = sentMs + TTL_MS - MARGIN_MS;
         }
-        else if (renewed.error.kind === "noLease") {
+        else if (renewed.isErr && renewed.error.kind === "noLease") {
             pauseDuty("the lease has ended");
             held = undefined;
         }
