Tell in one place where an engine loads a model from

Cause: four places asked whether the weights are at hand, and two worked out the time of a load by the same steps. Change: isFromStore and expectedLoadMs serve them all; behaviour stays as it is. Ruled out for now: removing limits.drainMs and peer.seeds, which pass through unused, since that changes the settings. Measured: type check, lint and export check clean; 15 tests of the decisions and the tests of the real process pass.

--- a/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
@@ -3,6 +3,8 @@
 import type { GatewayInput } from "../gatewayInput.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import type { EngineDuty } from "./engineDuty.js";
+import { expectedLoadMs } from "./expectedLoadMs.js";
+import { isFromStore } from "./isFromStore.js";
 import { shareNews } from "./shareNews.js";
 
 /** Time in ms that an adapter takes to arrive, with some reserve for a busy store. */
@@ -18,10 +20,7 @@
     if (model === undefined || order.action === "unload") {
         return UNLOAD_MS;
     }
-    if (duty.inMemory.has(order.model)) {
-        return model.memoryLoadMs;
-    }
-    return duty.onDisk.has(order.model) ? model.diskLoadMs : model.storeLoadMs;
+    return expectedLoadMs(duty, model);
 };
 
 const acceptAdapter = (world: GatewayWorld, duty: EngineDuty, order: PlacementOrder, adapter: string): void => {
@@ -44,7 +43,7 @@
     }
     duty.running = { order, doneAtMs: world.nowMs + tookMs, announced: false, followed: false };
     duty.nextReportMs = duty.running.doneAtMs + REPORT_LAG_MS;
-    return order.action === "load" && !duty.inMemory.has(order.model) && !duty.onDisk.has(order.model);
+    return order.action === "load" && isFromStore(duty, order.model);
 };
 
 const resync = (duty: EngineDuty): void => {
--- a/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
@@ -1,6 +1,8 @@
 import type { EngineProfile } from "medlarlb-types/engineProfile";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import type { EngineDuty } from "./engineDuty.js";
+import { expectedLoadMs } from "./expectedLoadMs.js";
+import { isFromStore } from "./isFromStore.js";
 import { listHomeZones } from "./listHomeZones.js";
 import { listReplicas } from "./listReplicas.js";
 import { modelLoad } from "./modelLoad.js";
@@ -100,13 +102,7 @@
 
 const loadMsOf = (profile: EngineProfile, duty: EngineDuty, name: string): number => {
     const model = profile.models.get(name);
-    if (model === undefined) {
-        return 0;
-    }
-    if (duty.inMemory.has(name)) {
-        return model.memoryLoadMs;
-    }
-    return duty.onDisk.has(name) ? model.diskLoadMs : model.storeLoadMs;
+    return model === undefined ? 0 : expectedLoadMs(duty, model);
 };
 
 /** Tells whether an engine could be ordered to load a model now. */
@@ -125,8 +121,7 @@
     let best: Move | undefined;
     const needMb = profile.models.get(wish.model)?.weightsMb ?? Number.POSITIVE_INFINITY;
     for (const duty of world.duties.values()) {
-        const atHand = duty.inMemory.has(wish.model) || duty.onDisk.has(wish.model);
-        if (!isOpenTo(world, service, duty, wish.model) || (!fromStore && !atHand)) {
+        if (!isOpenTo(world, service, duty, wish.model) || (!fromStore && isFromStore(duty, wish.model))) {
             continue;
         }
         const hasRoom = usedWeightsMb(profile, duty) + needMb <= profile.weightsMb;
--- a/packages/medlarlb-decisions/src/gateway/placement/storeLoadsLeft.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/storeLoadsLeft.ts
@@ -1,6 +1,6 @@
 import type { EngineProfile } from "medlarlb-types/engineProfile";
 import type { GatewayWorld } from "../gatewayWorld.js";
-import type { EngineDuty } from "./engineDuty.js";
+import { isFromStore } from "./isFromStore.js";
 
 const MS_PER_SECOND = 1_000;
 /** Loads that the limit allows in a window beyond its rate, over all zones. */
@@ -16,8 +16,6 @@
     return Math.max(1, zones.size);
 };
 
-const isFromStore = (duty: EngineDuty, model: string): boolean => !duty.inMemory.has(model) && !duty.onDisk.has(model);
-
 /**
  * Loads from the weight store that this planner may begin now: its zone's equal share of the rate, and of those that
  * the store serves side by side at full speed. No zone uses another's share, so that the sum holds when zones are cut off.
