Let a stream go on at another run when its engine dies under it

Cause: the flaky scenario "A request that crashes its targets" ended a bystander whose stream had begun when its engine died: a request with a part of its answer delivered was never run again. Ruled out: the order of the suspects' runs (a bystander before its first event was already run again and answered).

Change: the edge keeps a digest of each event that the caller has. An idempotent request is run again, and its events are given on from where the caller is, once the run has begun with the same ones; a run that answers otherwise is stopped and the stream ends with its error. A run that isn't checked yet isn't resumed.

--- a/packages/medlarlb-daemon/src/caller/callerRequest.ts
+++ b/packages/medlarlb-daemon/src/caller/callerRequest.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { RequestSummary } from "medlarlb-types/requestSummary";
 import type { createFrameOrder } from "medlarlb-targets/createFrameOrder";
+import type { createFrameRecord } from "./createFrameRecord.js";
 
 /** A caller's request at the edge: what the decisions don't need, but its attempts do. */
 export interface CallerRequest {
@@ -13,6 +14,10 @@
     /** Id that the caller gave, to be sent back. */
     callerId: string | undefined;
     frames: ReturnType<typeof createFrameOrder>;
+    /** What the caller has of the stream. */
+    record: ReturnType<typeof createFrameRecord>;
+    /** Whether a further run still has to show that it begins with what the caller has. */
+    unchecked: boolean;
     /** Whether the end of the stream was delivered. */
     streamDone: boolean;
     /** Whether the target's frames carry offsets, without which a stream can't be resumed. */
--- a/packages/medlarlb-daemon/src/caller/createAttempts.ts
+++ b/packages/medlarlb-daemon/src/caller/createAttempts.ts
@@ -51,6 +51,7 @@
                 request.res.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-cache" });
             }
             request.res.write(`id: ${frame.offset}\ndata: ${frame.data}\n\n`);
+            request.record.note(frame.data);
             request.streamDone ||= frame.data === DONE_DATA;
         }
         return request.res.writableLength <= MAX_WAITING_BYTES;
@@ -63,7 +64,7 @@
         const inference = request.summary.kind === "inference";
         // Before the first frame there is nothing to count, so any stream can be asked for from its start.
         const countable = !request.summary.streaming || request.hasOffsets || request.frames.delivered() === 0;
-        const resumable = inference && failure.kind === "broken" && countable;
+        const resumable = inference && failure.kind === "broken" && countable && !request.unchecked;
         return {
             kind: "broken",
             reason: failure.reason,
@@ -73,6 +74,12 @@
         };
     };
 
+    /** Ends a second run that can't go on behind what the caller has. */
+    const reportDiverged = (request: CallerRequest, attempt: Attempt, reason: string): void => {
+        const delivered = request.frames.delivered();
+        options.report(request, attempt.attemptId, { kind: "broken", reason, delivered, resumable: false, died: false, diverged: true });
+    };
+
     const endAnswer = (request: CallerRequest, attempt: Attempt, status: number, contentType: string, body: Buffer): void => {
         const refusal = readRefusal(status, body);
         if (refusal !== undefined && attempt.resume) {
@@ -91,6 +98,10 @@
             });
             return;
         }
+        if (request.headSent) {
+            reportDiverged(request, attempt, `the target answered ${status} instead of the rest of the stream`);
+            return;
+        }
         void options.deliver(request, status, contentType, body)
             .then(() => options.report(request, attempt.attemptId, { kind: "completed", status }));
     };
@@ -133,7 +144,7 @@
                 status = head;
                 contentType = String(headers["content-type"] ?? "application/json");
                 const isStream = status === 200 && contentType.startsWith("text/event-stream");
-                parse = isStream ? createParser(request, stop) : undefined;
+                parse = isStream ? createParser(request, attempt, stop) : undefined;
                 options.report(request, attempt.attemptId, { kind: "firstByte" });
             },
             onChunk: chunk => {
@@ -157,15 +168,29 @@
         request.stopAttempt = stop;
     };
 
-    const createParser = (request: CallerRequest, stop: () => void): ((chunk: Buffer) => void) =>
-        createFrameParser(request.frames.delivered(), frame => {
+    const createParser = (request: CallerRequest, attempt: Attempt, stop: () => void): ((chunk: Buffer) => void) => {
+        const delivered = request.frames.delivered();
+        request.unchecked = !attempt.resume && delivered > 0;
+        let diverged = false;
+        return createFrameParser(attempt.resume ? delivered : 0, frame => {
+            if (diverged) {
+                return;
+            }
             request.hasOffsets = frame.numbered;
+            diverged = request.unchecked && !request.record.matches(frame.offset, frame.data);
+            request.unchecked &&= frame.offset < delivered;
+            if (diverged) {
+                stop();
+                reportDiverged(request, attempt, "a second run of the request answers otherwise than what the caller has");
+                return;
+            }
             const fast = writeFrames(request, request.frames.take(frame));
             if (!fast) {
                 stop();
                 request.res.destroy();
             }
         });
+    };
 
     return { start };
 };
--- a/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
+++ b/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
@@ -11,6 +11,7 @@
 import { createAttempts } from "./createAttempts.js";
 import type { createClaims } from "./createClaims.js";
 import { createErrorBody } from "./createErrorBody.js";
+import { createFrameRecord } from "./createFrameRecord.js";
 import { sendProblem } from "./sendProblem.js";
 
 interface EdgeOptions {
@@ -80,6 +81,8 @@
         const request: CallerRequest = {
             ...accepted,
             frames: createFrameOrder(),
+            record: createFrameRecord(),
+            unchecked: false,
             streamDone: false,
             hasOffsets: false,
             headSent: false,
--- a/packages/medlarlb-decisions/src/inputs/applyAttempt.ts
+++ b/packages/medlarlb-decisions/src/inputs/applyAttempt.ts
@@ -79,7 +79,8 @@
         // A target that died is silent until it is back, and may be tried again then.
         row.excluded.add(target.targetId);
     }
-    const repeatable = !row.request.nonIdempotent && event.delivered === 0;
+    // Another run goes on behind what the caller has, as long as it begins with the same.
+    const repeatable = !row.request.nonIdempotent && event.diverged !== true;
     if (repeatable) {
         rerunRequest(world, row, `the answer was lost: ${event.reason}`, "unknown");
         return;
