--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -8,6 +8,7 @@
 import { applyFailed } from "./inputs/applyFailed.js";
 import { applyFinished } from "./inputs/applyFinished.js";
 import { applyNews } from "./inputs/applyNews.js";
+import { applyProgress } from "./inputs/applyProgress.js";
 import { applyStatus } from "./inputs/applyStatus.js";
 import { applyTarget } from "./inputs/applyTarget.js";
 import { removeTarget } from "./inputs/removeTarget.js";
@@ -49,13 +50,7 @@
         }
     },
     begun: applyBegun,
-    progress: (world, { callId }) => {
-        const flight = world.calls.get(callId)?.flight;
-        const target = flight === undefined ? undefined : world.targets.get(flight.targetId);
-        if (target !== undefined) {
-            target.lastHeardMs = world.nowMs;
-        }
-    },
+    progress: applyProgress,
     finished: applyFinished,
     failed: applyFailed,
     instances: (world, { count, planners }) => {
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -28,6 +28,8 @@
         sentAtMs: world.nowMs,
         predictedMs: prediction.answerMs,
         begunAtMs: undefined,
+        heardAtMs: world.nowMs,
+        longestPauseMs: 0,
         model: facts.model,
         copyTargetId: copy?.entry.targetId,
     };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -30,7 +30,8 @@
         firstMs: Math.round(firstMs),
         predictedMs: Math.round(flight.predictedMs),
         tookMs: Math.round(world.nowMs - facts.arrivedAtMs),
-        late: (flight.begunAtMs ?? world.nowMs) > facts.targetAtMs,
+        pauseMs: Math.round(flight.longestPauseMs),
+        late: (flight.begunAtMs ?? world.nowMs) > facts.targetAtMs || flight.longestPauseMs > (facts.route.gapTargetMs ?? Number.POSITIVE_INFINITY),
     });
     removeCall(world, row);
 };
--- a/packages/medlarlb-decisions/src/gateway/rows/flight.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/flight.ts
@@ -14,6 +14,9 @@
     sentAtMs: number;
     predictedMs: number;
     begunAtMs: number | undefined;
+    /** When a part of the answer last came, and the longest pause between parts since the first, in ms. */
+    heardAtMs: number;
+    longestPauseMs: number;
     model: string | undefined;
     /** Engine that is sent a copy of the run's memory as it grows, where the run can go on if its own engine dies. */
     copyTargetId: TargetId | undefined;
