Failed try: let the wait on an engine follow the pauses of its streams; name the model of a sent request

Cause looked at: slow engines that read prompts without a break make their streams pause for over 400 ms. Tried: the longest predicted wait for which a call is sent shrinks by 0.7 at each such pause and grows by 2 ms with each stream without one (150 to 10 ms). Several instances send to one engine without knowing of each other's prompts for 150 ms, so that the reading goes on without a break all the same.

Kept: the log of a sent request names its model, with which the load per model and engine can be read off a log.

--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -53,6 +53,7 @@
     logEvent(world, "sent", {
         request: facts.callerRequestId,
         route: facts.route.name,
+        model: facts.model,
         target: target.entry.targetId,
         attempt: row.attempts,
         waitedMs: Math.round(world.nowMs - facts.arrivedAtMs),
