--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -22,16 +22,17 @@
             target.msPerUnit += NEWEST_SHARE * (world.nowMs - flight.sentAtMs - target.msPerUnit);
         }
     }
-    const firstMs = (flight.begunAtMs ?? world.nowMs) - flight.sentAtMs;
+    const begunAtMs = flight.begunAtMs ?? world.nowMs;
+    const pausedTooLong = flight.longestPauseMs > (facts.route.gapTargetMs ?? Number.POSITIVE_INFINITY);
     logEvent(world, "finished", {
         request: facts.callerRequestId,
         target: flight.targetId,
         status: input.status,
-        firstMs: Math.round(firstMs),
+        firstMs: Math.round(begunAtMs - flight.sentAtMs),
         predictedMs: Math.round(flight.predictedMs),
         tookMs: Math.round(world.nowMs - facts.arrivedAtMs),
         pauseMs: Math.round(flight.longestPauseMs),
-        late: (flight.begunAtMs ?? world.nowMs) > facts.targetAtMs || flight.longestPauseMs > (facts.route.gapTargetMs ?? Number.POSITIVE_INFINITY),
+        late: begunAtMs > facts.targetAtMs || pausedTooLong,
     });
     removeCall(world, row);
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -19,7 +19,7 @@
     const target = createPoolTarget(entry, msPerUnit, world.nowMs);
     world.targets.set(entry.targetId, target);
     indexTargets(world);
-    logEvent(world, "targetFound", { target: entry.targetId, service: entry.service, address: entry.address, zone: entry.zone, models: entry.models.map(model => model.name) });
+    logEvent(world, "targetFound", { target: entry.targetId, service: entry.service, address: entry.address, zone: entry.zone, models: entry.models.map(model => model.name), inMemory: entry.inMemory, onDisk: entry.onDisk });
     return target;
 };
 
