--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
@@ -20,6 +20,11 @@
     models: number;
     policy?: GatewaySettings["policy"];
     route?: Partial<Route>;
+    storeLoadMs?: number;
+    /** Time to read a prompt token, in ms, of the engines in turn. */
+    msPerToken?: number[];
+    /** Further models that each engine has on its disk. */
+    modelsOnDisk?: number;
 }
 
 interface Outcome {
@@ -39,7 +44,7 @@
 const MS_PER_TOKEN = 0.045;
 const MODELS_PER_ENGINE = 3;
 
-const createProfile = (models: number): EngineProfile => ({
+const createProfile = (models: number, storeLoadMs: number): EngineProfile => ({
     slots: 64,
     contextTokens: 140_000,
     weightsMb: 230_000,
@@ -50,17 +55,19 @@
         name: `m${index}`,
         weightsMb: 72_000,
         adapterMb: 60,
-        storeLoadMs: 1_200,
+        storeLoadMs,
         diskLoadMs: 800,
         memoryLoadMs: 600,
     }])),
 });
 
 /** A site over virtual time: instances with their decisions, and model engines in zones. The same seed repeats it exactly. */
-export const createVirtualSite = ({ seed, zones, enginesPerZone, models, policy = "predict", route = {} }: SiteOptions) => {
+export const createVirtualSite = (options: SiteOptions) => {
+    const { seed, zones, enginesPerZone, models, policy = "predict", route = {}, storeLoadMs = 1_200, modelsOnDisk = 0 } = options;
+    const { msPerToken = [MS_PER_TOKEN] } = options;
     const generator = xoroshiro128plus(seed);
     const random = (): number => uniformFloat64(generator);
-    const profile = createProfile(models);
+    const profile = createProfile(models, storeLoadMs);
     const config: RoutingConfig = {
         version: 1,
         routes: [],
@@ -86,7 +93,8 @@
         zone: `z${index % zones}`,
         models: Array.from({ length: MODELS_PER_ENGINE }, (__, place) => `m${(index * MODELS_PER_ENGINE + place) % models}`),
         profile,
-        msPerToken: MS_PER_TOKEN,
+        msPerToken: msPerToken[index % msPerToken.length] ?? MS_PER_TOKEN,
+        onDisk: Array.from({ length: modelsOnDisk }, () => `m${Math.floor(random() * models)}`),
     }));
     const instances = Array.from({ length: zones }, (_, index) => {
         const settings: GatewaySettings = {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualEngine.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualEngine.ts
@@ -14,6 +14,8 @@
     profile: EngineProfile;
     /** Time to read a prompt token, in ms. */
     msPerToken: number;
+    /** Models that it has on its disk beside those that it holds. */
+    onDisk: string[];
 }
 
 /** Time in ms that an unload takes when nothing runs. */
@@ -25,9 +27,9 @@
  * A model engine over virtual time: it reads prompts one after the other, carries out one order at a time under its
  * condition, and fails the test when it is ordered to hold more than fits.
  */
-export const createVirtualEngine = ({ id, zone, models, profile, msPerToken }: EngineOptions) => {
+export const createVirtualEngine = ({ id, zone, models, profile, msPerToken, onDisk: copies }: EngineOptions) => {
     const held = new Map(models.map(name => [name, { name, adapters: new Set<string>() }]));
-    const onDisk = new Set(models);
+    const onDisk = new Set([...models, ...copies]);
     const history: { atMs: number; report: EngineReport }[] = [];
     let orderCount = 0;
     let busyUntilMs = 0;
