Make a plan from one table of models in place of a scan of the engines a model; failed try: room on engines

Cause: each plan looked through all engines for every model, and again for every model of every engine that could take it: at 100 engines and 300 models some hundred thousand looks a plan, ten times a second. Change: one table a plan, from one pass over the models and one over the engines.

Failed try, taken back: to count what the other models on its engines leave a model (its room), to prefer engines with room, fast ones and short loads. More loads make more engines unable to take what is needed next.

--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/placement/createPlacementTable.ts
@@ -0,0 +1,32 @@
+import type { EngineProfile } from "medlarlb-types/engineProfile";
+import type { GatewayWorld } from "../gatewayWorld.js";
+import { modelLoad } from "./modelLoad.js";
+
+/** A model's work, and how many engines do it. */
+interface ModelRow {
+    load: ReturnType<typeof modelLoad>;
+    /** Engines that hold it or are loading it, can be reached, and neither leave nor unload it. */
+    replicas: number;
+    replicasInZone: number;
+}
+
+/** Creates the table of models that a plan is made from, in one pass over the models and one over the engines. */
+export const createPlacementTable = (world: GatewayWorld, service: string, profile: EngineProfile): Map<string, ModelRow> => {
+    const table = new Map<string, ModelRow>();
+    for (const name of profile.models.keys()) {
+        table.set(name, { load: modelLoad(world, service, name), replicas: 0, replicasInZone: 0 });
+    }
+    for (const target of world.targetsByService.get(service) ?? []) {
+        if (target.leaving || world.cutZones.has(target.entry.zone)) {
+            continue;
+        }
+        for (const name of new Set([...target.models.keys(), ...target.opening])) {
+            const row = table.get(name);
+            if (row !== undefined && !target.closing.has(name)) {
+                row.replicas += 1;
+                row.replicasInZone += target.entry.zone === world.settings.zone ? 1 : 0;
+            }
+        }
+    }
+    return table;
+};
--- a/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
@@ -1,11 +1,10 @@
 import type { EngineProfile } from "medlarlb-types/engineProfile";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import type { EngineDuty } from "./engineDuty.js";
+import { createPlacementTable } from "./createPlacementTable.js";
 import { expectedLoadMs } from "./expectedLoadMs.js";
 import { isFromStore } from "./isFromStore.js";
 import { listHomeZones } from "./listHomeZones.js";
-import { listReplicas } from "./listReplicas.js";
-import { modelLoad } from "./modelLoad.js";
 import { replicaValue } from "./replicaValue.js";
 import { sendOrder } from "./sendOrder.js";
 import { shareNews } from "./shareNews.js";
@@ -40,19 +39,17 @@
 const isIdle = (duty: EngineDuty): boolean =>
     duty.synced && duty.pending === undefined && duty.running === undefined && duty.nextModel === undefined;
 
-const listWishes = (world: GatewayWorld, service: string, profile: EngineProfile): Wish[] => {
+type Table = ReturnType<typeof createPlacementTable>;
+
+const listWishes = (world: GatewayWorld, service: string, table: Table): Wish[] => {
     const wishes: Wish[] = [];
-    const { zone } = world.settings;
-    for (const model of profile.models.keys()) {
-        const load = modelLoad(world, service, model);
+    for (const [model, { load, replicas, replicasInZone }] of table) {
         if (load.requests < MIN_VALUE && load.waiting === 0) {
             continue;
         }
-        const replicas = listReplicas(world, service, model);
-        const inZone = replicas.filter(target => target.entry.zone === zone).length;
         // A model without a replica is loaded by its home zone, or by the zone that callers ask.
-        const asked = load.waiting > 0 || listHomeZones(world, service, model)[0] === zone;
-        const value = replicas.length === 0 && !asked ? 0 : replicaValue(load, replicas.length, inZone);
+        const asked = load.waiting > 0 || listHomeZones(world, service, model)[0] === world.settings.zone;
+        const value = replicas === 0 && !asked ? 0 : replicaValue(load, replicas, replicasInZone);
         if (value >= MIN_VALUE) {
             wishes.push({ model, value });
         }
@@ -60,16 +57,17 @@
     return wishes.sort((one, other) => other.value - one.value);
 };
 
-const valueOfKeeping = (world: GatewayWorld, service: string, model: string): number => {
-    const replicas = listReplicas(world, service, model);
-    const inZone = replicas.filter(target => target.entry.zone === world.settings.zone).length;
-    return replicaValue(modelLoad(world, service, model), replicas.length - 1, inZone - 1);
+/** Worth of one replica of a model that is there. One that the configuration no longer names is worth nothing. */
+const valueOfKeeping = (table: Table, model: string): number => {
+    const row = table.get(model);
+    return row === undefined ? 0 : replicaValue(row.load, row.replicas - 1, row.replicasInZone - 1);
 };
 
-const engineShare = (world: GatewayWorld, service: string, duty: EngineDuty): number => {
+const engineShare = (table: Table, duty: EngineDuty): number => {
     let share = 0;
     for (const model of duty.models.keys()) {
-        share += modelLoad(world, service, model).engines / Math.max(1, listReplicas(world, service, model).length);
+        const row = table.get(model);
+        share += row === undefined ? 0 : row.load.engines / Math.max(1, row.replicas);
     }
     return share;
 };
@@ -86,13 +84,13 @@
     return runs;
 };
 
-const findVictim = (world: GatewayWorld, service: string, duty: EngineDuty): { model: string; cost: number } | undefined => {
+const findVictim = (world: GatewayWorld, table: Table, duty: EngineDuty): { model: string; cost: number } | undefined => {
     let found: { model: string; cost: number } | undefined;
     for (const [model, { loadedAtMs }] of duty.models) {
         if (world.nowMs - loadedAtMs < MIN_STAY_MS) {
             continue;
         }
-        const cost = valueOfKeeping(world, service, model) * HYSTERESIS + runsOf(world, duty, model) * RUN_COST;
+        const cost = valueOfKeeping(table, model) * HYSTERESIS + runsOf(world, duty, model) * RUN_COST;
         if (found === undefined || cost < found.cost) {
             found = { model, cost };
         }
@@ -115,6 +113,7 @@
     world: GatewayWorld,
     service: string,
     profile: EngineProfile,
+    table: Table,
     wish: Wish,
     fromStore: boolean,
 ): Move | undefined => {
@@ -125,13 +124,13 @@
             continue;
         }
         const hasRoom = usedWeightsMb(profile, duty) + needMb <= profile.weightsMb;
-        const victim = hasRoom ? undefined : findVictim(world, service, duty);
+        const victim = hasRoom ? undefined : findVictim(world, table, duty);
         if (!hasRoom && victim === undefined) {
             continue;
         }
         const cost = (victim?.cost ?? 0)
             + loadMsOf(profile, duty, wish.model) / MS_PER_SECOND * LOAD_SECOND_COST
-            + engineShare(world, service, duty) * BUSY_COST;
+            + engineShare(table, duty) * BUSY_COST;
         if ((victim?.cost ?? 0) < wish.value && (best === undefined || cost < best.cost)) {
             best = { duty, victim: victim?.model, cost };
         }
@@ -141,8 +140,9 @@
 
 /** Decides which models the engines of this zone load and unload next, for one service. */
 export const planModels = (world: GatewayWorld, service: string, profile: EngineProfile): void => {
-    for (const wish of listWishes(world, service, profile)) {
-        const move = findMove(world, service, profile, wish, storeLoadsLeft(world, profile) > 0);
+    const table = createPlacementTable(world, service, profile);
+    for (const wish of listWishes(world, service, table)) {
+        const move = findMove(world, service, profile, table, wish, storeLoadsLeft(world, profile) > 0);
         if (move === undefined) {
             continue;
         }
