Send members' first rumours a few times only, and pull rumours by digest

Cause: when 65 instances start together, each passes on the first rumour of each other 18 times: 35 KB/s a member for six seconds, two thirds of it between zones; and each pull of all rumours, every 10 s, brings 110 KB though nothing is new. All of that stands in the store's list and in the probes, too.

Change: the rumour of a start is calm: three sends a member; who misses it pulls it. Pulls carry a digest of the table, and equal tables answer with what concerns the zone alone.

--- a/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
+++ b/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
@@ -40,15 +40,15 @@
     it("delivers messages between instances that share the key", async () => {
         const one = await start("one");
         const two = await start("two");
-        one.network.send(two.id, two.address, { kind: "pullRumours" });
+        one.network.send(two.id, two.address, { kind: "pullRumours", digest: 0 });
         await until(() => two.received.length === 1);
-        expect(two.received).to.deep.equal([{ kind: "pullRumours" }]);
+        expect(two.received).to.deep.equal([{ kind: "pullRumours", digest: 0 }]);
     });
 
     it("closes a connection of an instance that doesn't know the key, before any message counts", async () => {
         const one = await start("one");
         const two = await start("two", "another key of theirs");
-        two.network.send(one.id, one.address, { kind: "pullRumours" });
+        two.network.send(one.id, one.address, { kind: "pullRumours", digest: 0 });
         await until(() => one.closed.length > 0);
         expect(one.closed[0]).to.include("set the same [peer] key");
         expect(one.received).to.deep.equal([]);
@@ -72,7 +72,7 @@
             hostile.resume();
             hostile.write(bytes);
             await until(() => ended);
-            two.network.send(one.id, one.address, { kind: "pullRumours" });
+            two.network.send(one.id, one.address, { kind: "pullRumours", digest: 0 });
             await until(() => one.received.length === 1);
         });
     }
@@ -80,10 +80,10 @@
     it("opens a new connection after the old one was replaced", async () => {
         const one = await start("one");
         const two = await start("two");
-        one.network.send(two.id, two.address, { kind: "pullRumours" });
+        one.network.send(two.id, two.address, { kind: "pullRumours", digest: 0 });
         await until(() => two.received.length === 1);
         one.network.reset(two.id);
-        one.network.send(two.id, two.address, { kind: "pullRumours" });
+        one.network.send(two.id, two.address, { kind: "pullRumours", digest: 0 });
         await until(() => two.received.length === 2);
     });
 });
--- /dev/null
+++ b/packages/medlarlb-peers/src/__tests__/createRumourTable.test.ts
@@ -0,0 +1,41 @@
+import { expect } from "chai";
+import { createRumourTable } from "../createRumourTable.js";
+
+const rumour = (key: string, version: number, calm = false) => ({ key, version, value: {}, calm });
+const GROUP = 65;
+
+/** Counts the messages in which a table sends a rumour. */
+const countSends = (calm: boolean): number => {
+    const table = createRumourTable(() => GROUP);
+    table.take(rumour("member/a", 1, calm));
+    let sends = 0;
+    while (table.pick("z", 24).length > 0) {
+        sends += 1;
+    }
+    return sends;
+};
+
+describe("createRumourTable", () => {
+    it("has the same digest as another table with the same rumours in another order, and a new one with a newer rumour", () => {
+        const one = createRumourTable(() => GROUP);
+        const other = createRumourTable(() => GROUP);
+        [rumour("a", 1), rumour("b", 2), rumour("a", 3)].forEach(each => one.take(each));
+        [rumour("b", 2), rumour("a", 3)].forEach(each => other.take(each));
+        expect(one.digest()).to.equal(other.digest());
+        other.take(rumour("b", 4));
+        expect(one.digest()).not.to.equal(other.digest());
+    });
+
+    it("leaves out what both have when asked to", () => {
+        const table = createRumourTable(() => GROUP);
+        table.take(rumour("common", 1));
+        table.take({ ...rumour("near", 1), zone: "z" });
+        expect(table.all("z", false).map(each => each.key)).to.deep.equal(["near"]);
+        expect(table.all("y", true).map(each => each.key)).to.deep.equal(["common"]);
+    });
+
+    it("sends calm rumours a few times and others more often in a large group", () => {
+        expect(countSends(true)).to.equal(3);
+        expect(countSends(false)).to.be.above(10);
+    });
+});
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -154,7 +154,7 @@
             rumours: rumours.pick(message.sender.zone, RUMOURS_PER_MESSAGE),
         });
         if (known === undefined || known.row.bootId !== message.sender.bootId) {
-            send(message.sender.id, { kind: "pullRumours" });
+            send(message.sender.id, { kind: "pullRumours", digest: rumours.digest() });
         }
     };
 
@@ -176,7 +176,7 @@
                 }
                 break;
             case "pullRumours":
-                reply({ kind: "rumours", rumours: rumours.all(membership.find(peerId)?.row.zone ?? "") });
+                reply({ kind: "rumours", rumours: rumours.all(membership.find(peerId)?.row.zone ?? "", message.digest !== rumours.digest()) });
                 break;
             case "rumours":
                 takeRumours(message.rumours);
@@ -248,7 +248,7 @@
 
     const pullNext = (): void => {
         for (const { id } of sample(membership.probeable(), 1)) {
-            send(id, { kind: "pullRumours" });
+            send(id, { kind: "pullRumours", digest: rumours.digest() });
         }
     };
 
@@ -280,7 +280,7 @@
     return {
         start: async (): Promise<void> => {
             await network.listen();
-            spread({ key: `member/${self.id}`, version: Date.now(), value: { ...self } });
+            spread({ key: `member/${self.id}`, version: Date.now(), value: { ...self }, calm: true });
             timer = setInterval(tick, TICK_MS);
         },
         setListed: (instances: ListedInstance[]): void => {
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -15,7 +15,8 @@
     | { kind: "ack"; sequence: number; sender: MemberRow; configRevision: number; rumours: Rumour[] }
     | { kind: "probeFor"; sequence: number; id: string }
     | { kind: "probedFor"; sequence: number; id: string; answered: boolean }
-    | { kind: "pullRumours" }
+    /** Asks for the rumours of the other's table, or for what concerns the zone alone if the digests are equal. */
+    | { kind: "pullRumours"; digest: number }
     | { kind: "rumours"; rumours: Rumour[] }
     | { kind: "pullConfig"; since: number }
     | { kind: "config"; revision: number; base: number; entries: ConfigEntry[] }
--- a/packages/medlarlb-peers/src/rumour.ts
+++ b/packages/medlarlb-peers/src/rumour.ts
@@ -2,6 +2,8 @@
 export interface Rumour {
     key: string;
     version: number;
+    /** Whether it may reach some members late, by their next pull: they learn the same from the store's list or from probes. */
+    calm?: boolean;
     value: unknown;
     /** Spread only inside this zone, when set. */
     zone?: string;
