Judge a plain target's failures and pace against its service's

Trace of the choices: some requests end with 500 or 504 wherever they run, after up to a second; each made its target seem failing (share 0.18 to 0.26) and slow (146 to 186 ms for 40), and a target that isn't chosen never shows the contrary. Ruled out: load.

Change: only failures beyond the service's own share count; pace is learnt from good answers, and what sets a target apart is forgotten by half each 3 s.

--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/plainServices.test.ts
@@ -0,0 +1,103 @@
+import { expect } from "chai";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { RequestId } from "medlarlb-types/requestId";
+import type { Route } from "medlarlb-types/route";
+import { createGatewayDecisions } from "../createGatewayDecisions.js";
+import type { GatewayInput } from "../gatewayInput.js";
+
+const ROUTE: Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    kind: "unsafe",
+    timeoutMs: 1_000,
+    latencyTargetMs: 130,
+    gapTargetMs: undefined,
+    priority: 1,
+    maxAttempts: 1,
+    resumable: false,
+    destinations: [{ service: "app", weight: 1 }],
+};
+
+const target = (zone: string): GatewayInput => ({
+    kind: "target",
+    entry: {
+        targetId: brandAs(`t-${zone}`),
+        service: "app",
+        address: "10.0.0.1:80",
+        zone: brandAs(zone),
+        slots: 6,
+        leaving: false,
+        startedAtMs: 0,
+        remainingMs: undefined,
+        models: [],
+        inMemory: [],
+        onDisk: [],
+    },
+});
+
+/** Plays requests of zone `a` to a plain service with one target in each of three zones. Gives the share that stays in `a`. */
+const play = (answer: (targetId: string, index: number) => { status: number; tookMs: number }): number => {
+    const decisions = createGatewayDecisions({
+        instanceId: brandAs("i1"),
+        zone: brandAs("a"),
+        policy: "predict",
+        retryRatio: 0.2,
+        retryWindowMs: 10_000,
+        retryExtra: 56,
+        storeLoadWindowMs: 5_000,
+        storeLoadFactor: 1.1,
+        drainMs: 2_000,
+    }, () => 0.5);
+    let nowMs = 1_000;
+    decisions.step(nowMs, ["a", "b", "c"].map(target));
+    let own = 0;
+    const count = 200;
+    for (let index = 0; index < count; index += 1) {
+        nowMs += 100;
+        const callId = brandAs<RequestId>(`c${index}`);
+        const commands = decisions.step(nowMs, [{
+            kind: "call",
+            facts: {
+                callId,
+                callerRequestId: callId,
+                route: ROUTE,
+                service: "app",
+                model: undefined,
+                adapter: undefined,
+                promptTokens: 0,
+                outputTokens: 0,
+                expectedTokens: 0,
+                promptParts: [],
+                arrivedAtMs: nowMs,
+                targetAtMs: nowMs + ROUTE.latencyTargetMs,
+                startByMs: nowMs + ROUTE.timeoutMs,
+                deadlineAtMs: nowMs + ROUTE.timeoutMs,
+                fingerprint: "",
+            },
+        }]);
+        const sent = commands.find(each => each.kind === "send");
+        own += sent?.targetId === "t-a" ? 1 : 0;
+        const { status, tookMs } = answer(String(sent?.targetId), index);
+        nowMs += tookMs;
+        decisions.step(nowMs, [{ kind: "begun", callId, attempt: 1 }, { kind: "finished", callId, attempt: 1, status }]);
+    }
+    return own / count;
+};
+
+describe("plain services", () => {
+    it("keep requests in their zone though some of them fail wherever they run, after a long time", () => {
+        const share = play((_id, index) => (index % 8 === 0 ? { status: 504, tookMs: 600 } : { status: 200, tookMs: 40 }));
+        expect(share).to.be.above(0.9);
+    });
+
+    it("keep requests in their zone though one of them took long", () => {
+        const share = play((_id, index) => ({ status: 200, tookMs: index === 0 ? 900 : 40 }));
+        expect(share).to.be.above(0.8);
+    });
+
+    it("leave a target of their zone whose requests alone fail", () => {
+        const share = play((id, index) => ({ status: id === "t-a" && index % 2 === 0 ? 500 : 200, tookMs: 40 }));
+        expect(share).to.be.below(0.5);
+    });
+});
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -26,8 +26,8 @@
 /** Advantage in ms of the engine that was asked to bring the adapter already. */
 const ASKED_MS = 50;
 /**
- * What a target costs whose recent attempts have all failed, in ms. It grows with the square of their share: single
- * failures are everyday and mustn't send requests to other zones.
+ * What a target costs whose recent attempts have all failed, in ms, while others' succeed. It grows with the square of
+ * their share beyond that of the service: single failures are everyday and mustn't send requests to other zones.
  */
 const FAILURE_MS = 4_000;
 /** Time after which half of a target's failures are forgotten, in ms. */
@@ -41,12 +41,13 @@
 };
 
 const costOf = (world: GatewayWorld, row: CallRow, target: PoolTarget): Choice => {
-    const prediction = predictStartMs(target, row.facts, world.nowMs);
+    const prediction = predictStartMs(world, target, row.facts);
     const ready = holdsFor(target, row.facts, true);
-    const failureShare = target.failureShare * 0.5 ** ((world.nowMs - target.failureAtMs) / FAILURE_HALF_LIFE_MS);
+    const recentShare = target.failureShare * 0.5 ** ((world.nowMs - target.failureAtMs) / FAILURE_HALF_LIFE_MS);
+    const excessShare = Math.max(0, recentShare - (world.serviceFailureShare.get(target.entry.service) ?? 0));
     const costMs = prediction.answerMs
         + (ready ? 0 : adapterCostMs(row, target))
-        + failureShare ** 2 * FAILURE_MS
+        + excessShare ** 2 * FAILURE_MS
         + world.random() * JITTER_MS;
     return { target, prediction, ready, costMs };
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/continueCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/continueCall.ts
@@ -20,6 +20,6 @@
     logEvent(world, "continued", { request: row.facts.callerRequestId, from: row.flight?.targetId, target: copyId, reason });
     endFlight(world, row);
     row.mayHaveRun = true;
-    sendCall(world, row, target, predictStartMs(target, row.facts, world.nowMs), true);
+    sendCall(world, row, target, predictStartMs(world, target, row.facts), true);
     return true;
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/predictStartMs.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/predictStartMs.ts
@@ -1,8 +1,10 @@
 import type { CallFacts } from "medlarlb-types/callFacts";
+import type { GatewayWorld } from "../gatewayWorld.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { backlogTokens } from "./backlogTokens.js";
 import { cachedTokens } from "./cachedTokens.js";
 import { runningCount } from "./runningCount.js";
+import { servicePaceMs } from "./servicePaceMs.js";
 
 interface Prediction {
     /** Time in ms until the target begins with the request. */
@@ -16,22 +18,23 @@
 /** Time of one step of an engine's batch, in ms: a first event takes at least that long. */
 const STEP_MS = 15;
 
-const predictService = (target: PoolTarget, nowMs: number): Prediction => {
-    const ahead = runningCount(target, nowMs) + 1 - target.entry.slots;
-    const waitMs = ahead <= 0 ? 0 : ahead / target.entry.slots * target.msPerUnit;
-    return { waitMs, answerMs: waitMs + target.msPerUnit, workTokens: 1, aheadTokens: 0 };
+const predictService = (world: GatewayWorld, target: PoolTarget): Prediction => {
+    const ahead = runningCount(target, world.nowMs) + 1 - target.entry.slots;
+    const paceMs = servicePaceMs(world, target);
+    const waitMs = ahead <= 0 ? 0 : ahead / target.entry.slots * paceMs;
+    return { waitMs, answerMs: waitMs + paceMs, workTokens: 1, aheadTokens: 0 };
 };
 
 /**
  * Predicts when a target would answer a request. An engine reads prompts one after the other, so what counts is the
  * tokens of prompts ahead, and those of the request that it doesn't keep from earlier ones.
  */
-export const predictStartMs = (target: PoolTarget, facts: CallFacts, nowMs: number): Prediction => {
+export const predictStartMs = (world: GatewayWorld, target: PoolTarget, facts: CallFacts): Prediction => {
     if (facts.model === undefined) {
-        return predictService(target, nowMs);
+        return predictService(world, target);
     }
     const workTokens = Math.max(1, facts.promptTokens - cachedTokens(target, facts));
-    const aheadTokens = backlogTokens(target, nowMs);
+    const aheadTokens = backlogTokens(target, world.nowMs);
     const waitMs = aheadTokens * target.msPerUnit;
     return { waitMs, answerMs: waitMs + workTokens * target.msPerUnit + STEP_MS, workTokens, aheadTokens };
 };
--- a/packages/medlarlb-decisions/src/gateway/createGatewayWorld.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayWorld.ts
@@ -14,6 +14,7 @@
     calls: new Map(),
     queues: new Map(),
     serviceMsPerUnit: new Map(),
+    serviceFailureShare: new Map(),
     retries: new Map(),
     instanceCount: 1,
     planners: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayWorld.ts
@@ -27,6 +27,8 @@
     queues: Map<string, CallRow[]>;
     /** Learnt time per unit of work by service, for targets without a history. */
     serviceMsPerUnit: Map<string, number>;
+    /** Share of recent attempts that failed, by service: what its requests bring about wherever they run. */
+    serviceFailureShare: Map<string, number>;
     retries: Map<string, RetryBudget>;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -31,7 +31,7 @@
             break;
         case "connect":
         case "silent":
-            noteOutcome(target, true, world.nowMs);
+            noteOutcome(world, target, true);
             if (world.nowMs - target.lastHeardMs > RECENT_MS) {
                 target.silentFailures += 1;
                 target.avoidUntilMs = world.nowMs + AVOID_MS * 2 ** Math.min(MAX_DOUBLINGS, target.silentFailures - 1);
@@ -39,7 +39,7 @@
             }
             break;
         default:
-            noteOutcome(target, true, world.nowMs);
+            noteOutcome(world, target, true);
     }
 };
 
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -1,12 +1,23 @@
 import { removeCall } from "../calls/removeCall.js";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayInput } from "../gatewayInput.js";
+import { servicePaceMs } from "../calls/servicePaceMs.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
+import type { PoolTarget } from "../rows/poolTarget.js";
 import { noteOutcome } from "./noteOutcome.js";
 
 /** Weight of the newest answer of a plain service in its learnt time. */
 const NEWEST_SHARE = 0.05;
 
+const learnServicePace = (world: GatewayWorld, target: PoolTarget, tookMs: number): void => {
+    const { service } = target.entry;
+    const paceMs = servicePaceMs(world, target);
+    target.msPerUnit = paceMs + NEWEST_SHARE * (tookMs - paceMs);
+    target.paceAtMs = world.nowMs;
+    const shared = world.serviceMsPerUnit.get(service) ?? target.msPerUnit;
+    world.serviceMsPerUnit.set(service, shared + NEWEST_SHARE * (tookMs - shared));
+};
+
 /** Takes in that a caller has its whole answer. */
 export const applyFinished = (world: GatewayWorld, input: Extract<GatewayInput, { kind: "finished" }>): void => {
     const row = world.calls.get(input.callId);
@@ -17,9 +28,9 @@
     const target = world.targets.get(flight.targetId);
     if (target !== undefined) {
         target.lastHeardMs = world.nowMs;
-        noteOutcome(target, input.status >= 500, world.nowMs);
-        if (facts.model === undefined) {
-            target.msPerUnit += NEWEST_SHARE * (world.nowMs - flight.sentAtMs - target.msPerUnit);
+        noteOutcome(world, target, input.status >= 500);
+        if (facts.model === undefined && input.status < 500) {
+            learnServicePace(world, target, world.nowMs - flight.sentAtMs);
         }
     }
     const begunAtMs = flight.begunAtMs ?? world.nowMs;
--- a/packages/medlarlb-decisions/src/gateway/inputs/noteOutcome.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/noteOutcome.ts
@@ -1,10 +1,16 @@
+import type { GatewayWorld } from "../gatewayWorld.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 
-/** Weight of the newest attempt in the share of failures. */
+/** Weight of the newest attempt in the share of failures of its target, and of its service. */
 const NEWEST_SHARE = 0.1;
+const NEWEST_SERVICE_SHARE = 0.03;
 
 /** Notes whether an attempt on a target failed, for the choice of targets. */
-export const noteOutcome = (target: PoolTarget, failed: boolean, nowMs: number): void => {
-    target.failureShare += NEWEST_SHARE * ((failed ? 1 : 0) - target.failureShare);
-    target.failureAtMs = nowMs;
+export const noteOutcome = (world: GatewayWorld, target: PoolTarget, failed: boolean): void => {
+    const outcome = failed ? 1 : 0;
+    target.failureShare += NEWEST_SHARE * (outcome - target.failureShare);
+    target.failureAtMs = world.nowMs;
+    const { service } = target.entry;
+    const shared = world.serviceFailureShare.get(service) ?? 0;
+    world.serviceFailureShare.set(service, shared + NEWEST_SERVICE_SHARE * (outcome - shared));
 };
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -12,6 +12,7 @@
     peerLoads: new Map(),
     reported: undefined,
     msPerUnit,
+    paceAtMs: nowMs,
     failureShare: 0,
     failureAtMs: nowMs,
     silentFailures: 0,
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -31,6 +31,8 @@
     reported: { running: number; waiting: number; slots: number; atMs: number } | undefined;
     /** Learnt time in ms to read a prompt token, or to run a request of a plain service. */
     msPerUnit: number;
+    /** When it was last learnt. */
+    paceAtMs: number;
     /** Share of recent attempts that failed, 0 to 1. */
     failureShare: number;
     failureAtMs: number;
