Start from other instances while the store doesn't answer; drop a setting that nothing read

Cause: an instance that starts while the store is away stayed unready for as long, though its seeds know routes and targets; peer.seeds and limits.drainMs were read and never used. Change: until the store has been read, two instances, seeds first, are asked each 0.7 s for what they know of the store; items count by their revisions, and the store's own list replaces them. limits.drainMs is gone.

--- a/packages/medlarlb-daemon/src/gateway/createDirectory.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectory.ts
@@ -169,6 +169,14 @@
 
     return {
         start: (): void => void run(),
+        items: (): StoreItem[] => [...known.values()],
+        /** Whether the store itself has been read. Until then items of other instances are taken over. */
+        isRead: (): boolean => revision !== undefined,
+        takeFromPeer: (items: StoreItem[]): void => {
+            if (revision === undefined) {
+                takeItems(items);
+            }
+        },
         stop: (): void => {
             stopped = true;
             leaving.forEach(timer => clearTimeout(timer));
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -35,6 +35,7 @@
 import { createIngressServer } from "./createIngressServer.js";
 import { createLog } from "./createLog.js";
 import { createRegistration } from "./createRegistration.js";
+import { startFromPeers } from "./startFromPeers.js";
 
 const MS_PER_SECOND = 1_000;
 /** Time in ms that is kept of the grace period for the process to end. */
@@ -74,7 +75,6 @@
         retryExtra: settings.limits.retryExtra,
         storeLoadWindowMs: settings.limits.storeLoadWindowSeconds * MS_PER_SECOND,
         storeLoadFactor: settings.limits.storeLoadFactor,
-        drainMs: settings.limits.drainMs,
     }, random);
     const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => perform(command), now);
     const push = loop.push;
@@ -124,6 +124,7 @@
             const revision = config?.version ?? 0;
             return { revision, base: 0, entries: [{ key: CONFIG_ENTRY, value: configText, revision }] };
         },
+        directoryItems: () => directory.items(),
         onConfig: ({ entries }) => entries.forEach(entry => takeConfig(entry.value ?? "", "peer")),
         onRumour: rumour => {
             const [kind, name] = rumour.key.split("/");
@@ -134,10 +135,14 @@
         onMembers: () => tellInstances(),
         onDemand: () => undefined,
         onGatewayMessage: message => {
-            if (message.kind === "wanted") {
+            if (message.kind === "directory") {
+                write("directoryFromPeer", { items: message.items.length, used: !directory.isRead() });
+                directory.takeFromPeer(message.items);
+            }
+            else if (message.kind === "wanted") {
                 push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
             }
-            else {
+            else if (message.kind !== "pullDirectory") {
                 push(message);
             }
         },
@@ -277,6 +282,7 @@
             ]);
             await peers.start();
             directory.start();
+            startFromPeers({ seeds: settings.peer.seeds, zone, peers, isRead: directory.isRead, random });
             registration.start();
             write("started", { zone, bootId });
         },
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
@@ -14,7 +14,6 @@
     { section: "metrics", key: "address", kind: "address", remedy: "write the address of the metrics page, such as address = 10.0.0.4:9100" },
     { section: "policy", key: "routing", kind: "routingPolicy", defaultValue: "predict", remedy: "write predict, or one of the baselines twoChoices and random" },
     seconds("graceSeconds", "write the time in s that a planned stop may take", "8"),
-    seconds("drainMs", "write the time in ms after which a leaving target gets no more requests", "2000"),
     seconds("leaseMs", "write the time in ms that holders of a duty keep between their orders", "3000"),
     seconds("retryRatio", "write the retries as a share of the requests of a service, such as 0.2", "0.2"),
     seconds("retryWindowSeconds", "write the window of the retry budget in s", "10"),
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingsFile.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingsFile.ts
@@ -9,7 +9,6 @@
     policy: { routing: "predict" | "twoChoices" | "random" };
     limits: {
         graceSeconds: number;
-        drainMs: number;
         leaseMs: number;
         retryRatio: number;
         retryWindowSeconds: number;
--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -21,7 +21,6 @@
         retryExtra: 56,
         storeLoadWindowMs: 5_000,
         storeLoadFactor: 1.1,
-        drainMs: 2_000,
     }, () => 0.5);
     const give = (...inputs: GatewayInput[]): GatewayCommand[] => {
         nowMs += 10;
--- a/packages/medlarlb-decisions/src/gateway/__tests__/plainServices.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/plainServices.test.ts
@@ -47,7 +47,6 @@
         retryExtra: 56,
         storeLoadWindowMs: 5_000,
         storeLoadFactor: 1.1,
-        drainMs: 2_000,
     }, () => 0.5);
     let nowMs = 1_000;
     decisions.step(nowMs, ["a", "b", "c"].map(target));
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
@@ -107,7 +107,6 @@
             retryExtra: 56,
             storeLoadWindowMs: 5_000,
             storeLoadFactor: 1.1,
-            drainMs: 2_000,
         };
         return { settings, decisions: createGatewayDecisions(settings, random), inputs: [] as GatewayInput[], messages: 0 };
     });
--- a/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
@@ -17,6 +17,4 @@
     storeLoadWindowMs: number;
     /** How far loads may go beyond the store's rate in a window. */
     storeLoadFactor: number;
-    /** How long an address isn't used for another target after its target is gone, in ms. */
-    drainMs: number;
 }
--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -39,6 +39,7 @@
     let caller = "";
     let readiness = "";
     let metrics = "";
+    let peer = "";
     let sequence = 0;
 
     const announce = (id: string, address: string, state = "ready"): void =>
@@ -49,7 +50,7 @@
         caller = await findAddress();
         readiness = await findAddress();
         metrics = await findAddress();
-        const peer = await findAddress();
+        peer = await findAddress();
         const path = join(folder, "settings.ini");
         const storeAddress = `127.0.0.1:${(store.server.address() as AddressInfo).port}`;
         writeFileSync(path, [
@@ -212,6 +213,39 @@
         expect(await res.body.text()).to.match(/medlarlb_answers_total\{status="200",by="target"\} \d+/);
     });
 
+    it("starts from another instance while the store doesn't answer", async () => {
+        const [ownCaller, ownReadiness, ownPeer, ownMetrics, dead]
+            = (await Promise.all(Array.from({ length: 5 }, findFreePort))).map(port => `127.0.0.1:${port}`);
+        const path = join(folder, "second.ini");
+        writeFileSync(path, [
+            "[instance]",
+            "zone = a",
+            "[caller]",
+            `address = ${ownCaller}`,
+            "[readiness]",
+            `address = ${ownReadiness}`,
+            "[peer]",
+            `address = ${ownPeer}`,
+            `seeds = ${peer}`,
+            "key = sixteen-characters",
+            "[store]",
+            `address = ${dead}`,
+            "[metrics]",
+            `address = ${ownMetrics}`,
+        ].join("\n"));
+        const second = spawn(process.execPath, [MAIN], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "ignore", "inherit"] });
+        try {
+            await waitFor("the second instance answers from a target", async () => {
+                const res = await request(`http://${ownCaller}/safe/x`, { headers: { "host": HOST, "x-request-id": "second", "x-deadline-ms": "2000" } })
+                    .catch(() => undefined);
+                return res !== undefined && res.statusCode === 200 && (await res.body.text()).startsWith("answer of e");
+            });
+        }
+        finally {
+            second.kill("SIGKILL");
+        }
+    });
+
     it("finishes its streams during a planned stop, and isn't ready meanwhile", async () => {
         const stream = ask("POST", "/stream/x", { body: "x" });
         await waitFor("the stream runs", async () => countRuns() > 0);
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -197,7 +197,11 @@
             case "demand":
                 options.onDemand(message.counts);
                 break;
+            case "pullDirectory":
+                reply({ kind: "directory", items: options.directoryItems?.() ?? [] });
+                break;
             case "status":
+            case "directory":
             case "digest":
             case "news":
             case "wanted":
--- a/packages/medlarlb-peers/src/peerGroupOptions.ts
+++ b/packages/medlarlb-peers/src/peerGroupOptions.ts
@@ -1,6 +1,7 @@
 import type { ConfigEntry } from "medlarlb-types/configEntry";
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
 import type { DemandCount } from "medlarlb-types/demandCount";
+import type { StoreItem } from "medlarlb-types/storeItem";
 import type { GatewayMessage } from "./gatewayMessage.js";
 import type { MemberRow } from "./memberRow.js";
 import type { Rumour } from "./rumour.js";
@@ -21,6 +22,8 @@
     onDemand: (counts: DemandCount[]) => void;
     /** Takes messages of a gateway: the load of other instances, what planners know, and what callers wait for. */
     onGatewayMessage?: (message: GatewayMessage) => void;
+    /** What this instance knows of the platform's store, for others that don't reach it. */
+    directoryItems?: () => StoreItem[];
     decisionsAfter: (sequence: number) => { records: DecisionRecord[]; oldest: number };
     onClosed: (reason: string) => void;
     countBytes: (direction: "sent" | "received", bytes: number) => void;
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -2,6 +2,7 @@
 import type { DemandCount } from "medlarlb-types/demandCount";
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
+import type { StoreItem } from "medlarlb-types/storeItem";
 import type { SiteDigest } from "medlarlb-types/siteDigest";
 import type { PlacementNews } from "medlarlb-types/placementNews";
 import type { MemberRow } from "./memberRow.js";
@@ -25,5 +26,8 @@
     | { kind: "status"; status: InstanceStatus }
     | { kind: "digest"; digest: SiteDigest }
     | { kind: "news"; news: PlacementNews }
+    /** Asks for what the other knows of the platform's store, and the answer to it. */
+    | { kind: "pullDirectory" }
+    | { kind: "directory"; items: StoreItem[] }
     | { kind: "wanted"; service: string; model: string; adapter: string | undefined; targetId: string | undefined }
     | { kind: "decisions"; sequence: number; bootId: string; records: DecisionRecord[]; oldest: number };
