--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -10,6 +10,9 @@
 const CALLS = `${GATEWAY}/__tests__/calls.test.ts`;
 const SITE = `${GATEWAY}/__tests__/placement.test.ts`;
 const DUTY = "packages/medlarlb-daemon/src/__tests__/createDutyLease.test.ts";
+const GROUP = `${GATEWAY}/__tests__/largeGroup.test.ts`;
+const PLAIN = `${GATEWAY}/__tests__/plainServices.test.ts`;
+const ATTEMPTS = "packages/medlarlb-daemon/src/__tests__/createAttempts.test.ts";
 const POOL = "packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts";
 
 const mutations = [
@@ -174,6 +177,34 @@
         to: "setImmediate(() => finish(false));",
         check: POOL,
     },
+    {
+        invariant: "gateway: a planner's digest counts the load of the instance that it tells twice",
+        file: `${GATEWAY}/status/createDigestBuilder.ts`,
+        from: "const counted = own !== undefined && isFresh(own.atMs) ? own : { backlogTokens: 0, running: 0 };",
+        to: "const counted = { backlogTokens: 0, running: 0 };",
+        check: GROUP,
+    },
+    {
+        invariant: "gateway: instances of a large group tell each other of everything",
+        file: `${GATEWAY}/status/isLargeGroup.ts`,
+        from: "world.members.length + 1 >= LARGE_GROUP",
+        to: "world.members.length + 1 >= LARGE_GROUP * 100",
+        check: GROUP,
+    },
+    {
+        invariant: "gateway: failures that a service's requests bring about anywhere count against a target",
+        file: `${GATEWAY}/calls/chooseTarget.ts`,
+        from: "recentShare - (world.serviceFailureShare.get(target.entry.service) ?? 0)",
+        to: "recentShare",
+        check: PLAIN,
+    },
+    {
+        invariant: "gateway: a second run of a stream goes on though it begins otherwise",
+        file: "packages/medlarlb-daemon/src/caller/createAttempts.ts",
+        from: "request.unchecked && !request.record.matches(frame.offset, frame.data)",
+        to: "false",
+        check: ATTEMPTS,
+    },
 ];
 
 const only = process.argv[2];
--- a/packages/medlarlb-decisions/src/gateway/__tests__/largeGroup.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/largeGroup.test.ts
@@ -50,4 +50,19 @@
         expect(sinceMs.find(each => each.zone === "z2")?.ms).to.be.below(300);
         expect(sinceMs.find(each => each.zone === "z1")?.ms).to.be.above(300);
     });
+
+    it("tells an instance of the others' load, not of its own", () => {
+        const site = createVirtualSite({ seed: 12, zones: ZONES, enginesPerZone: 2, models: 6, instancesPerZone: 6, route: { latencyTargetMs: 3_000 } });
+        site.run(WARM_MS);
+        const asked = ZONES;
+        site.ask(asked, "m0", { tokens: 20_000 });
+        site.run(700);
+        const runningElsewhere = (instance: number): number => {
+            const targets = [...site.instances[instance]?.decisions.view().targets.values() ?? []];
+            return targets.flatMap(target => [...target.peerLoads.values()]).reduce((sum, load) => sum + load.running, 0);
+        };
+        expect(runningElsewhere(asked)).to.equal(0);
+        expect(runningElsewhere(asked + ZONES)).to.equal(1);
+        expect(runningElsewhere(asked + 1), "in another zone").to.equal(1);
+    });
 });
