Don't tell again what arrived under the planner before; name targets in digests without a cast

Cause, from reading the diff: an instance that hears its zone's statuses while no planner does keeps their arrivals, and as the next planner it would tell the other planners of them once more, as a burst of demand. Test: largeGroup.test.ts "doesn't tell again", fails before.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/largeGroup.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/largeGroup.test.ts
@@ -52,7 +52,8 @@
     });
 
     it("tells an instance of the others' load, not of its own", () => {
-        const site = createVirtualSite({ seed: 12, zones: ZONES, enginesPerZone: 2, models: 6, instancesPerZone: 6, route: { latencyTargetMs: 3_000 } });
+        const route = { latencyTargetMs: 3_000 };
+        const site = createVirtualSite({ seed: 12, zones: ZONES, enginesPerZone: 2, models: 6, instancesPerZone: 6, route });
         site.run(WARM_MS);
         const asked = ZONES;
         site.ask(asked, "m0", { tokens: 20_000 });
@@ -65,4 +66,18 @@
         expect(runningElsewhere(asked + ZONES)).to.equal(1);
         expect(runningElsewhere(asked + 1), "in another zone").to.equal(1);
     });
+
+    it("doesn't tell again, as a new planner, of what arrived under the one before", () => {
+        const site = createVirtualSite({ seed: 13, zones: ZONES, enginesPerZone: 2, models: 6, instancesPerZone: 6 });
+        site.run(WARM_MS);
+        site.instances[0]?.inputs.push({ kind: "duty", fence: undefined });
+        for (let tick = 0; tick < 40; tick += 1) {
+            site.ask(ZONES * 2, "m0", { tokens: 300 });
+            site.run(50);
+        }
+        const successor = site.instances[ZONES];
+        expect(successor?.decisions.view().zoneArrivals.size, "heard without a planner").to.be.above(0);
+        successor?.decisions.step(site.now(), [{ kind: "duty", fence: 9 }]);
+        expect(successor?.decisions.view().zoneArrivals.size).to.equal(0);
+    });
 });
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -3,6 +3,7 @@
 import type { GatewayWorld } from "../gatewayWorld.js";
 import { noteDemand } from "../placement/noteDemand.js";
 import { addArrivals } from "../status/addArrivals.js";
+import { isLargeGroup } from "../status/isLargeGroup.js";
 
 /** Takes over what another instance told of its callers and of its load on targets, or a planner of its zone's. */
 export const applyStatus = (world: GatewayWorld, status: InstanceStatus): void => {
@@ -25,7 +26,7 @@
     if (status.planning) {
         world.planningAtMs.set(zone, world.nowMs);
     }
-    if (zone === world.settings.zone && !ofZone) {
+    if (zone === world.settings.zone && !ofZone && isLargeGroup(world)) {
         world.zoneStatuses.set(instanceId, { status, atMs: world.nowMs });
         addArrivals(world.zoneArrivals, status.arrivals);
     }
--- a/packages/medlarlb-decisions/src/gateway/status/createDigestBuilder.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/createDigestBuilder.ts
@@ -2,6 +2,7 @@
 import type { SiteDigest } from "medlarlb-types/siteDigest";
 import { isZoneCut } from "../calls/isZoneCut.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
+import type { PoolTarget } from "../rows/poolTarget.js";
 
 /** Age in ms from which what was told of waiting requests no longer counts: some messages. */
 const WAITING_MS = 500;
@@ -23,8 +24,8 @@
     const isFresh = (atMs: number): boolean => world.nowMs - atMs < maxAgeMs;
     const zones = [...world.zoneHeardMs.keys(), zone].filter(each => !isZoneCut(world, each));
     const planning = [...world.planningAtMs].filter(([, atMs]) => world.nowMs - atMs < PLANNING_MS).map(([each]) => each);
-    const totals: SiteDigest["loads"] = [];
-    for (const [targetId, target] of world.targets) {
+    const totals: { target: PoolTarget; backlogTokens: number; running: number }[] = [];
+    for (const target of world.targets.values()) {
         let backlogTokens = 0;
         let running = target.flights.size;
         for (const flight of target.flights.values()) {
@@ -37,7 +38,7 @@
             }
         }
         if (running > 0) {
-            totals.push({ targetId, backlogTokens, running });
+            totals.push({ target, backlogTokens, running });
         }
     }
     return listener => ({
@@ -45,11 +46,12 @@
         instanceId,
         reachedZones: zones,
         planningZones: [...new Set([...planning, zone])],
-        loads: totals.flatMap(total => {
-            const own = world.targets.get(total.targetId as never)?.peerLoads.get(listener);
+        loads: totals.flatMap(({ target, ...total }) => {
+            const own = target.peerLoads.get(listener);
             const counted = own !== undefined && isFresh(own.atMs) ? own : { backlogTokens: 0, running: 0 };
             const running = total.running - counted.running;
-            return running <= 0 ? [] : [{ targetId: total.targetId, backlogTokens: total.backlogTokens - counted.backlogTokens, running }];
+            const backlogTokens = total.backlogTokens - counted.backlogTokens;
+            return running <= 0 ? [] : [{ targetId: target.entry.targetId, backlogTokens, running }];
         }),
     });
 };
