--- a/packages/medlarlb-daemon/src/gateway/startFromPeers.ts
+++ b/packages/medlarlb-daemon/src/gateway/startFromPeers.ts
@@ -32,6 +32,7 @@
             clearInterval(timer);
             return;
         }
+        // The first member is this instance.
         const known = [...new Set([...ids, ...peers.alive().slice(1).map(member => member.id)])];
         sampleItems(known, ASKED, random).forEach(id => peers.send(id, { kind: "pullDirectory" }));
     }, ASK_MS);
