Say once what the gateway said in several places

One piece each now serves: - own unread prompt tokens (routing, statuses, digests): unreadTokens - instances of the zone (statuses, news, news passed on): listZoneMembers - whether a zone has a planner (requests for models, digests): canPlan - sums of waiting and arriving requests (calls, statuses, sums of a zone): addWaiting, addArrivals - leaving a queue (routing, removal): dequeueCall - decoding with a reason in place of an error (three decoders): tryDecode; an adapter's name without its version: adapterName - a fresh caller's request (edge and test): createCallerRequest; settings of an instance in tests: createSettings (three tests), and the settings file of the process test - CallFacts extends what the headers say (CallDescription) in place of repeating six fields Work that need not be done: home zones are ranked only for models without a replica that nobody waits for (they were for every model in each plan); events of streams that may run once only are no longer parsed and digested, since no second run of them is ever compared. Dead: CallFacts.fingerprint (always empty), the name of a header that nothing reads. The asking of peers at a start uses repeatEvery.

--- a/packages/medlarlb-daemon/src/__tests__/createAttempts.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createAttempts.test.ts
@@ -1,11 +1,9 @@
 import type { AttemptEvent } from "medlarlb-types/attemptEvent";
-import { createFrameOrder } from "medlarlb-targets/createFrameOrder";
 import type { RunHandlers } from "medlarlb-targets/runHandlers";
 import type { RunRequest } from "medlarlb-targets/runRequest";
 import { expect } from "chai";
-import type { CallerRequest } from "../caller/callerRequest.js";
 import { createAttempts } from "../caller/createAttempts.js";
-import { createFrameRecord } from "../caller/createFrameRecord.js";
+import { createCallerRequest } from "../caller/createCallerRequest.js";
 
 const chunk = (id: string, text: string): string => JSON.stringify({ id, created: 7, choices: [{ index: 0, delta: { content: text } }] });
 
@@ -34,7 +32,7 @@
         report: (_request, _attemptId, event) => events.push(event),
         deliver: async () => undefined,
     });
-    const request = {
+    const request = createCallerRequest({
         summary: { requestId: "r1", kind: "inference", streaming: true, priority: 0 },
         method: "POST",
         path: "/v1/chat/completions",
@@ -42,16 +40,7 @@
         body: Buffer.from("{}"),
         res,
         callerId: undefined,
-        frames: createFrameOrder(),
-        record: createFrameRecord(),
-        unchecked: false,
-        streamDone: false,
-        hasOffsets: false,
-        headSent: false,
-        stopAttempt: () => undefined,
-        finished: false,
-        startedAtMs: 0,
-    } as unknown as CallerRequest;
+    } as unknown as Parameters<typeof createCallerRequest>[0]);
     return {
         written,
         runs,
--- a/packages/medlarlb-daemon/src/caller/createAttempts.ts
+++ b/packages/medlarlb-daemon/src/caller/createAttempts.ts
@@ -51,7 +51,10 @@
                 request.res.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-cache" });
             }
             request.res.write(`id: ${frame.offset}\ndata: ${frame.data}\n\n`);
-            request.record.note(frame.data);
+            if (!request.summary.nonIdempotent) {
+                // Only a request that may run again is ever compared with what its caller has.
+                request.record.note(frame.data);
+            }
             request.streamDone ||= frame.data === DONE_DATA;
         }
         return request.res.writableLength <= MAX_WAITING_BYTES;
--- a/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
+++ b/packages/medlarlb-daemon/src/caller/createCallerEdge.ts
@@ -4,14 +4,13 @@
 import type { DecisionInput } from "medlarlb-types/decisionInput";
 import type { Problem } from "medlarlb-types/problem";
 import type { RequestId } from "medlarlb-types/requestId";
-import { createFrameOrder } from "medlarlb-targets/createFrameOrder";
 import type { createTargetCaller } from "medlarlb-targets/createTargetCaller";
 import type { createMetrics } from "../createMetrics.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { createAttempts } from "./createAttempts.js";
 import type { createClaims } from "./createClaims.js";
 import { createErrorBody } from "./createErrorBody.js";
-import { createFrameRecord } from "./createFrameRecord.js";
+import { createCallerRequest } from "./createCallerRequest.js";
 import { sendProblem } from "./sendProblem.js";
 
 interface EdgeOptions {
@@ -29,8 +28,6 @@
 
 type Command<Kind extends DecisionCommand["kind"]> = Extract<DecisionCommand, { kind: Kind }>;
 
-type Accepted = Pick<CallerRequest, "summary" | "method" | "path" | "contentType" | "body" | "res" | "callerId">;
-
 /** Creates the edge towards callers: it holds the open requests and carries out what the decisions say of them. */
 export const createCallerEdge = (options: EdgeOptions) => {
     const { metrics, claims, push } = options;
@@ -77,19 +74,8 @@
         },
     });
 
-    const accept = (accepted: Accepted): void => {
-        const request: CallerRequest = {
-            ...accepted,
-            frames: createFrameOrder(),
-            record: createFrameRecord(),
-            unchecked: false,
-            streamDone: false,
-            hasOffsets: false,
-            headSent: false,
-            stopAttempt: () => undefined,
-            finished: false,
-            startedAtMs: Date.now(),
-        };
+    const accept = (accepted: Parameters<typeof createCallerRequest>[0]): void => {
+        const request = createCallerRequest(accepted);
         const { requestId } = accepted.summary;
         open.set(requestId, request);
         accepted.res.setHeader("x-medlarlb-request-id", requestId);
--- /dev/null
+++ b/packages/medlarlb-daemon/src/caller/createCallerRequest.ts
@@ -0,0 +1,19 @@
+import { createFrameOrder } from "medlarlb-targets/createFrameOrder";
+import type { CallerRequest } from "./callerRequest.js";
+import { createFrameRecord } from "./createFrameRecord.js";
+
+type Accepted = Pick<CallerRequest, "summary" | "method" | "path" | "contentType" | "body" | "res" | "callerId">;
+
+/** Creates the edge's row of a request that has just been accepted. */
+export const createCallerRequest = (accepted: Accepted): CallerRequest => ({
+    ...accepted,
+    frames: createFrameOrder(),
+    record: createFrameRecord(),
+    unchecked: false,
+    streamDone: false,
+    hasOffsets: false,
+    headSent: false,
+    stopAttempt: () => undefined,
+    finished: false,
+    startedAtMs: Date.now(),
+});
--- a/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
+++ b/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
@@ -99,7 +99,6 @@
                     targetAtMs: arrivedAtMs + route.latencyTargetMs,
                     startByMs: arrivedAtMs + Math.min(allowedMs, adapter.callerPatienceMs(route) ?? allowedMs),
                     deadlineAtMs: arrivedAtMs + allowedMs,
-                    fingerprint: "",
                 },
             });
         }, () => reject(req, res, 413, "the body is longer than the operator allows"));
--- a/packages/medlarlb-daemon/src/gateway/startFromPeers.ts
+++ b/packages/medlarlb-daemon/src/gateway/startFromPeers.ts
@@ -4,6 +4,7 @@
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { createPeerGroup } from "medlarlb-peers/createPeerGroup";
 import { sampleItems } from "medlarlb-peers/sampleItems";
+import { repeatEvery } from "../shared/repeatEvery.js";
 
 interface StartOptions {
     /** Peer addresses of other instances, separated by commas. */
@@ -27,13 +28,13 @@
 export const startFromPeers = ({ seeds, zone, peers, isRead, random }: StartOptions): void => {
     const ids = seeds.split(",").map(each => each.trim()).filter(each => each !== "").map(each => brandAs<InstanceId>(each));
     peers.setListed(ids.map((id): ListedInstance => ({ id, role: "daemon", zone, address: id, state: "live" })));
-    const timer = setInterval(() => {
+    const end = repeatEvery(ASK_MS, () => {
         if (isRead()) {
-            clearInterval(timer);
+            end();
             return;
         }
         // The first member is this instance.
         const known = [...new Set([...ids, ...peers.alive().slice(1).map(member => member.id)])];
         sampleItems(known, ASKED, random).forEach(id => peers.send(id, { kind: "pullDirectory" }));
-    }, ASK_MS);
+    });
 };
--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -5,6 +5,7 @@
 import { createGatewayDecisions } from "../createGatewayDecisions.js";
 import type { GatewayCommand } from "../gatewayCommand.js";
 import type { GatewayInput } from "../gatewayInput.js";
+import { createSettings } from "./support/createSettings.js";
 
 type Send = Extract<GatewayCommand, { kind: "send" }>;
 
@@ -12,16 +13,7 @@
 
 const createBench = (route: Partial<Route>) => {
     let nowMs = 1_000;
-    const decisions = createGatewayDecisions({
-        instanceId: "i1" as never,
-        zone: "z" as never,
-        policy: "predict",
-        retryRatio: 0.2,
-        retryWindowMs: 10_000,
-        retryExtra: 56,
-        storeLoadWindowMs: 5_000,
-        storeLoadFactor: 1.1,
-    }, () => 0.5);
+    const decisions = createGatewayDecisions(createSettings("i1", "z"), () => 0.5);
     const give = (...inputs: GatewayInput[]): GatewayCommand[] => {
         nowMs += 10;
         return decisions.step(nowMs, inputs);
@@ -86,7 +78,6 @@
                 targetAtMs: nowMs + 800,
                 startByMs: nowMs + 3_200,
                 deadlineAtMs: nowMs + 9_000,
-                fingerprint: "",
             },
         }))[0];
         if (sent === undefined) {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/plainServices.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/plainServices.test.ts
@@ -4,6 +4,7 @@
 import type { Route } from "medlarlb-types/route";
 import { createGatewayDecisions } from "../createGatewayDecisions.js";
 import type { GatewayInput } from "../gatewayInput.js";
+import { createSettings } from "./support/createSettings.js";
 
 const ROUTE: Route = {
     name: "r",
@@ -38,16 +39,7 @@
 
 /** Plays requests of zone `a` to a plain service with one target in each of three zones. Gives the share that stays in `a`. */
 const play = (answer: (targetId: string, index: number) => { status: number; tookMs: number }): number => {
-    const decisions = createGatewayDecisions({
-        instanceId: brandAs("i1"),
-        zone: brandAs("a"),
-        policy: "predict",
-        retryRatio: 0.2,
-        retryWindowMs: 10_000,
-        retryExtra: 56,
-        storeLoadWindowMs: 5_000,
-        storeLoadFactor: 1.1,
-    }, () => 0.5);
+    const decisions = createGatewayDecisions(createSettings("i1", "a"), () => 0.5);
     let nowMs = 1_000;
     decisions.step(nowMs, ["a", "b", "c"].map(target));
     let own = 0;
@@ -72,7 +64,6 @@
                 targetAtMs: nowMs + ROUTE.latencyTargetMs,
                 startByMs: nowMs + ROUTE.timeoutMs,
                 deadlineAtMs: nowMs + ROUTE.timeoutMs,
-                fingerprint: "",
             },
         }]);
         const sent = commands.find(each => each.kind === "send");
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
@@ -0,0 +1,14 @@
+import { brandAs } from "medlarlb-types/brandAs";
+import type { GatewaySettings } from "../../gatewaySettings.js";
+
+/** Creates the settings of an instance in a test: budgets and limits as a site may have them. */
+export const createSettings = (instanceId: string, zone: string, policy: GatewaySettings["policy"] = "predict"): GatewaySettings => ({
+    instanceId: brandAs(instanceId),
+    zone: brandAs(zone),
+    policy,
+    retryRatio: 0.2,
+    retryWindowMs: 10_000,
+    retryExtra: 56,
+    storeLoadWindowMs: 5_000,
+    storeLoadFactor: 1.1,
+});
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualSite.ts
@@ -6,12 +6,12 @@
 import type { RequestId } from "medlarlb-types/requestId";
 import type { Route } from "medlarlb-types/route";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
-import type { ZoneId } from "medlarlb-types/zoneId";
 import { createGatewayDecisions } from "../../createGatewayDecisions.js";
 import type { GatewayCommand } from "../../gatewayCommand.js";
 import type { GatewayInput } from "../../gatewayInput.js";
 import type { GatewaySettings } from "../../gatewaySettings.js";
 import { createVirtualEngine } from "./virtualEngine.js";
+import { createSettings } from "./createSettings.js";
 
 interface SiteOptions {
     seed: number;
@@ -98,16 +98,7 @@
         onDisk: Array.from({ length: modelsOnDisk }, () => `m${Math.floor(random() * models)}`),
     }));
     const instances = Array.from({ length: zones * instancesPerZone }, (_, index) => {
-        const settings: GatewaySettings = {
-            instanceId: brandAs<InstanceId>(`i${index}`),
-            zone: brandAs<ZoneId>(`z${index % zones}`),
-            policy,
-            retryRatio: 0.2,
-            retryWindowMs: 10_000,
-            retryExtra: 56,
-            storeLoadWindowMs: 5_000,
-            storeLoadFactor: 1.1,
-        };
+        const settings = createSettings(`i${index}`, `z${index % zones}`, policy);
         return { settings, decisions: createGatewayDecisions(settings, random), inputs: [] as GatewayInput[], messages: 0 };
     });
     const events: { atMs: number; run: () => void }[] = [];
@@ -258,7 +249,6 @@
                     targetAtMs: nowMs + defaultRoute.latencyTargetMs,
                     startByMs: nowMs + Math.min(defaultRoute.timeoutMs, Math.max(2_000, 4 * defaultRoute.latencyTargetMs)),
                     deadlineAtMs: nowMs + defaultRoute.timeoutMs,
-                    fingerprint: "",
                 },
             });
             return callId;
--- a/packages/medlarlb-decisions/src/gateway/calls/askForModel.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/askForModel.ts
@@ -1,23 +1,15 @@
 import type { TargetId } from "medlarlb-types/targetId";
-import type { ZoneId } from "medlarlb-types/zoneId";
 import type { CallRow } from "../rows/callRow.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import { listHomeZones } from "../placement/listHomeZones.js";
 import { wantModel } from "../placement/wantModel.js";
+import { canPlan } from "./canPlan.js";
 
 /** Interval in ms at which a model that doesn't come is asked for again. */
 const ASK_AGAIN_MS = 250;
 /** Time in ms after which the next zone is asked too. */
 const NEXT_ZONE_MS = 800;
 
-/** Time in ms after which a planner that doesn't tell that it plans is passed over. */
-const PLANNING_MS = 800;
-
-const canPlan = (world: GatewayWorld, zone: ZoneId): boolean => {
-    const toldAtMs = world.planningAtMs.get(zone) ?? Number.NEGATIVE_INFINITY;
-    return (zone === world.settings.zone && world.fence !== undefined) || world.nowMs - toldAtMs < PLANNING_MS;
-};
-
 /** Asks the planner of a zone for the model or adapter that a call waits for. */
 export const askForModel = (world: GatewayWorld, row: CallRow, targetId: TargetId | undefined): void => {
     const { service, model, adapter } = row.facts;
--- a/packages/medlarlb-decisions/src/gateway/calls/backlogTokens.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/backlogTokens.ts
@@ -1,16 +1,12 @@
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { unreadTokens } from "./unreadTokens.js";
 
 /** Age in ms from which what another instance told of its load no longer counts. */
 const PEER_LOAD_MS = 1_500;
 
 /** Counts the prompt tokens that a target has still to read, for this instance and for those that tell of theirs. */
 export const backlogTokens = (target: PoolTarget, nowMs: number): number => {
-    let tokens = 0;
-    for (const flight of target.flights.values()) {
-        if (flight.begunAtMs === undefined) {
-            tokens += flight.workTokens;
-        }
-    }
+    let tokens = unreadTokens(target);
     for (const load of target.peerLoads.values()) {
         const ageMs = nowMs - load.atMs;
         if (ageMs < PEER_LOAD_MS) {
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -7,6 +7,7 @@
 import { runningCount } from "./runningCount.js";
 import { sendCall } from "./sendCall.js";
 import { waitingElsewhereMs } from "./waitingElsewhereMs.js";
+import { dequeueCall } from "./dequeueCall.js";
 
 /**
  * Longest predicted wait on an engine for which a call is sent, in ms. What waits at the engine can't be refused
@@ -54,7 +55,7 @@
     const ownMs = aheadMs.get(model) ?? 0;
     const queuedMs = ownMs + waitingElsewhereMs(world, row, choice.replicas, choice.target.msPerUnit);
     if (ownMs === 0 && queuedMs + choice.prediction.waitMs <= ENGINE_WAIT_MS && canTake(world, row, choice)) {
-        world.queues.get(facts.service)?.splice(world.queues.get(facts.service)?.indexOf(row) ?? 0, 1);
+        dequeueCall(world, row);
         sendCall(world, row, choice.target, choice.prediction);
         return true;
     }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -3,6 +3,7 @@
 import type { GatewayWorld } from "../gatewayWorld.js";
 import { countRequest } from "../retries/countRequest.js";
 import type { CallRow } from "../rows/callRow.js";
+import { addArrivals } from "../status/addArrivals.js";
 
 /** Takes in a caller's request. */
 export const applyCall = (world: GatewayWorld, facts: CallFacts): void => {
@@ -25,10 +26,7 @@
     world.retries.set(facts.service, budget);
     countRequest(budget, world.settings.retryWindowMs, world.nowMs);
     if (facts.model !== undefined) {
-        const key = `${facts.service}/${facts.model}`;
-        const arrivals = world.arrivals.get(key) ?? { service: facts.service, model: facts.model, tokens: 0, requests: 0 };
-        arrivals.tokens += facts.promptTokens;
-        arrivals.requests += 1;
-        world.arrivals.set(key, arrivals);
+        const { service, model, promptTokens } = facts;
+        addArrivals(world.arrivals, [{ service, model, tokens: promptTokens, requests: 1 }]);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/listNewsListeners.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/listNewsListeners.ts
@@ -1,16 +1,15 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import { isLargeGroup } from "../status/isLargeGroup.js";
+import { listZoneMembers } from "../status/listZoneMembers.js";
 
 /**
  * Lists the instances that a planner tells of an engine of its zone: all of them, or in a large group those of its zone
  * and the other planners, which pass it on to theirs. So news cross to each other zone once.
  */
 export const listNewsListeners = (world: GatewayWorld): InstanceId[] => {
-    const { zone, instanceId } = world.settings;
     if (!isLargeGroup(world)) {
         return world.members.map(member => member.id);
     }
-    const near = world.members.filter(member => member.zone === zone).map(member => member.id);
-    return [...new Set([...near, ...world.planners.values()])].filter(id => id !== instanceId);
+    return [...new Set([...listZoneMembers(world), ...world.planners.values()])].filter(id => id !== world.settings.instanceId);
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
@@ -48,8 +48,8 @@
             continue;
         }
         // A model without a replica is loaded by its home zone, or by the zone that callers ask.
-        const asked = load.waiting > 0 || listHomeZones(world, service, model)[0] === world.settings.zone;
-        const value = replicas === 0 && !asked ? 0 : replicaValue(load, replicas, replicasInZone);
+        const isOurs = replicas > 0 || load.waiting > 0 || listHomeZones(world, service, model)[0] === world.settings.zone;
+        const value = isOurs ? replicaValue(load, replicas, replicasInZone) : 0;
         if (value >= MIN_VALUE) {
             wishes.push({ model, value });
         }
--- a/packages/medlarlb-decisions/src/gateway/status/buildStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/buildStatus.ts
@@ -5,6 +5,9 @@
 import { createDigestBuilder } from "./createDigestBuilder.js";
 import { isLargeGroup } from "./isLargeGroup.js";
 import { sumZone } from "./sumZone.js";
+import { addWaiting } from "./addWaiting.js";
+import { listZoneMembers } from "./listZoneMembers.js";
+import { unreadTokens } from "../calls/unreadTokens.js";
 
 /** Interval in ms at which instances tell each other of their load: a few prompts' time. */
 const STATUS_MS = 150;
@@ -21,29 +24,26 @@
 const listWaiting = (world: GatewayWorld): InstanceStatus["waiting"] => {
     const waiting = new Map<string, InstanceStatus["waiting"][number]>();
     for (const queue of world.queues.values()) {
-        for (const { facts } of queue) {
-            const key = `${facts.service}/${facts.model ?? ""}`;
-            const each = waiting.get(key) ?? { service: facts.service, model: facts.model ?? "", requests: 0 };
-            each.requests += 1;
-            waiting.set(key, each);
+        for (const { facts: { service, model } } of queue) {
+            if (model !== undefined) {
+                addWaiting(waiting, { service, model, requests: 1 });
+            }
         }
     }
-    return [...waiting.values()].filter(each => each.model !== "");
+    return [...waiting.values()];
 };
 
 const listLoads = (world: GatewayWorld): InstanceStatus["loads"] => {
     const loads: InstanceStatus["loads"] = [];
     for (const [targetId, target] of world.targets) {
-        let backlogTokens = 0;
         const runs: Record<string, number> = {};
         for (const flight of target.flights.values()) {
-            backlogTokens += flight.begunAtMs === undefined ? flight.workTokens : 0;
             if (flight.model !== undefined) {
                 runs[flight.model] = (runs[flight.model] ?? 0) + 1;
             }
         }
         if (target.flights.size > 0) {
-            loads.push({ targetId, backlogTokens, running: target.flights.size, runs });
+            loads.push({ targetId, backlogTokens: unreadTokens(target), running: target.flights.size, runs });
         }
     }
     return loads;
@@ -82,7 +82,7 @@
  */
 const shareInLargeGroup = (world: GatewayWorld, status: InstanceStatus): void => {
     const { zone, instanceId } = world.settings;
-    const near = world.members.filter(member => member.zone === zone).map(member => member.id);
+    const near = listZoneMembers(world);
     const planner = world.planners.get(zone);
     const otherPlanners = [...world.planners].filter(([each, id]) => each !== zone && id !== instanceId).map(([, id]) => id);
     if (world.fence !== undefined) {
--- a/packages/medlarlb-decisions/src/gateway/status/createDigestBuilder.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/createDigestBuilder.ts
@@ -3,11 +3,11 @@
 import { isZoneCut } from "../calls/isZoneCut.js";
 import type { GatewayWorld } from "../gatewayWorld.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { canPlan } from "../calls/canPlan.js";
+import { unreadTokens } from "../calls/unreadTokens.js";
 
 /** Age in ms from which what was told of waiting requests no longer counts: some messages. */
 const WAITING_MS = 500;
-/** Age in ms from which a planner that said it plans no longer counts: some of its messages. */
-const PLANNING_MS = 800;
 
 const listWaitingElsewhere = (world: GatewayWorld, listener: InstanceId): SiteDigest["waiting"] =>
     [...world.demand.values()].flatMap(({ service, model, waiting }) => {
@@ -23,14 +23,11 @@
     const { zone, instanceId } = world.settings;
     const isFresh = (atMs: number): boolean => world.nowMs - atMs < maxAgeMs;
     const zones = [...world.zoneHeardMs.keys(), zone].filter(each => !isZoneCut(world, each));
-    const planning = [...world.planningAtMs].filter(([, atMs]) => world.nowMs - atMs < PLANNING_MS).map(([each]) => each);
+    const planningZones = [...new Set([...world.planningAtMs.keys(), zone])].filter(each => canPlan(world, each));
     const totals: { target: PoolTarget; backlogTokens: number; running: number }[] = [];
     for (const target of world.targets.values()) {
-        let backlogTokens = 0;
+        let backlogTokens = unreadTokens(target);
         let running = target.flights.size;
-        for (const flight of target.flights.values()) {
-            backlogTokens += flight.begunAtMs === undefined ? flight.workTokens : 0;
-        }
         for (const load of target.peerLoads.values()) {
             if (isFresh(load.atMs)) {
                 backlogTokens += load.backlogTokens;
@@ -45,7 +42,7 @@
         waiting: listWaitingElsewhere(world, listener),
         instanceId,
         reachedZones: zones,
-        planningZones: [...new Set([...planning, zone])],
+        planningZones,
         loads: totals.flatMap(({ target, ...total }) => {
             const own = target.peerLoads.get(listener);
             const counted = own !== undefined && isFresh(own.atMs) ? own : { backlogTokens: 0, running: 0 };
--- a/packages/medlarlb-decisions/src/gateway/status/sumZone.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sumZone.ts
@@ -1,5 +1,6 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { GatewayWorld } from "../gatewayWorld.js";
+import { addWaiting } from "./addWaiting.js";
 
 type Load = InstanceStatus["loads"][number];
 type Waiting = InstanceStatus["waiting"][number];
@@ -14,13 +15,6 @@
     sum.set(load.targetId, row);
 };
 
-const addWaiting = (sum: Map<string, Waiting>, waiting: Waiting): void => {
-    const key = `${waiting.service}/${waiting.model}`;
-    const row = sum.get(key) ?? { ...waiting, requests: 0 };
-    row.requests += waiting.requests;
-    sum.set(key, row);
-};
-
 /** Sums up the statuses of the instances of this zone, this one's among them, for the planners of the others. */
 export const sumZone = (world: GatewayWorld, own: InstanceStatus, maxAgeMs: number): InstanceStatus => {
     const loads = new Map<string, Load>();
--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -31,6 +31,33 @@
     limits: { max_header_bytes: 4_096, max_body_bytes: 10_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
 });
 
+interface Addresses {
+    caller: string;
+    readiness: string;
+    peer: string;
+    metrics: string;
+    store: string;
+}
+
+const createSettings = ({ caller, readiness, peer, metrics, store }: Addresses, seeds = ""): string => [
+    "[instance]",
+    "zone = a",
+    "[caller]",
+    `address = ${caller}`,
+    "[readiness]",
+    `address = ${readiness}`,
+    "[peer]",
+    `address = ${peer}`,
+    `seeds = ${seeds}`,
+    "key = sixteen-characters",
+    "[store]",
+    `address = ${store}`,
+    "[metrics]",
+    `address = ${metrics}`,
+    "[limits]",
+    "graceSeconds = 6",
+].join("\n");
+
 describe("the gateway as a process, on stand-ins of the users' platform", () => {
     const folder = mkdtempSync(join(tmpdir(), "medlarlb-gateway-"));
     const engines = [createSiteEngine("e1"), createSiteEngine("e2")];
@@ -53,23 +80,7 @@
         peer = await findAddress();
         const path = join(folder, "settings.ini");
         const storeAddress = `127.0.0.1:${(store.server.address() as AddressInfo).port}`;
-        writeFileSync(path, [
-            "[instance]",
-            "zone = a",
-            "[caller]",
-            `address = ${caller}`,
-            "[readiness]",
-            `address = ${readiness}`,
-            "[peer]",
-            `address = ${peer}`,
-            "key = sixteen-characters",
-            "[store]",
-            `address = ${storeAddress}`,
-            "[metrics]",
-            `address = ${metrics}`,
-            "[limits]",
-            "graceSeconds = 6",
-        ].join("\n"));
+        writeFileSync(path, createSettings({ caller, readiness, peer, metrics, store: storeAddress }));
         gateway = spawn(process.execPath, [MAIN], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "pipe", "inherit"] });
         if (readLog) {
             gateway.stdout?.resume();
@@ -214,25 +225,11 @@
     });
 
     it("starts from another instance while the store doesn't answer", async () => {
-        const [ownCaller, ownReadiness, ownPeer, ownMetrics, dead]
-            = (await Promise.all(Array.from({ length: 5 }, findFreePort))).map(port => `127.0.0.1:${port}`);
+        const addresses = await Promise.all(Array.from({ length: 5 }, findFreePort));
+        const [ownCaller = "", ownReadiness = "", ownPeer = "", ownMetrics = "", dead = ""] = addresses.map(port => `127.0.0.1:${port}`);
         const path = join(folder, "second.ini");
-        writeFileSync(path, [
-            "[instance]",
-            "zone = a",
-            "[caller]",
-            `address = ${ownCaller}`,
-            "[readiness]",
-            `address = ${ownReadiness}`,
-            "[peer]",
-            `address = ${ownPeer}`,
-            `seeds = ${peer}`,
-            "key = sixteen-characters",
-            "[store]",
-            `address = ${dead}`,
-            "[metrics]",
-            `address = ${ownMetrics}`,
-        ].join("\n"));
+        const own = { caller: ownCaller, readiness: ownReadiness, peer: ownPeer, metrics: ownMetrics, store: dead };
+        writeFileSync(path, createSettings(own, peer));
         const second = spawn(process.execPath, [MAIN], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "ignore", "inherit"] });
         try {
             await waitFor("the second instance answers from a target", async () => {
