--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -10,8 +10,10 @@
 interface RelayEvents {
     onLoad: (load: NonNullable<AnswerHeaders["load"]>) => void;
     onBegun: () => void;
-    onProgress: () => void;
-    onFinished: (status: number) => void;
+    /** Called at most once in a while although bytes keep arriving. */
+    onContact: () => void;
+    /** `longestGapMs` is the longest pause between two parts of the answer. */
+    onFinished: (status: number, longestGapMs: number) => void;
     onFailed: (failure: { ran: "no" | "unknown"; cause: FailureCause; reason: string }) => void;
 }
 
@@ -20,6 +22,7 @@
     targetId: string;
     adapter: GatewayAdapter;
     events: RelayEvents;
+    now: () => number;
     /** Id of the last event that the caller received, if this attempt continues a stream. */
     lastDeliveredId: string | undefined;
     onDelivered: (eventId: string) => void;
@@ -31,6 +34,8 @@
 const MAX_BUFFERED_BYTES = 262_144;
 const MISDIRECTED_REQUEST_STATUS = 421;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Shortest time in ms between two reports that a target is sending. */
+const CONTACT_INTERVAL_MS = 100;
 
 /**
  * How the body is handled: discarded, buffered whole, relayed chunk by chunk, or relayed event by event. It is undecided
@@ -40,7 +45,7 @@
 
 /** Creates the handlers that check one response of a target and relay it to the caller. */
 export const createAnswerRelay = (options: RelayOptions): PooledResponseHandlers => {
-    const { call, adapter, events, targetId } = options;
+    const { call, adapter, events, targetId, now } = options;
     const { res, metadata } = call;
     const splitter = createSseSplitter();
     let answerHeaders: AnswerHeaders | undefined;
@@ -50,6 +55,9 @@
     let bufferedBytes = 0;
     let hasBegun = false;
     let hasFailed = false;
+    let lastChunkAtMs: number | undefined;
+    let longestGapMs = 0;
+    let nextContactMs = Number.NEGATIVE_INFINITY;
     let lastEventId = options.lastDeliveredId;
 
     const fail = (ran: "no" | "unknown", cause: FailureCause, reason: string): void => {
@@ -115,6 +123,16 @@
         return hasCapacity;
     };
 
+    const recordChunk = (): void => {
+        const nowMs = now();
+        longestGapMs = Math.max(longestGapMs, nowMs - (lastChunkAtMs ?? nowMs));
+        lastChunkAtMs = nowMs;
+        if (nowMs >= nextContactMs) {
+            nextContactMs = nowMs + CONTACT_INTERVAL_MS;
+            events.onContact();
+        }
+    };
+
     const reportRefusal = (): void => {
         if (status === MISDIRECTED_REQUEST_STATUS) {
             const isOtherTarget = answerHeaders?.targetId !== undefined && answerHeaders.targetId !== targetId;
@@ -169,7 +187,7 @@
         reportBegun();
         writeHead(mode === "buffer" ? bufferedBytes : undefined);
         res.end(mode === "buffer" ? Buffer.concat(bufferedChunks) : undefined);
-        events.onFinished(status);
+        events.onFinished(status, longestGapMs);
     };
 
     return {
@@ -185,7 +203,7 @@
             if (hasFailed || mode === "drop") {
                 return true;
             }
-            events.onProgress();
+            recordChunk();
             if (mode === "events") {
                 try {
                     return relayEvents(chunk);
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -17,6 +17,8 @@
     metrics: ReturnType<typeof createGatewayMetrics>;
     now: () => number;
     push: (input: GatewayInput) => void;
+    /** Passes on an input that can wait for the next step. */
+    note: (input: GatewayInput) => void;
     /** Returns whether this instance is stopping, so that callers have to open connections to another instance. */
     isStopping: () => boolean;
 }
@@ -31,7 +33,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** Creates the proxy that carries out the decisions' commands for calls: send an attempt, abort it, or answer the caller. */
-export const createCallProxy = ({ adapter, pool, metrics, now, push, isStopping }: CallProxyOptions) => {
+export const createCallProxy = ({ adapter, pool, metrics, now, push, note, isStopping }: CallProxyOptions) => {
     const openCalls = new Map<RequestId, OpenCall>();
 
     const accept = (call: IngressCall): void => {
@@ -84,6 +86,7 @@
             call,
             targetId,
             adapter,
+            now,
             lastDeliveredId: openCall.lastDeliveredId,
             onDelivered: id => {
                 openCall.lastDeliveredId = id;
@@ -95,10 +98,10 @@
                     observeFirstEvent(openCall, sentAtMs, command.predictedMs);
                     push({ kind: "begun", callId, attempt });
                 },
-                onProgress: () => push({ kind: "progress", callId, attempt }),
-                onFinished: status => {
+                onContact: () => note({ kind: "contact", targetId, atMs: now() }),
+                onFinished: (status, longestGapMs) => {
                     metrics.answers.inc({ status, by: "target" });
-                    push({ kind: "finished", callId, attempt, status });
+                    push({ kind: "finished", callId, attempt, status, longestGapMs });
                 },
                 onFailed: failure => push({ kind: "failed", callId, attempt, ...failure }),
             },
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -76,7 +76,7 @@
         storeLoadWindowMs: settings.limits.storeLoadWindowSeconds * MS_PER_SECOND,
         storeLoadFactor: settings.limits.storeLoadFactor,
     }, random);
-    const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => performCommand(command), now);
+    const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => performCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
     const store = createStoreClient({ address: settings.store.address, countCall: call => metrics.storeCalls.inc({ call }) });
@@ -84,7 +84,7 @@
     const engines = createEngineControl(engineAgent, instanceId);
     const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc() });
     const adapter = { callerFirstEventTimeoutMs, readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
-    const callProxy = createCallProxy({ adapter, pool, metrics, now, push, isStopping: () => stopping });
+    const callProxy = createCallProxy({ adapter, pool, metrics, now, push, note: loop.note, isStopping: () => stopping });
     const ingress = createIngressServer({
         adapter,
         config: () => config,
--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -85,7 +85,7 @@
         }
         return sent;
     };
-    const createFailure = (attempt: number, ran: "no" | "unknown", cause: "cut" | "full" | "notHeld"): GatewayInput =>
+    const createFailure = (attempt: number, ran: "no" | "unknown", cause: "cut" | "full" | "notHeld" | "garbled"): GatewayInput =>
         ({ kind: "failed", callId, attempt, ran, cause, reason: "test" });
     /** Runs several steps without inputs and returns their commands. */
     const repeatStep = (stepCount = 20): GatewayCommand[] => Array.from({ length: stepCount }, () => step()).flat();
@@ -129,6 +129,14 @@
         expect(listStatuses(commands)).to.deep.equal([502]);
     });
 
+    it("continues a stream that breaks after the time by which its first event was due", () => {
+        const { step, call, createFailure, repeatStep, listSends } = createTestGateway({ resumable: true, maxAttempts: 2 });
+        call();
+        step({ kind: "begun", callId, attempt: 1 });
+        repeatStep(400);
+        expect(listSends([...step(createFailure(1, "unknown", "garbled")), ...repeatStep()])).to.have.length(1);
+    });
+
     it("spends the retry budget on refused attempts, and answers 503 (not run) when it is used up", () => {
         const { step, call, createFailure, repeatStep, listSends, listStatuses } = createTestGateway({});
         call();
--- a/packages/medlarlb-decisions/src/gateway/__tests__/plainServices.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/plainServices.test.ts
@@ -70,7 +70,7 @@
         ownZoneCount += sent?.targetId === "t-a" ? 1 : 0;
         const { status, tookMs } = respond(String(sent?.targetId), index);
         nowMs += tookMs;
-        decisions.step(nowMs, [{ kind: "begun", callId, attempt: 1 }, { kind: "finished", callId, attempt: 1, status }]);
+        decisions.step(nowMs, [{ kind: "begun", callId, attempt: 1 }, { kind: "finished", callId, attempt: 1, status, longestGapMs: 0 }]);
     }
     return ownZoneCount / requestCount;
 };
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
@@ -67,7 +67,11 @@
     const { seed, zones, enginesPerZone, models, policy = "predict", route = {}, storeLoadMs = 1_200, modelsOnDisk = 0 } = options;
     const { msPerToken = [MS_PER_TOKEN], instancesPerZone = 1 } = options;
     const generator = xoroshiro128plus(seed);
-    const random = (): number => uniformFloat64(generator);
+    let draws = 0;
+    const random = (): number => {
+        draws += 1;
+        return uniformFloat64(generator);
+    };
     const profile = createProfile(models, storeLoadMs);
     const config: RoutingConfig = {
         version: 1,
@@ -143,7 +147,7 @@
                 if (outcome !== undefined && outcome.status === 0) {
                     outcome.status = 200;
                     outcome.firstMs = nowMs - outcome.arrivedAtMs;
-                    from.inputs.push({ kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200 });
+                    from.inputs.push({ kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200, longestGapMs: 0 });
                 }
             });
         });
@@ -225,6 +229,8 @@
         engines,
         instances,
         random,
+        /** Returns how many random numbers were drawn. The choice of a target draws one for each candidate. */
+        draws: (): number => draws,
         now: (): number => nowMs,
         runs,
         outcomes: (): Outcome[] => [...outcomes.values()],
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -1,6 +1,7 @@
 import { failCall } from "./calls/failCall.js";
-import { removeCall } from "./calls/removeCall.js";
+import { recordContact } from "./calls/recordContact.js";
 import { logEvent } from "./calls/logEvent.js";
+import { removeCall } from "./calls/removeCall.js";
 import type { GatewayInput } from "./gatewayInput.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { applyAnswerStarted } from "./inputs/applyAnswerStarted.js";
@@ -9,7 +10,6 @@
 import { applyFailed } from "./inputs/applyFailed.js";
 import { applyFinished } from "./inputs/applyFinished.js";
 import { applyPlacementUpdate } from "./inputs/applyPlacementUpdate.js";
-import { applyProgress } from "./inputs/applyProgress.js";
 import { applyStatus } from "./inputs/applyStatus.js";
 import { applyTarget } from "./inputs/applyTarget.js";
 import { removeTarget } from "./inputs/removeTarget.js";
@@ -18,6 +18,8 @@
 import { applyReport } from "./placement/applyReport.js";
 import { relayPlacementUpdate } from "./placement/relayPlacementUpdate.js";
 import { applyModelRequest } from "./placement/applyModelRequest.js";
+import { markAllPools } from "./pools/markAllPools.js";
+import { markTargetPools } from "./pools/markTargetPools.js";
 
 type Handlers = { [Kind in GatewayInput["kind"]]: (context: GatewayContext, input: Extract<GatewayInput, { kind: Kind }>) => void };
 
@@ -34,6 +36,7 @@
         const target = context.targets.get(targetId);
         if (target !== undefined && !target.leaving) {
             target.leaving = true;
+            markTargetPools(context, target);
             logEvent(context, "targetState", { target: targetId, leaving: true, source });
         }
     },
@@ -49,22 +52,27 @@
         const target = context.targets.get(targetId);
         if (target !== undefined) {
             target.reportedLoad = { running, waiting, slots, atMs: context.nowMs };
+            markTargetPools(context, target);
         }
     },
     begun: applyAnswerStarted,
-    progress: applyProgress,
+    contact: (context, { targetId, atMs }) => {
+        const target = context.targets.get(targetId);
+        if (target !== undefined) {
+            recordContact(context, target, atMs);
+        }
+    },
     finished: applyFinished,
     failed: applyFailed,
     instances: (context, { count, planners, members }) => {
         context.instanceCount = count;
         context.planners = planners;
         context.members = members;
+        markAllPools(context);
     },
     stop: context => {
-        for (const queue of context.queues.values()) {
-            for (const row of [...queue]) {
-                failCall(context, row, "this instance stops", 0);
-            }
+        for (const row of [...context.calls.values()].filter(each => each.pool !== undefined)) {
+            failCall(context, row, "this instance stops", 0);
         }
     },
     status: (context, { status }) => applyStatus(context, status),
@@ -86,8 +94,13 @@
     ordered: applyOrdered,
 };
 
+/** Inputs after which a planner has to check its engines at once. */
+const placementInputs: ReadonlySet<GatewayInput["kind"]>
+    = new Set(["config", "target", "targetGone", "targetLeaving", "duty", "report", "reportFailed", "ordered", "wanted"]);
+
 /** Applies one input to the tables of the context. */
 export const applyGatewayInput = (context: GatewayContext, input: GatewayInput): void => {
+    context.placementChanged ||= placementInputs.has(input.kind);
     const handler = handlers[input.kind] as (context: GatewayContext, input: GatewayInput) => void;
     handler(context, input);
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/backlogTokens.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/backlogTokens.ts
@@ -1,12 +1,11 @@
 import type { PoolTarget } from "../rows/poolTarget.js";
-import { pendingPromptTokens } from "./pendingPromptTokens.js";
 
 /** Age in ms from which a load report of another instance no longer counts. */
 const MAX_PEER_LOAD_AGE_MS = 1_500;
 
 /** Returns the prompt tokens that a target has yet to process, for this instance and those that report their load. */
 export const backlogTokens = (target: PoolTarget, nowMs: number): number => {
-    let tokens = pendingPromptTokens(target);
+    let tokens = target.pendingTokens;
     for (const load of target.peerLoads.values()) {
         const ageMs = nowMs - load.atMs;
         if (ageMs < MAX_PEER_LOAD_AGE_MS) {
--- a/packages/medlarlb-decisions/src/gateway/calls/cachedTokens.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/cachedTokens.ts
@@ -1,13 +1,11 @@
-import type { CallMetadata } from "medlarlb-types/callMetadata";
+import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 
 /** Returns the tokens of a prompt that a target is assumed to have cached: its leading parts up to the first one missing. */
-export const cachedTokens = (target: PoolTarget, metadata: CallMetadata): number => {
-    let key = `${metadata.model}/${metadata.adapter ?? ""}`;
+export const cachedTokens = (target: PoolTarget, { metadata, promptKeys }: CallRow): number => {
     let tokens = 0;
-    for (const part of metadata.promptParts) {
-        key = `${key}/${part.id}`;
-        if (!target.promptCache.parts.has(key)) {
+    for (const [index, part] of metadata.promptParts.entries()) {
+        if (!target.promptCache.parts.has(promptKeys[index] ?? "")) {
             break;
         }
         tokens += part.tokens;
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -47,7 +47,7 @@
 };
 
 const evaluateTarget = (context: GatewayContext, row: CallRow, target: PoolTarget): Choice => {
-    const prediction = predictLatency(context, target, row.metadata);
+    const prediction = predictLatency(context, target, row);
     const ready = hasRequestedModel(target, row.metadata, true);
     const recentFailureRate = target.failureRate * 0.5 ** ((context.nowMs - target.failureRateAtMs) / FAILURE_HALF_LIFE_MS);
     const excessFailureRate = Math.max(0, recentFailureRate - (context.serviceFailureRate.get(target.entry.service) ?? 0));
@@ -93,7 +93,7 @@
         unreachableZones.set(entry.zone, isUnreachable);
         return !isUnreachable || (mayProbe && activeAttempts.size === 0);
     };
-    for (const target of context.targetsByService.get(row.metadata.service) ?? []) {
+    for (const target of row.pool?.targets ?? []) {
         const isEligible = isUsable(target, context.nowMs) && !row.excludedTargets.has(target.entry.targetId);
         if (isEligible && hasRequestedModel(target, row.metadata, false) && isReachable(target)) {
             choices.push(evaluateTarget(context, row, target));
--- a/packages/medlarlb-decisions/src/gateway/calls/dequeueCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/dequeueCall.ts
@@ -1,11 +1,14 @@
 import type { GatewayContext } from "../gatewayContext.js";
+import { dropEmptyPool } from "../pools/dropEmptyPool.js";
 import type { CallRow } from "../rows/callRow.js";
 
-/** Removes a call from the queue of its service, if it waits there. */
+/** Removes a call from those that wait for its model, if it waits. */
 export const dequeueCall = (context: GatewayContext, row: CallRow): void => {
-    const queue = context.queues.get(row.metadata.service);
-    const position = queue?.indexOf(row) ?? -1;
-    if (queue !== undefined && position >= 0) {
-        queue.splice(position, 1);
+    const { pool } = row;
+    if (pool === undefined) {
+        return;
     }
+    row.pool = undefined;
+    pool.waiting.splice(pool.waiting.indexOf(row), 1);
+    dropEmptyPool(context, pool);
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/enqueueCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/enqueueCall.ts
@@ -1,9 +1,18 @@
-import type { CallRow } from "../rows/callRow.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { findModelPool } from "../pools/findModelPool.js";
+import { markTargetPools } from "../pools/markTargetPools.js";
+import type { CallRow } from "../rows/callRow.js";
+import { scheduleCallCheck } from "./scheduleCallCheck.js";
 
-/** Adds a call to the queue of its service. The queue is sorted each time before it is served. */
+/**
+ * Adds a call to those that wait for its model. Calls for other models on the same targets are checked with it, so that the
+ * most urgent one is served first.
+ */
 export const enqueueCall = (context: GatewayContext, row: CallRow): void => {
-    const queue = context.queues.get(row.metadata.service) ?? [];
-    queue.push(row);
-    context.queues.set(row.metadata.service, queue);
+    const pool = findModelPool(context, row.metadata.service, row.metadata.model);
+    pool.waiting.push(row);
+    row.pool = pool;
+    context.changedPools.add(pool);
+    pool.targets.forEach(target => markTargetPools(context, target));
+    scheduleCallCheck(context, row);
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/isZoneUnreachable.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/isZoneUnreachable.ts
@@ -10,13 +10,9 @@
  */
 export const isZoneUnreachable = (context: GatewayContext, zone: ZoneId): boolean => {
     const lastSeenAtMs = context.zoneLastSeenAtMs.get(zone);
-    if (zone === context.settings.zone || lastSeenAtMs === undefined || context.nowMs - lastSeenAtMs < UNREACHABLE_AFTER_MS) {
+    if (zone === context.settings.zone || lastSeenAtMs === undefined) {
         return false;
     }
-    for (const target of context.targets.values()) {
-        if (target.entry.zone === zone && context.nowMs - target.lastSeenAtMs < UNREACHABLE_AFTER_MS) {
-            return false;
-        }
-    }
-    return true;
+    const targetsLastSeenAtMs = context.zoneTargetsLastSeenAtMs.get(zone) ?? Number.NEGATIVE_INFINITY;
+    return context.nowMs - Math.max(lastSeenAtMs, targetsLastSeenAtMs) >= UNREACHABLE_AFTER_MS;
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/predictLatency.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/predictLatency.ts
@@ -1,5 +1,5 @@
-import type { CallMetadata } from "medlarlb-types/callMetadata";
 import type { GatewayContext } from "../gatewayContext.js";
+import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { backlogTokens } from "./backlogTokens.js";
 import { cachedTokens } from "./cachedTokens.js";
@@ -31,11 +31,12 @@
  * Predicts how long a target would take to answer a request. An engine processes prompts one after the other, so that the time
  * depends on the prompt tokens ahead and on the request's own tokens that aren't cached from earlier prompts.
  */
-export const predictLatency = (context: GatewayContext, target: PoolTarget, metadata: CallMetadata): Prediction => {
+export const predictLatency = (context: GatewayContext, target: PoolTarget, row: CallRow): Prediction => {
+    const { metadata } = row;
     if (metadata.model === undefined) {
         return predictPlainService(context, target);
     }
-    const uncachedTokens = Math.max(1, metadata.promptTokens - cachedTokens(target, metadata));
+    const uncachedTokens = Math.max(1, metadata.promptTokens - cachedTokens(target, row));
     const aheadTokens = backlogTokens(target, context.nowMs);
     const waitMs = aheadTokens * target.msPerWorkUnit;
     return { waitMs, answerMs: waitMs + uncachedTokens * target.msPerWorkUnit + BATCH_STEP_MS, uncachedTokens, aheadTokens };
--- a/packages/medlarlb-decisions/src/gateway/calls/rememberPrompt.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/rememberPrompt.ts
@@ -1,15 +1,14 @@
-import type { CallMetadata } from "medlarlb-types/callMetadata";
+import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 
 /** Share of a target's memory that cached prompt parts are assumed to use beside running requests. */
 const PROMPT_CACHE_RATIO = 0.6;
 
 /** Records that a target caches the parts of a prompt, and removes the least recently used beyond its memory. */
-export const rememberPrompt = (target: PoolTarget, metadata: CallMetadata, contextTokens: number): void => {
+export const rememberPrompt = (target: PoolTarget, { metadata, promptKeys }: CallRow, contextTokens: number): void => {
     const { promptCache } = target;
-    let key = `${metadata.model}/${metadata.adapter ?? ""}`;
-    for (const part of metadata.promptParts) {
-        key = `${key}/${part.id}`;
+    for (const [index, part] of metadata.promptParts.entries()) {
+        const key = promptKeys[index] ?? "";
         const cachedTokens = promptCache.parts.get(key);
         // Deleting the key first keeps the map in order of last use.
         promptCache.parts.delete(key);
--- a/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
@@ -20,6 +20,6 @@
     logEvent(context, "continued", { request: row.metadata.callerRequestId, from: row.currentAttempt?.targetId, target: copyTargetId, reason });
     endCurrentAttempt(context, row);
     row.mayHaveRun = true;
-    sendCall(context, row, target, predictLatency(context, target, row.metadata), true);
+    sendCall(context, row, target, predictLatency(context, target, row), true);
     return true;
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
@@ -53,6 +53,11 @@
         ran: failure.ran,
         reason: failure.reason,
     });
+    if (row.delivered) {
+        // The caller has part of the stream, and waits for the next event as long as for the first.
+        const patienceMs = row.metadata.firstEventDeadlineAtMs - row.metadata.arrivedAtMs;
+        row.nextEventDeadlineAtMs = Math.min(row.metadata.deadlineAtMs, context.nowMs + patienceMs);
+    }
     row.notBeforeMs = failure.cause === "full" || failure.cause === "notHeld" ? context.nowMs + REFUSAL_RETRY_DELAY_MS : context.nowMs;
     enqueueCall(context, row);
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,29 +1,27 @@
-import type { CallRow } from "../rows/callRow.js";
 import type { GatewayContext } from "../gatewayContext.js";
-import { failCall } from "./failCall.js";
-import { requestModelFromPlanner } from "./requestModelFromPlanner.js";
+import type { CallRow } from "../rows/callRow.js";
+import type { ModelPool } from "../rows/modelPool.js";
 import { chooseTarget } from "./chooseTarget.js";
-import { isMoreUrgentCall } from "./isMoreUrgentCall.js";
 import { countInFlight } from "./countInFlight.js";
-import { sendCall } from "./sendCall.js";
-import { peerQueueWaitMs } from "./peerQueueWaitMs.js";
 import { dequeueCall } from "./dequeueCall.js";
+import { failCall } from "./failCall.js";
+import { peerQueueWaitMs } from "./peerQueueWaitMs.js";
+import { requestModelFromPlanner } from "./requestModelFromPlanner.js";
+import { sendCall } from "./sendCall.js";
+import { sortByUrgency } from "./sortByUrgency.js";
 
 /**
  * Longest predicted wait at an engine for which a call is sent, in ms. Once a call waits at the engine, a refusal can no
  * longer truthfully state that it has not run, so that the engine's queue is kept only as full as its batch needs.
  */
 const MAX_ENGINE_WAIT_MS = 150;
-/** Maximum number of waiting calls of a service that are handled in a step. */
+/** Maximum number of waiting calls of a model that are handled in a step. */
 const MAX_WAITING_SCANNED = 256;
 /** Expected time until a model that isn't loaded anywhere is available, in ms. */
 const EXPECTED_LOAD_MS = 1_500;
-
-/** Returns the time in ms from sending a call to its answer: its wait at the engine and the processing of its prompt. */
-const answerDelayMs = (context: GatewayContext, { metadata }: CallRow): number =>
-    (metadata.model === undefined
-        ? 0
-        : metadata.promptTokens * (context.serviceMsPerWorkUnit.get(metadata.service) ?? 0) + MAX_ENGINE_WAIT_MS);
+/** Longest and shortest time in ms until waiting calls are checked again without a change of what they wait for. */
+const MAX_CHECK_INTERVAL_MS = 50;
+const MIN_CHECK_INTERVAL_MS = 1;
 
 const hasCapacity = (context: GatewayContext, row: CallRow, choice: NonNullable<ReturnType<typeof chooseTarget>>): boolean => {
     const { target, prediction } = choice;
@@ -33,56 +31,89 @@
     return prediction.waitMs <= MAX_ENGINE_WAIT_MS && countInFlight(target, context.nowMs) < target.entry.slots;
 };
 
+/** Has a pool checked again after a time, or earlier if another call of it needs it. */
+const checkAgainAfter = (context: GatewayContext, pool: ModelPool, delayMs: number): void => {
+    const atMs = context.nowMs + Math.max(MIN_CHECK_INTERVAL_MS, Math.min(MAX_CHECK_INTERVAL_MS, delayMs));
+    pool.nextCheckAtMs = Math.min(pool.nextCheckAtMs, atMs);
+};
+
 /**
- * Sends or refuses one waiting call, or leaves it waiting. Returns whether it left the queue. `queueMsByModel` holds the
- * predicted work of the calls that were left waiting before it.
+ * Sends or refuses one waiting call, or leaves it waiting. `queueMsByPool` holds the predicted work of the calls that were
+ * left waiting before it.
  */
-const routeCall = (context: GatewayContext, row: CallRow, queueMsByModel: Map<string, number>): boolean => {
+const routeCall = (context: GatewayContext, row: CallRow, pool: ModelPool, queueMsByPool: Map<ModelPool, number>): void => {
     if (context.nowMs < row.notBeforeMs) {
-        return false;
+        checkAgainAfter(context, pool, row.notBeforeMs - context.nowMs);
+        return;
     }
     const { metadata } = row;
     const choice = chooseTarget(context, row);
-    const model = metadata.model ?? "";
     if (choice === undefined) {
         requestModelFromPlanner(context, row, undefined);
-        const hasNoTargets = metadata.model === undefined && (context.targetsByService.get(metadata.service) ?? []).length === 0;
-        if (hasNoTargets || context.nowMs + (metadata.model === undefined ? 0 : EXPECTED_LOAD_MS / 4) > metadata.firstEventDeadlineAtMs) {
+        const hasNoTargets = metadata.model === undefined && pool.targets.size === 0;
+        if (hasNoTargets || context.nowMs + (metadata.model === undefined ? 0 : EXPECTED_LOAD_MS / 4) > row.nextEventDeadlineAtMs) {
             failCall(context, row, hasNoTargets ? "the service has no target" : "no target can take it in time", EXPECTED_LOAD_MS);
-            return true;
         }
-        return false;
+        return;
     }
     if (!choice.ready) {
         requestModelFromPlanner(context, row, choice.target.entry.targetId);
-        return false;
+        return;
     }
-    const ownQueueMs = queueMsByModel.get(model) ?? 0;
+    const ownQueueMs = queueMsByPool.get(pool) ?? 0;
     const queuedMs = ownQueueMs + peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
     if (ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice)) {
         dequeueCall(context, row);
         sendCall(context, row, choice.target, choice.prediction);
-        return true;
+        return;
     }
-    const predictedAnswerAtMs = context.nowMs + queuedMs + choice.prediction.answerMs;
-    queueMsByModel.set(model, ownQueueMs + choice.prediction.uncachedTokens * choice.target.msPerWorkUnit);
-    if (predictedAnswerAtMs > metadata.firstEventDeadlineAtMs) {
+    queueMsByPool.set(pool, ownQueueMs + choice.prediction.uncachedTokens * choice.target.msPerWorkUnit);
+    if (context.nowMs + queuedMs + choice.prediction.answerMs > row.nextEventDeadlineAtMs) {
         failCall(context, row, "the predicted wait passes the deadline", queuedMs + choice.prediction.waitMs);
-        return true;
+        return;
+    }
+    if (ownQueueMs === 0) {
+        // The prediction falls by at most a ms in a ms while nothing changes.
+        const excessMs = queuedMs + choice.prediction.waitMs - MAX_ENGINE_WAIT_MS;
+        checkAgainAfter(context, pool, excessMs > 0 ? excessMs : MAX_CHECK_INTERVAL_MS);
+    }
+};
+
+/** Adds the pools that are due for a check although nothing has changed. */
+const addDuePools = (context: GatewayContext): void => {
+    if (context.nowMs < context.nextPoolCheckMs) {
+        return;
+    }
+    context.nextPoolCheckMs = Number.POSITIVE_INFINITY;
+    for (const pool of context.pools.values()) {
+        if (pool.waiting.length > 0 && pool.nextCheckAtMs <= context.nowMs) {
+            context.changedPools.add(pool);
+        }
+        else if (pool.waiting.length > 0) {
+            context.nextPoolCheckMs = Math.min(context.nextPoolCheckMs, pool.nextCheckAtMs);
+        }
     }
-    return false;
 };
 
 /** Sends waiting calls to targets, the most urgent first, and refuses those that can't be answered in time. */
 export const routeCalls = (context: GatewayContext): void => {
-    for (const queue of context.queues.values()) {
-        if (queue.length === 0) {
-            continue;
-        }
-        queue.sort((one, other) => (isMoreUrgentCall(one, other, context.nowMs, row => answerDelayMs(context, row)) ? -1 : 1));
-        const queueMsByModel = new Map<string, number>();
-        for (const row of queue.slice(0, MAX_WAITING_SCANNED)) {
-            routeCall(context, row, queueMsByModel);
+    addDuePools(context);
+    if (context.changedPools.size === 0) {
+        return;
+    }
+    const pools = [...context.changedPools];
+    context.changedPools.clear();
+    for (const pool of pools) {
+        pool.nextCheckAtMs = context.nowMs + MAX_CHECK_INTERVAL_MS;
+    }
+    const rows = sortByUrgency(context, pools.flatMap(pool => pool.waiting), MAX_ENGINE_WAIT_MS);
+    const queueMsByPool = new Map<ModelPool, number>();
+    for (const row of rows.slice(0, MAX_WAITING_SCANNED)) {
+        if (row.pool !== undefined) {
+            routeCall(context, row, row.pool, queueMsByPool);
         }
     }
+    for (const pool of pools.filter(each => each.waiting.length > 0)) {
+        context.nextPoolCheckMs = Math.min(context.nextPoolCheckMs, pool.nextCheckAtMs);
+    }
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -5,6 +5,7 @@
 import { logEvent } from "./logEvent.js";
 import type { predictLatency } from "./predictLatency.js";
 import { rememberPrompt } from "./rememberPrompt.js";
+import { scheduleCallCheck } from "./scheduleCallCheck.js";
 
 /** Highest priority number that is sent to engines. */
 const MAX_PRIORITY = 9;
@@ -29,15 +30,15 @@
         sentAtMs: context.nowMs,
         predictedMs: prediction.answerMs,
         answerStartedAtMs: undefined,
-        lastChunkAtMs: context.nowMs,
-        longestGapMs: 0,
         model: metadata.model,
         copyTargetId: copyTarget?.entry.targetId,
     };
     target.activeAttempts.set(metadata.callId, row.currentAttempt);
+    target.pendingTokens += prediction.uncachedTokens;
+    scheduleCallCheck(context, row);
     const engine = context.config?.services.get(metadata.service)?.engine;
     if (engine !== undefined) {
-        rememberPrompt(target, metadata, engine.contextTokens);
+        rememberPrompt(target, row, engine.contextTokens);
     }
     context.commands.push({
         kind: "send",
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -1,6 +1,8 @@
+import TinyQueue from "tinyqueue";
 import type { RandomSource } from "../randomSource.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import type { CallCheck } from "./rows/callCheck.js";
 
 /** Creates the context of an instance that has just started, with empty tables. */
 export const createGatewayContext = (settings: GatewaySettings, random: RandomSource): GatewayContext => ({
@@ -12,7 +14,10 @@
     targets: new Map(),
     targetsByService: new Map(),
     calls: new Map(),
-    queues: new Map(),
+    pools: new Map(),
+    changedPools: new Set(),
+    nextPoolCheckMs: Number.POSITIVE_INFINITY,
+    callChecks: new TinyQueue<CallCheck>([], (one, other) => one.atMs - other.atMs),
     serviceMsPerWorkUnit: new Map(),
     serviceFailureRate: new Map(),
     retryBudgets: new Map(),
@@ -22,6 +27,7 @@
     zoneStatuses: new Map(),
     zoneArrivals: new Map(),
     zoneLastSeenAtMs: new Map(),
+    zoneTargetsLastSeenAtMs: new Map(),
     unreachableZones: new Set(),
     plannerLastSeenAtMs: new Map(),
     fence: undefined,
@@ -31,5 +37,6 @@
     arrivals: new Map(),
     nextStatusMs: 0,
     nextPlanMs: 0,
-    nextExpiryMs: 0,
+    placementChanged: false,
+    nextPlacementCheckMs: 0,
 });
--- a/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
@@ -10,12 +10,10 @@
 import { planPlacement } from "./placement/planPlacement.js";
 import { sendStatus } from "./status/sendStatus.js";
 
-/** Interval in ms between checks of the calls' deadlines. */
-const EXPIRY_INTERVAL_MS = 10;
-
 /**
  * Creates the decision functions of one instance that routes by the operator's configuration of routes and services.
- * `step` applies inputs at a time of the steady clock and returns the commands to carry out. `view` returns the tables.
+ * `step` applies inputs at a time of the steady clock and returns the commands to carry out. `nextStepAtMs` returns the time
+ * by which the next step has to run even without inputs. `view` returns the tables.
  */
 export const createGatewayDecisions = (settings: GatewaySettings, random: RandomSource) => {
     const context = createGatewayContext(settings, random);
@@ -26,15 +24,18 @@
             for (const input of inputs) {
                 applyGatewayInput(context, input);
             }
-            if (nowMs >= context.nextExpiryMs) {
-                context.nextExpiryMs = nowMs + EXPIRY_INTERVAL_MS;
-                expireCalls(context);
-            }
+            expireCalls(context);
             routeCalls(context);
             planPlacement(context);
             sendStatus(context);
             return context.commands;
         },
+        nextStepAtMs: (): number => Math.min(
+            context.nextPoolCheckMs,
+            context.nextStatusMs,
+            context.callChecks.peek()?.atMs ?? Number.POSITIVE_INFINITY,
+            context.fence === undefined ? Number.POSITIVE_INFINITY : context.nextPlacementCheckMs,
+        ),
         view: (): Readonly<GatewayContext> => context,
     };
 };
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -1,3 +1,4 @@
+import type TinyQueue from "tinyqueue";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { RequestId } from "medlarlb-types/requestId";
@@ -10,7 +11,9 @@
 import type { DemandTable } from "./placement/demandTable.js";
 import type { ManagedEngine } from "./placement/managedEngine.js";
 import type { RetryBudget } from "./retries/retryBudget.js";
+import type { CallCheck } from "./rows/callCheck.js";
 import type { CallRow } from "./rows/callRow.js";
+import type { ModelPool } from "./rows/modelPool.js";
 import type { PoolTarget } from "./rows/poolTarget.js";
 
 /** Settings and tables that each decision function of the gateway gets, and the commands of the current step. */
@@ -23,8 +26,14 @@
     targets: Map<TargetId, PoolTarget>;
     targetsByService: Map<string, PoolTarget[]>;
     calls: Map<RequestId, CallRow>;
-    /** Waiting calls by service, the most urgent first. */
-    queues: Map<string, CallRow[]>;
+    /** Targets and waiting calls by service and model. */
+    pools: Map<string, ModelPool>;
+    /** Pools whose waiting calls are checked in this step, because something that they wait for has changed. */
+    changedPools: Set<ModelPool>;
+    /** Earliest time at which the waiting calls of a pool are checked without a change. */
+    nextPoolCheckMs: number;
+    /** Times at which calls are checked for their time-outs, the earliest first. Entries of ended calls remain until their time. */
+    callChecks: TinyQueue<CallCheck>;
     /** Moving average of the time in ms per prompt token or plain request, by service, for targets without a history. */
     serviceMsPerWorkUnit: Map<string, number>;
     /** Share of recent attempts that failed, by service: the rate that its requests cause whichever target they run on. */
@@ -40,6 +49,8 @@
     zoneArrivals: Map<string, InstanceStatus["arrivals"][number]>;
     /** Time of the latest message from an instance of a zone. */
     zoneLastSeenAtMs: Map<ZoneId, number>;
+    /** Time of the latest response from a target of a zone. */
+    zoneTargetsLastSeenAtMs: Map<ZoneId, number>;
     /** Zones that counted as unreachable when the placement was last planned. */
     unreachableZones: Set<ZoneId>;
     /** Time when the planner of a zone last reported that it may give orders. */
@@ -54,5 +65,8 @@
     arrivals: Map<string, InstanceStatus["arrivals"][number]>;
     nextStatusMs: number;
     nextPlanMs: number;
-    nextExpiryMs: number;
+    /** Whether an input since the last step concerns the placement. */
+    placementChanged: boolean;
+    /** Earliest time at which the planner has something to do without such an input. */
+    nextPlacementCheckMs: number;
 }
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -24,9 +24,10 @@
     | { kind: "load"; targetId: TargetId; running: number; waiting: number; slots: number }
     /** The first event or byte of an answer has arrived. */
     | { kind: "begun"; callId: RequestId; attempt: number }
-    /** Further bytes of an answer have arrived. */
-    | { kind: "progress"; callId: RequestId; attempt: number }
-    | { kind: "finished"; callId: RequestId; attempt: number; status: number }
+    /** Further bytes of an answer have arrived from a target, the latest at `atMs`. It needs no step of its own. */
+    | { kind: "contact"; targetId: TargetId; atMs: number }
+    /** An answer is complete. `longestGapMs` is the longest pause between its parts, in ms. */
+    | { kind: "finished"; callId: RequestId; attempt: number; status: number; longestGapMs: number }
     | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string }
     /** This instance stops. Calls that still wait are refused now, so that callers can use another instance. */
     | { kind: "stop" }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
@@ -1,5 +1,7 @@
 import type { GatewayInput } from "../gatewayInput.js";
+import { recordContact } from "../calls/recordContact.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { markTargetPools } from "../pools/markTargetPools.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { CallRow } from "../rows/callRow.js";
 
@@ -33,7 +35,9 @@
     if (target === undefined) {
         return;
     }
-    target.lastSeenAtMs = context.nowMs;
+    target.pendingTokens -= target.activeAttempts.has(input.callId) ? attempt.uncachedTokens : 0;
+    recordContact(context, target, context.nowMs);
+    markTargetPools(context, target);
     target.consecutiveNoResponse = 0;
     const tookMs = context.nowMs - attempt.sentAtMs;
     const tokens = attempt.aheadTokens + attempt.uncachedTokens;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -1,4 +1,5 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
+import { createPromptKeys } from "../calls/createPromptKeys.js";
 import { enqueueCall } from "../calls/enqueueCall.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { countRequest } from "../retries/countRequest.js";
@@ -9,13 +10,16 @@
 export const applyCall = (context: GatewayContext, metadata: CallMetadata): void => {
     const row: CallRow = {
         metadata,
+        promptKeys: createPromptKeys(metadata),
         currentAttempt: undefined,
+        pool: undefined,
         peersAheadRatio: context.random(),
         attempts: 0,
         possibleRuns: 0,
         mayHaveRun: false,
         excludedTargets: new Set(),
         delivered: false,
+        nextEventDeadlineAtMs: metadata.firstEventDeadlineAtMs,
         modelRequestedAtMs: Number.NEGATIVE_INFINITY,
         adapterTargetId: undefined,
         notBeforeMs: 0,
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -3,6 +3,7 @@
 import { retryCall } from "../calls/retryCall.js";
 import type { GatewayInput } from "../gatewayInput.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { setTargetModels } from "../pools/setTargetModels.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { CallRow } from "../rows/callRow.js";
 import { recordOutcome } from "./recordOutcome.js";
@@ -27,7 +28,7 @@
             logEvent(context, "targetState", { target: target.entry.targetId, leaving: true, source: "another target answers at its address" });
             break;
         case "notHeld":
-            forgetAdapterOrModel(target, row);
+            forgetAdapterOrModel(context, target, row);
             break;
         case "connect":
         case "silent":
@@ -44,7 +45,7 @@
     }
 };
 
-const forgetAdapterOrModel = (target: PoolTarget, row: CallRow): void => {
+const forgetAdapterOrModel = (context: GatewayContext, target: PoolTarget, row: CallRow): void => {
     const { model, adapter } = row.metadata;
     if (model === undefined) {
         return;
@@ -53,7 +54,7 @@
         target.models.get(model)?.delete(adapter);
     }
     else {
-        target.models.delete(model);
+        setTargetModels(context, target, new Map([...target.models].filter(([name]) => name !== model)));
     }
 };
 
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -1,3 +1,4 @@
+import { recordContact } from "../calls/recordContact.js";
 import { removeCall } from "../calls/removeCall.js";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayInput } from "../gatewayInput.js";
@@ -27,14 +28,14 @@
     const { metadata, currentAttempt: attempt } = row;
     const target = context.targets.get(attempt.targetId);
     if (target !== undefined) {
-        target.lastSeenAtMs = context.nowMs;
+        recordContact(context, target, context.nowMs);
         recordOutcome(context, target, input.status >= 500);
         if (metadata.model === undefined && input.status < 500) {
             updatePace(context, target, context.nowMs - attempt.sentAtMs);
         }
     }
     const answerStartedAtMs = attempt.answerStartedAtMs ?? context.nowMs;
-    const hasLongGap = attempt.longestGapMs > (metadata.route.gapTargetMs ?? Number.POSITIVE_INFINITY);
+    const hasLongGap = input.longestGapMs > (metadata.route.gapTargetMs ?? Number.POSITIVE_INFINITY);
     logEvent(context, "finished", {
         request: metadata.callerRequestId,
         target: attempt.targetId,
@@ -42,7 +43,7 @@
         firstMs: Math.round(answerStartedAtMs - attempt.sentAtMs),
         predictedMs: Math.round(attempt.predictedMs),
         tookMs: Math.round(context.nowMs - metadata.arrivedAtMs),
-        pauseMs: Math.round(attempt.longestGapMs),
+        pauseMs: Math.round(input.longestGapMs),
         late: answerStartedAtMs > metadata.latencyTargetAtMs || hasLongGap,
     });
     removeCall(context, row);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
@@ -1,5 +1,6 @@
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { TargetId } from "medlarlb-types/targetId";
+import { markAllPools } from "../pools/markAllPools.js";
 import { findDemand } from "../placement/findDemand.js";
 import type { GatewayContext } from "../gatewayContext.js";
 
@@ -23,6 +24,7 @@
     for (const { service, model, requests } of digest.waiting) {
         findDemand(context, service, model).waiting.set(instanceId, { requests, atMs: context.nowMs });
     }
+    markAllPools(context);
     reachedZones.forEach(each => context.zoneLastSeenAtMs.set(each, context.nowMs));
     planningZones.forEach(each => context.plannerLastSeenAtMs.set(each, context.nowMs));
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyPlacementUpdate.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyPlacementUpdate.ts
@@ -1,5 +1,5 @@
 import type { GatewayContext } from "../gatewayContext.js";
-import { forgetPrompts } from "../calls/forgetPrompts.js";
+import { setTargetModels } from "../pools/setTargetModels.js";
 import type { PlacementUpdate } from "medlarlb-types/placementUpdate";
 
 /** Applies what the planner of a zone reports of an engine's models, unless a newer update is known. */
@@ -12,14 +12,9 @@
         return;
     }
     const models = new Map(update.held.map(model => [model.name, new Set(model.adapters)]));
-    for (const name of target.models.keys()) {
-        if (!models.has(name)) {
-            forgetPrompts(target, name);
-        }
-    }
     target.lastUpdateOrderCount = update.orderCount;
     target.placementUpdatedAtMs = context.nowMs;
-    target.models = models;
     target.opening = new Set(update.opening);
     target.closing = new Set(update.closing);
+    setTargetModels(context, target, models);
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -1,6 +1,7 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { GatewayContext } from "../gatewayContext.js";
+import { markAllPools } from "../pools/markAllPools.js";
 import { recordDemand } from "../placement/recordDemand.js";
 import { addArrivals } from "../status/addArrivals.js";
 import { isLargeGroup } from "../status/isLargeGroup.js";
@@ -31,4 +32,5 @@
         addArrivals(context.zoneArrivals, status.arrivals);
     }
     recordDemand(context, status);
+    markAllPools(context);
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -1,7 +1,9 @@
 import type { TargetEntry } from "medlarlb-types/targetEntry";
-import { forgetPrompts } from "../calls/forgetPrompts.js";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { leavePools } from "../pools/leavePools.js";
+import { markTargetPools } from "../pools/markTargetPools.js";
+import { setTargetModels } from "../pools/setTargetModels.js";
 import { createPoolTarget } from "../rows/createPoolTarget.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { indexTargets } from "./indexTargets.js";
@@ -13,36 +15,37 @@
 /** Time in ms for which a planner's placement update takes precedence over the platform's list. */
 const PLACEMENT_UPDATE_VALID_MS = 5_000;
 
+const listModels = (entry: TargetEntry): PoolTarget["models"] =>
+    new Map(entry.models.map(model => [model.name, new Set(model.adapters)]));
+
 const addTarget = (context: GatewayContext, entry: TargetEntry): PoolTarget => {
     const isEngine = context.config?.services.get(entry.service)?.engine !== undefined || entry.models.length > 0;
     const msPerWorkUnit = context.serviceMsPerWorkUnit.get(entry.service) ?? (isEngine ? INITIAL_MS_PER_TOKEN : INITIAL_MS_PER_REQUEST);
     const target = createPoolTarget(entry, msPerWorkUnit, context.nowMs);
     context.targets.set(entry.targetId, target);
     indexTargets(context);
+    setTargetModels(context, target, listModels(entry));
     logEvent(context, "targetFound", { target: entry.targetId, service: entry.service, address: entry.address, zone: entry.zone, models: entry.models.map(model => model.name), inMemory: entry.inMemory, onDisk: entry.onDisk });
     return target;
 };
 
-const updateModels = (target: PoolTarget, entry: TargetEntry): void => {
-    const models = new Map(entry.models.map(model => [model.name, new Set(model.adapters)]));
-    for (const name of target.models.keys()) {
-        if (!models.has(name)) {
-            forgetPrompts(target, name);
-        }
-    }
-    target.models = models;
+const updateModels = (context: GatewayContext, target: PoolTarget, entry: TargetEntry): void => {
+    const models = listModels(entry);
     target.opening = new Set([...target.opening].filter(name => !models.has(name)));
     target.closing = new Set([...target.closing].filter(name => models.has(name)));
+    setTargetModels(context, target, models);
 };
 
+const isSameIncarnation = (one: TargetEntry, other: TargetEntry): boolean =>
+    one.startedAtMs === other.startedAtMs && one.address === other.address && one.service === other.service;
+
 /** Applies the entry of a target from the platform's list. */
 export const applyTarget = (context: GatewayContext, entry: TargetEntry): void => {
     const existing = context.targets.get(entry.targetId);
-    const isRestarted = existing !== undefined
-        && (existing.entry.startedAtMs !== entry.startedAtMs || existing.entry.address !== entry.address);
-    if (existing === undefined || isRestarted) {
-        if (isRestarted) {
+    if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
+        if (existing !== undefined) {
             context.targets.delete(entry.targetId);
+            leavePools(context, existing);
             context.managedEngines.delete(entry.targetId);
         }
         addTarget(context, entry);
@@ -50,11 +53,12 @@
     }
     // A placement update is ahead of the platform's list, which follows with the engine's next heartbeat.
     if (context.nowMs - existing.placementUpdatedAtMs > PLACEMENT_UPDATE_VALID_MS) {
-        updateModels(existing, entry);
+        updateModels(context, existing, entry);
     }
     if (existing.leaving !== entry.leaving) {
         logEvent(context, "targetState", { target: entry.targetId, leaving: entry.leaving, remainingMs: entry.remainingMs, source: "list" });
     }
     existing.leaving = entry.leaving;
     existing.entry = entry;
+    markTargetPools(context, existing);
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
@@ -1,11 +1,15 @@
 import type { TargetId } from "medlarlb-types/targetId";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { leavePools } from "../pools/leavePools.js";
 import { indexTargets } from "./indexTargets.js";
 
 /** Removes a target that the platform's list no longer contains. */
 export const removeTarget = (context: GatewayContext, targetId: TargetId): void => {
-    if (context.targets.delete(targetId)) {
+    const target = context.targets.get(targetId);
+    if (target !== undefined) {
+        context.targets.delete(targetId);
+        leavePools(context, target);
         context.managedEngines.delete(targetId);
         indexTargets(context);
         logEvent(context, "targetGone", { target: targetId });
--- a/packages/medlarlb-decisions/src/gateway/placement/applyModelRequest.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyModelRequest.ts
@@ -15,11 +15,13 @@
         const reportedRequests = row.waiting.get(context.settings.instanceId)?.requests ?? 0;
         row.waiting.set(context.settings.instanceId, { requests: Math.max(1, reportedRequests), atMs: context.nowMs });
         context.nextPlanMs = context.nowMs;
+        context.placementChanged = true;
         return;
     }
     const managed = context.managedEngines.get(targetId);
     const isRequested = managed?.requestedAdapters.some(each => each.model === model && each.adapter === adapter);
     if (managed !== undefined && adapter !== undefined && isRequested === false) {
         managed.requestedAdapters.push({ model, adapter });
+        context.placementChanged = true;
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/planPlacement.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planPlacement.ts
@@ -1,6 +1,7 @@
 import { isZoneUnreachable } from "../calls/isZoneUnreachable.js";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { nextEngineCheckMs } from "./nextEngineCheckMs.js";
 import { requestEngineReports } from "./requestEngineReports.js";
 import { planAdapters } from "./planAdapters.js";
 import { planModels } from "./planModels.js";
@@ -23,7 +24,9 @@
 
 /** Sends the engines of this zone their next orders, if this instance holds the planner lease. */
 export const planPlacement = (context: GatewayContext): void => {
-    if (context.fence === undefined || context.config === undefined) {
+    const isDue = context.placementChanged || context.nowMs >= context.nextPlacementCheckMs;
+    context.placementChanged = false;
+    if (context.fence === undefined || context.config === undefined || !isDue) {
         return;
     }
     syncManagedEngines(context);
@@ -45,4 +48,8 @@
         }
     }
     requestEngineReports(context);
+    context.nextPlacementCheckMs = context.nextPlanMs;
+    for (const managed of context.managedEngines.values()) {
+        context.nextPlacementCheckMs = Math.min(context.nextPlacementCheckMs, nextEngineCheckMs(managed, context.nowMs));
+    }
 };
--- a/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
@@ -14,10 +14,6 @@
     sentAtMs: number;
     predictedMs: number;
     answerStartedAtMs: number | undefined;
-    /** Time when the latest part of the answer arrived. */
-    lastChunkAtMs: number;
-    /** Longest pause between parts of the answer since the first, in ms. */
-    longestGapMs: number;
     model: string | undefined;
     /** Engine that receives a copy of the run's state as it grows. The stream resumes there if its own engine fails. */
     copyTargetId: TargetId | undefined;
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -1,11 +1,16 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { CallAttempt } from "./callAttempt.js";
+import type { ModelPool } from "./modelPool.js";
 
 /** A caller's request while it waits or runs. */
 export interface CallRow {
     metadata: CallMetadata;
+    /** Keys of the prompt parts in a target's cache. Each includes those of the parts before it. */
+    promptKeys: string[];
     currentAttempt: CallAttempt | undefined;
+    /** Pool in which the call waits. */
+    pool: ModelPool | undefined;
     /** Share of the requests waiting at other instances that counts as ahead of this one, 0 to 1, drawn at random. */
     peersAheadRatio: number;
     /** Number of attempts that were sent to a target, whether they ran or not. */
@@ -18,6 +23,8 @@
     excludedTargets: Set<TargetId>;
     /** Whether a part of the answer has already been passed on to the caller. */
     delivered: boolean;
+    /** Time at which the caller leaves unless its first, or after a broken stream its next, event has arrived. */
+    nextEventDeadlineAtMs: number;
     /** Time when a model or adapter was last requested from a planner for this call. */
     modelRequestedAtMs: number;
     /** Engine on which the adapter was last requested. */
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -1,14 +1,16 @@
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import type { PoolTarget } from "./poolTarget.js";
 
-/** Creates the row of a target that is new to this instance or has restarted. */
+/** Creates the row of a target that is new to this instance or has restarted. Its models are set afterwards. */
 export const createPoolTarget = (entry: TargetEntry, msPerWorkUnit: number, nowMs: number): PoolTarget => ({
     entry,
     leaving: entry.leaving,
-    models: new Map(entry.models.map(model => [model.name, new Set(model.adapters)])),
+    models: new Map(),
     opening: new Set(),
     closing: new Set(),
+    pools: new Set(),
     activeAttempts: new Map(),
+    pendingTokens: 0,
     peerLoads: new Map(),
     reportedLoad: undefined,
     msPerWorkUnit,
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -3,6 +3,7 @@
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { CallAttempt } from "./callAttempt.js";
+import type { ModelPool } from "./modelPool.js";
 import type { PromptCache } from "./promptCache.js";
 
 /** Load on a target that another instance has reported. */
@@ -26,7 +27,11 @@
     opening: Set<string>;
     /** Models that are being unloaded. Their runs continue, new ones are refused. */
     closing: Set<string>;
+    /** Pools of the models that it holds, and of the calls that name no model. */
+    pools: Set<ModelPool>;
     activeAttempts: Map<RequestId, CallAttempt>;
+    /** Prompt tokens of the active attempts that it has yet to process. */
+    pendingTokens: number;
     peerLoads: Map<InstanceId, PeerLoad>;
     /** Latest load that the target itself reported. */
     reportedLoad: { running: number; waiting: number; slots: number; atMs: number } | undefined;
--- a/packages/medlarlb-decisions/src/gateway/status/createLoadDigestBuilder.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/createLoadDigestBuilder.ts
@@ -4,7 +4,6 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { hasActivePlanner } from "../calls/hasActivePlanner.js";
-import { pendingPromptTokens } from "../calls/pendingPromptTokens.js";
 
 /** Age in ms from which a report of waiting requests no longer counts: a few status intervals. */
 const MAX_WAITING_AGE_MS = 500;
@@ -29,7 +28,7 @@
     const planningZones = [...new Set([...context.plannerLastSeenAtMs.keys(), zone])].filter(each => hasActivePlanner(context, each));
     const totals: { target: PoolTarget; backlogTokens: number; running: number }[] = [];
     for (const target of context.targets.values()) {
-        let backlogTokens = pendingPromptTokens(target);
+        let backlogTokens = target.pendingTokens;
         let running = target.activeAttempts.size;
         for (const load of target.peerLoads.values()) {
             if (isFresh(load.atMs)) {
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -5,9 +5,7 @@
 import { createLoadDigestBuilder } from "./createLoadDigestBuilder.js";
 import { isLargeGroup } from "./isLargeGroup.js";
 import { sumZoneStatuses } from "./sumZoneStatuses.js";
-import { addWaiting } from "./addWaiting.js";
 import { listZoneMembers } from "./listZoneMembers.js";
-import { pendingPromptTokens } from "../calls/pendingPromptTokens.js";
 
 /** Interval in ms at which instances send each other their load: the time to process a few prompts. */
 const STATUS_INTERVAL_MS = 150;
@@ -22,15 +20,13 @@
     context.nowMs - (context.plannerLastSeenAtMs.get(context.settings.zone) ?? Number.NEGATIVE_INFINITY) < PLANNER_UNREACHABLE_AFTER_MS;
 
 const listWaiting = (context: GatewayContext): InstanceStatus["waiting"] => {
-    const waiting = new Map<string, InstanceStatus["waiting"][number]>();
-    for (const queue of context.queues.values()) {
-        for (const { metadata: { service, model } } of queue) {
-            if (model !== undefined) {
-                addWaiting(waiting, { service, model, requests: 1 });
-            }
+    const waiting: InstanceStatus["waiting"] = [];
+    for (const pool of context.pools.values()) {
+        if (pool.model !== undefined && pool.waiting.length > 0) {
+            waiting.push({ service: pool.service, model: pool.model, requests: pool.waiting.length });
         }
     }
-    return [...waiting.values()];
+    return waiting;
 };
 
 const listLoads = (context: GatewayContext): InstanceStatus["loads"] => {
@@ -43,7 +39,7 @@
             }
         }
         if (target.activeAttempts.size > 0) {
-            loads.push({ targetId, backlogTokens: pendingPromptTokens(target), running: target.activeAttempts.size, runs });
+            loads.push({ targetId, backlogTokens: target.pendingTokens, running: target.activeAttempts.size, runs });
         }
     }
     return loads;
