Wake an idle instance less often

Cause: timers of 20, 50 and 100 ms ran in every instance whether there was anything to do or not, the log was flushed four times a second although it was empty (a write by a thread each time), and the checks of ended calls each set a timer.

Change: the planner lease is checked each 200 ms (it renews each second, and an order checks the clocks itself), the group of peers each 250 ms, slow callers' headers each 2 s; the log is flushed only after a line; checks of ended calls are dropped before they set a timer, and a waiting call is checked again after 5 ms at the earliest.

--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -36,7 +36,7 @@
 const RENEWAL_INTERVAL_MS = 1_000;
 /** Time in ms before its expiry from which the lease is no longer used, because an order takes time to arrive. */
 const EXPIRY_MARGIN_MS = 500;
-const TICK_INTERVAL_MS = 50;
+const TICK_INTERVAL_MS = 200;
 /** Largest difference in ms between the advances of the two clocks. A larger one means a suspension or a clock jump. */
 const MAX_CLOCK_DRIFT_MS = 200;
 /** Longest time in ms between two checks of the clocks. A longer one means that the process was paused. */
--- a/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
+++ b/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
@@ -23,8 +23,10 @@
 
 /** Length up to which headers are read, so that the operator's own limit can be checked. */
 const MAX_HEADER_BYTES = 65_536;
-/** Interval in ms of the check for slow headers, and idle time in ms before TCP keep-alive probes. */
-const CONNECTION_CHECK_MS = 500;
+/** Interval in ms of the check for slow headers. */
+const CONNECTION_CHECK_MS = 2_000;
+/** Idle time in ms before TCP keep-alive probes. */
+const KEEP_ALIVE_DELAY_MS = 500;
 /** Longest time in ms for a whole request with its body. Until then a slow caller occupies a connection, but no target. */
 const REQUEST_TIMEOUT_MS = 30_000;
 const STREAM_BUFFER_BYTES = 65_536;
@@ -110,7 +112,7 @@
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
         keepAlive: true,
-        keepAliveInitialDelay: CONNECTION_CHECK_MS,
+        keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
         noDelay: true,
         highWaterMark: STREAM_BUFFER_BYTES,
     }, handle);
--- a/packages/medlarlb-daemon/src/gateway/createLog.ts
+++ b/packages/medlarlb-daemon/src/gateway/createLog.ts
@@ -13,12 +13,18 @@
     const output = pino.destination({ fd: STDOUT_FD, sync: false, minLength: WRITE_BATCH_BYTES, maxLength: MAX_BUFFERED_BYTES });
     output.on("drop", countDropped);
     const logger = pino({ base: { instance }, formatters: { level: label => ({ level: label }) } }, output);
-    const timer = setInterval(() => output.flush(), FLUSH_INTERVAL_MS);
-    timer.unref();
+    let timer: NodeJS.Timeout | undefined;
+    const flush = (): void => {
+        timer = undefined;
+        output.flush();
+    };
     return {
-        write: (event: string, fields: Record<string, unknown>): void => logger.info({ event, ...fields }),
+        write: (event: string, fields: Record<string, unknown>): void => {
+            logger.info({ event, ...fields });
+            timer ??= setTimeout(flush, FLUSH_INTERVAL_MS).unref();
+        },
         close: (): void => {
-            clearInterval(timer);
+            clearTimeout(timer);
             output.flushSync();
         },
     };
--- a/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
@@ -2,6 +2,7 @@
 import type { CallRow } from "../rows/callRow.js";
 import { failCall } from "./failCall.js";
 import { firstEventTimeoutAtMs } from "./firstEventTimeoutAtMs.js";
+import { nextCallCheck } from "./nextCallCheck.js";
 import { retryCall } from "./retryCall.js";
 import { scheduleCallCheck } from "./scheduleCallCheck.js";
 
@@ -28,11 +29,8 @@
 
 /** Ends calls whose deadline has passed, and retries repeatable calls whose target exceeds the first-event time-out. */
 export const expireCalls = (context: GatewayContext): void => {
-    const { callChecks } = context;
-    for (let next = callChecks.peek(); next !== undefined && next.atMs <= context.nowMs; next = callChecks.peek()) {
-        callChecks.pop();
-        if (context.calls.get(next.row.metadata.callId) === next.row) {
-            expireCall(context, next.row);
-        }
+    for (let next = nextCallCheck(context); next !== undefined && next.atMs <= context.nowMs; next = nextCallCheck(context)) {
+        context.callChecks.pop();
+        expireCall(context, next.row);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -21,7 +21,7 @@
 const EXPECTED_LOAD_MS = 1_500;
 /** Longest and shortest time in ms until waiting calls are checked again without a change of what they wait for. */
 const MAX_CHECK_INTERVAL_MS = 50;
-const MIN_CHECK_INTERVAL_MS = 1;
+const MIN_CHECK_INTERVAL_MS = 5;
 
 const hasCapacity = (context: GatewayContext, row: CallRow, choice: NonNullable<ReturnType<typeof chooseTarget>>): boolean => {
     const { target, prediction } = choice;
--- a/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from "../randomSource.js";
 import { applyGatewayInput } from "./applyGatewayInput.js";
 import { expireCalls } from "./calls/expireCalls.js";
+import { nextCallCheck } from "./calls/nextCallCheck.js";
 import { routeCalls } from "./calls/routeCalls.js";
 import { createGatewayContext } from "./createGatewayContext.js";
 import type { GatewayCommand } from "./gatewayCommand.js";
@@ -33,7 +34,7 @@
         nextStepAtMs: (): number => Math.min(
             context.nextPoolCheckMs,
             context.nextStatusMs,
-            context.callChecks.peek()?.atMs ?? Number.POSITIVE_INFINITY,
+            nextCallCheck(context)?.atMs ?? Number.POSITIVE_INFINITY,
             context.fence === undefined ? Number.POSITIVE_INFINITY : context.nextPlacementCheckMs,
         ),
         view: (): Readonly<GatewayContext> => context,
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -32,7 +32,7 @@
     changedPools: Set<ModelPool>;
     /** Earliest time at which the waiting calls of a pool are checked without a change. */
     nextPoolCheckMs: number;
-    /** Times at which calls are checked for their time-outs, the earliest first. Entries of ended calls remain until their time. */
+    /** Times at which calls are checked for their time-outs, the earliest first. Those of ended calls are removed late. */
     callChecks: TinyQueue<CallCheck>;
     /** Moving average of the time in ms per prompt token or plain request, by service, for targets without a history. */
     serviceMsPerWorkUnit: Map<string, number>;
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -12,7 +12,7 @@
 import type { GossipEntry } from "./gossipEntry.js";
 import { sampleWithoutReplacement } from "./sampleWithoutReplacement.js";
 
-const TICK_INTERVAL_MS = 100;
+const TICK_INTERVAL_MS = 250;
 const PROBE_INTERVAL_MS = 500;
 const PROBE_TIMEOUT_MS = 400;
 const INDIRECT_PROBE_COUNT = 2; // members that are asked to probe an unresponsive one too
