Relay streams over raw connections to targets, one write for each read

Cause: a processor profile of a gateway in a group of 24 under 180 requests a second (22 events each) showed half of its time in the machinery between the socket and the relay: undici's client, its WebAssembly parser and its handlers, the readable streams of net, and four writes of node:http for each chunk. A gateway on a small machine gets few requests, so that much of this code is never optimized.

Ruled out: a larger buffer (the events arrive one by one), undici's pipelining and its other dispatchers (the same parser and handlers), writing through node:http with the socket corked (a writev of four parts all the same).

Change: a connection to a target reads into one shared buffer (onread of net), a parser of HTTP/1.1 responses passes the body on without a copy, whole events that came together are one block, and the block leaves as one chunk with one write. undici stays for the store and the engines' control calls. Bytes after an answer, an answer before the request was read, a stated idle time and a reset at the end of an answer without a length each have a test.

A mutation that named a text of long ago is mended: it breaks the guard of repeated requests where it stands now.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -11,6 +11,7 @@
 const PLACEMENT_TEST = `${GATEWAY}/__tests__/placement.test.ts`;
 const PLANNER_LEASE_TEST = "packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts";
 const LARGE_GROUP_TEST = `${GATEWAY}/__tests__/largeGroup.test.ts`;
+const UNCHANGED_STEPS_TEST = `${GATEWAY}/__tests__/unchangedSteps.test.ts`;
 const PLAIN_SERVICES_TEST = `${GATEWAY}/__tests__/plainServices.test.ts`;
 const ATTEMPTS_TEST = "packages/medlarlb-daemon/src/__tests__/createAttempts.test.ts";
 const CONNECTION_POOL_TEST = "packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts";
@@ -89,8 +90,8 @@
     {
         invariant: "at most once: a non-idempotent request is sent again after a lost answer",
         file: `${DECISIONS}/inputs/applyAttemptEvent.ts`,
-        from: "const repeatable = !row.request.nonIdempotent && event.delivered === 0;",
-        to: "const repeatable = event.delivered === 0;",
+        from: "const repeatable = !row.request.nonIdempotent && event.prefixMismatch !== true;",
+        to: "const repeatable = event.prefixMismatch !== true;",
         check: HISTORIES_TEST,
     },
     {
@@ -166,17 +167,38 @@
     {
         invariant: "gateway, zones: requests go to targets in an unreachable zone",
         file: `${GATEWAY}/calls/isZoneUnreachable.ts`,
-        from: "return true;",
+        from: "return context.nowMs - Math.max(lastSeenAtMs, targetsLastSeenAtMs) >= UNREACHABLE_AFTER_MS;",
         to: "return false;",
         check: PLACEMENT_TEST,
     },
     {
         invariant: "gateway, complete answers: a connection reset counts as the end of an answer without a length",
-        file: "packages/medlarlb-targets/src/createConnectionPool.ts",
-        from: "setImmediate(() => finish(connection.broken || !connection.closedByTarget));",
-        to: "setImmediate(() => finish(false));",
+        file: "packages/medlarlb-targets/src/createTargetConnection.ts",
+        from: "socket.write(\"\\r\\n\");",
+        to: "",
         check: CONNECTION_POOL_TEST,
     },
+    {
+        invariant: "gateway, own answers: a connection is used again although bytes followed its response",
+        file: "packages/medlarlb-targets/src/createTargetConnection.ts",
+        from: "current.reusable && surplus === 0",
+        to: "current.reusable",
+        check: CONNECTION_POOL_TEST,
+    },
+    {
+        invariant: "gateway, unchanged requests: the rest of an answered request is taken for the next request",
+        file: "packages/medlarlb-targets/src/createTargetConnection.ts",
+        from: "if (isReusable && socket.writableLength === 0) {",
+        to: "if (isReusable) {",
+        check: CONNECTION_POOL_TEST,
+    },
+    {
+        invariant: "gateway: a step without a change examines the waiting calls",
+        file: `${GATEWAY}/applyGatewayInput.ts`,
+        from: "recordContact(context, target, atMs);",
+        to: "recordContact(context, target, atMs);\n            markAllPools(context);",
+        check: UNCHANGED_STEPS_TEST,
+    },
     {
         invariant: "gateway: a load digest includes the load of the instance that receives it, so that it counts twice",
         file: `${GATEWAY}/status/createLoadDigestBuilder.ts`,
--- a/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
@@ -8,7 +8,13 @@
             const splitter = createSseSplitter();
             const events = [];
             for (let start = 0; start < text.length; start += size) {
-                events.push(...splitter.push(Buffer.from(text.slice(start, start + size))));
+                const part = Buffer.from(text.slice(start, start + size));
+                const block = splitter.push(part) ?? Buffer.alloc(0);
+                const inBlock = splitter.list(Buffer.from(block));
+                expect(splitter.lastId(Buffer.from(block))).to.equal(inBlock.at(-1)?.id);
+                events.push(...inBlock);
+                // The memory of a part is used again for the next one.
+                part.fill("?");
             }
             expect(events.map(event => event.id)).to.deep.equal(["1", "2"]);
             expect(events.map(event => event.bytes.toString()).join("")).to.equal("id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -2,6 +2,7 @@
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
 import { createSseSplitter } from "./createSseSplitter.js";
+import { encodeChunk } from "./encodeChunk.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
 import type { IngressCall } from "./ingressCall.js";
 
@@ -91,6 +92,7 @@
         res.writeHead(status, headers);
     };
 
+    /** Writes part of a body that has a length. */
     const write = (bytes: Buffer): boolean => {
         const hasCapacity = res.write(bytes);
         if (!hasCapacity) {
@@ -99,6 +101,30 @@
         return hasCapacity;
     };
 
+    /**
+     * Writes part of a body without a length as one chunk, together with the headers if it is the first. `res.write` would
+     * make four writes of it, which costs a stream of small events more than the rest of their way.
+     */
+    const writeChunk = (bytes: Buffer): boolean => {
+        const socket = res.socket ?? undefined;
+        if (socket === undefined || call.req.httpVersionMinor === 0) {
+            writeHead(undefined);
+            return write(Buffer.from(bytes));
+        }
+        if (!res.headersSent) {
+            // The headers and the first events leave in one write.
+            socket.cork();
+            process.nextTick(() => socket.uncork());
+            writeHead(undefined);
+            res.flushHeaders();
+        }
+        const hasCapacity = socket.write(encodeChunk(bytes));
+        if (!hasCapacity) {
+            socket.once("drain", () => options.exchange()?.resume());
+        }
+        return hasCapacity;
+    };
+
     /**
      * Returns whether the caller already received an event. Event ids rise, and a run that resumed from an earlier point
      * repeats some of them.
@@ -106,21 +132,25 @@
     const wasDelivered = (id: string | undefined): boolean =>
         id !== undefined && lastEventId !== undefined && options.lastDeliveredId !== undefined && Number(id) <= Number(lastEventId);
 
+    /** Returns the part of a block of events that the caller hasn't received yet. */
+    const skipDelivered = (block: Buffer): Buffer => {
+        const isResumed = options.lastDeliveredId !== undefined;
+        return isResumed ? Buffer.concat(splitter.list(block).filter(event => !wasDelivered(event.id)).map(event => event.bytes)) : block;
+    };
+
     const relayEvents = (chunk: Buffer): boolean => {
-        let hasCapacity = true;
-        for (const event of splitter.push(chunk)) {
-            if (wasDelivered(event.id)) {
-                continue;
-            }
-            reportBegun();
-            writeHead(undefined);
-            hasCapacity = write(event.bytes);
-            lastEventId = event.id ?? lastEventId;
-            if (event.id !== undefined) {
-                options.onDelivered(event.id);
-            }
+        const block = splitter.push(chunk);
+        const events = block === undefined ? undefined : skipDelivered(block);
+        if (events === undefined || events.length === 0) {
+            return true;
         }
-        return hasCapacity;
+        reportBegun();
+        const id = splitter.lastId(events);
+        if (id !== undefined) {
+            lastEventId = id;
+            options.onDelivered(id);
+        }
+        return writeChunk(events);
     };
 
     const recordChunk = (): void => {
@@ -214,7 +244,8 @@
                 }
             }
             if (mode === "buffer") {
-                bufferedChunks.push(chunk);
+                // The memory of a chunk is used again for the next one.
+                bufferedChunks.push(Buffer.from(chunk));
                 bufferedBytes += chunk.length;
                 if (bufferedBytes <= MAX_BUFFERED_BYTES) {
                     return true;
@@ -228,7 +259,7 @@
             }
             reportBegun();
             writeHead(answerHeaders?.contentLength);
-            return write(chunk);
+            return write(Buffer.from(chunk));
         },
         onEnd: handleEnd,
         onFailure: ({ sent, malformed, reason }) => {
--- /dev/null
+++ b/packages/medlarlb-targets/src/createResponseParser.ts
@@ -0,0 +1,182 @@
+interface ResponseHandlers {
+    onHead: (status: number, headers: Record<string, string>) => void;
+    /** The bytes are valid only during the call. */
+    onBody: (bytes: Buffer) => void;
+    /** The response is complete. `surplus` counts the bytes that followed it. */
+    onComplete: (surplus: number) => void;
+}
+
+/** Where the parser is inside a response. */
+type State = "head" | "length" | "chunkSize" | "chunk" | "chunkEnd" | "trailer" | "untilClose" | "complete";
+
+/** Longest header section, and longest line inside a chunked body, in bytes. */
+const MAX_HEAD_BYTES = 65_536;
+const MAX_LINE_BYTES = 4_096;
+const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})(?: [^\r\n]*)?$/;
+const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*$/;
+const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]*)?$/;
+const DECIMAL = /^\d{1,15}$/;
+const HEX_RADIX = 16;
+const LINE_END = Buffer.from("\r\n");
+const HEAD_END = Buffer.from("\r\n\r\n");
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+const MIN_FINAL_STATUS = 200;
+
+const parseHeaders = (lines: readonly string[]): Record<string, string> => {
+    const headers: Record<string, string> = {};
+    for (const line of lines) {
+        const [, rawName, value] = HEADER_LINE.exec(line) ?? [];
+        if (rawName === undefined || value === undefined) {
+            throw new Error("a header line of the response is malformed");
+        }
+        const name = rawName.toLowerCase();
+        if (name === "content-length" && headers[name] !== undefined && headers[name] !== value) {
+            throw new Error("the response states two lengths");
+        }
+        headers[name] = headers[name] === undefined || name === "content-length" ? value : `${headers[name]}, ${value}`;
+    }
+    return headers;
+};
+
+/**
+ * Creates the parser of one HTTP/1.1 response. `push` takes bytes as they arrive and throws if they aren't a response. `end`
+ * returns whether a response is complete when its connection ends. Interim responses (1xx) are skipped.
+ */
+export const createResponseParser = (handlers: ResponseHandlers, hasBody: boolean) => {
+    let state: State = "head";
+    /** Bytes of an incomplete header section or line, which are waiting for the rest. */
+    let pending: Buffer | undefined;
+    /** Bytes that are left of the body or of the present chunk. */
+    let remaining = 0;
+
+    const startBody = (status: number, headers: Record<string, string>): void => {
+        const coding = headers["transfer-encoding"];
+        const length = headers["content-length"];
+        if (coding !== undefined && coding.toLowerCase() !== "chunked") {
+            throw new Error(`the transfer coding ${coding} isn't supported`);
+        }
+        if (coding !== undefined && length !== undefined) {
+            throw new Error("the response states a length beside a transfer coding");
+        }
+        if (length !== undefined && !DECIMAL.test(length)) {
+            throw new Error("the length of the response is malformed");
+        }
+        remaining = Number(length ?? 0);
+        if (!hasBody || BODILESS_STATUSES.has(status)) {
+            state = "complete";
+        }
+        else if (coding !== undefined) {
+            state = "chunkSize";
+        }
+        else if (length !== undefined) {
+            state = remaining === 0 ? "complete" : "length";
+        }
+        else {
+            state = "untilClose";
+        }
+    };
+
+    /** Joins bytes that were kept with new ones, and keeps them again if `end` doesn't occur in them. */
+    const takeUntil = (bytes: Buffer, end: Buffer, maxBytes: number): { text: string; rest: Buffer } | undefined => {
+        const joined = pending === undefined ? bytes : Buffer.concat([pending, bytes]);
+        const position = joined.indexOf(end);
+        if (position > maxBytes || (position < 0 && joined.length > maxBytes)) {
+            throw new Error(`a header section or line of the response is longer than ${maxBytes} bytes`);
+        }
+        if (position < 0) {
+            pending = Buffer.from(joined);
+            return undefined;
+        }
+        pending = undefined;
+        return { text: joined.toString("latin1", 0, position), rest: joined.subarray(position + end.length) };
+    };
+
+    const readHead = (bytes: Buffer): Buffer => {
+        const taken = takeUntil(bytes, HEAD_END, MAX_HEAD_BYTES);
+        if (taken === undefined) {
+            return bytes.subarray(bytes.length);
+        }
+        const [statusLine = "", ...lines] = taken.text.split("\r\n");
+        const status = Number(STATUS_LINE.exec(statusLine)?.[1]);
+        if (Number.isNaN(status)) {
+            throw new Error("the first line isn't the status line of an HTTP/1.1 response");
+        }
+        if (status >= MIN_FINAL_STATUS) {
+            const headers = parseHeaders(lines);
+            startBody(status, headers);
+            handlers.onHead(status, headers);
+        }
+        return taken.rest;
+    };
+
+    const readChunkSize = (bytes: Buffer): Buffer => {
+        const taken = takeUntil(bytes, LINE_END, MAX_LINE_BYTES);
+        if (taken === undefined) {
+            return bytes.subarray(bytes.length);
+        }
+        const size = CHUNK_SIZE_LINE.exec(taken.text)?.[1];
+        if (size === undefined) {
+            throw new Error("a chunk size of the response is malformed");
+        }
+        remaining = Number.parseInt(size, HEX_RADIX);
+        state = remaining === 0 ? "trailer" : "chunk";
+        return taken.rest;
+    };
+
+    /** Reads the line end after a chunk, or the lines after the last chunk, which end with an empty one. */
+    const readLine = (bytes: Buffer): Buffer => {
+        const taken = takeUntil(bytes, LINE_END, MAX_LINE_BYTES);
+        if (taken === undefined) {
+            return bytes.subarray(bytes.length);
+        }
+        if (state === "chunkEnd" && taken.text !== "") {
+            throw new Error("a chunk of the response is longer than its stated size");
+        }
+        if (state === "chunkEnd") {
+            state = "chunkSize";
+        }
+        else if (taken.text === "") {
+            state = "complete";
+        }
+        return taken.rest;
+    };
+
+    const readBody = (bytes: Buffer): Buffer => {
+        const length = Math.min(remaining, bytes.length);
+        remaining -= length;
+        handlers.onBody(length === bytes.length ? bytes : bytes.subarray(0, length));
+        if (remaining === 0) {
+            state = state === "chunk" ? "chunkEnd" : "complete";
+        }
+        return bytes.subarray(length);
+    };
+
+    const readUntilClose = (bytes: Buffer): Buffer => {
+        handlers.onBody(bytes);
+        return bytes.subarray(bytes.length);
+    };
+
+    const readers: Record<Exclude<State, "complete">, (bytes: Buffer) => Buffer> = {
+        head: readHead,
+        length: readBody,
+        chunkSize: readChunkSize,
+        chunk: readBody,
+        chunkEnd: readLine,
+        trailer: readLine,
+        untilClose: readUntilClose,
+    };
+
+    return {
+        push: (bytes: Buffer): void => {
+            let rest = bytes;
+            while (rest.length > 0 && state !== "complete") {
+                rest = readers[state](rest);
+            }
+            if (state === "complete") {
+                handlers.onComplete(rest.length);
+            }
+        },
+        /** Whether the response has no length and ends with its connection. */
+        isCloseDelimited: (): boolean => state === "untilClose",
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -0,0 +1,190 @@
+import { createConnection } from "node:net";
+import type { PooledResponseHandlers } from "./pooledResponseHandlers.js";
+import type { TargetRequestMessage } from "./targetRequestMessage.js";
+import { createResponseParser } from "./createResponseParser.js";
+import { keepAliveMs } from "./keepAliveMs.js";
+
+interface ConnectionOptions {
+    address: string;
+    /** Called when the connection is open. */
+    onOpen: () => void;
+    /** Called once when the connection is free for another request. It may then be idle for `idleMs` at most. */
+    onFree: (idleMs: number) => void;
+    /** Called once when the connection has ended. */
+    onClose: () => void;
+}
+
+interface Exchange {
+    handlers: PooledResponseHandlers;
+    parser: ReturnType<typeof createResponseParser>;
+    /** Whether any byte of the request may have reached the target. */
+    sent: boolean;
+    /** Whether the connection may carry another request after the response, and for how long it may be idle before. */
+    reusable: boolean;
+    idleMs: number;
+}
+
+/** Longest time in ms until a connection is open. */
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
+const READ_BUFFER_BYTES = 65_536;
+const CLOSE_OPTION = /(?:^|[\s,])close(?:$|[\s,])/i;
+const NO_BODY_METHOD = "HEAD";
+
+/** All connections read into the same memory: their handlers are done with the bytes, or have copied them, when they return. */
+const readBuffer = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
+
+const encodeRequest = ({ method, path, headers, body }: TargetRequestMessage): Buffer => {
+    let head = `${method} ${path} HTTP/1.1\r\n`;
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        head += `${headers[index]}: ${headers[index + 1]}\r\n`;
+    }
+    if (body === undefined) {
+        return Buffer.from(`${head}\r\n`, "latin1");
+    }
+    return Buffer.concat([Buffer.from(`${head}content-length: ${body.length}\r\n\r\n`, "latin1"), body]);
+};
+
+/**
+ * Creates one connection to a target, which carries one request at a time. It reads without the machinery of streams: a stream
+ * of events costs the processor time of its reads, and most of that was spent there.
+ */
+export const createTargetConnection = ({ address, onOpen, onFree, onClose }: ConnectionOptions) => {
+    const [host, port] = address.split(":");
+    let exchange: Exchange | undefined;
+    let request: Buffer | undefined;
+    let isOpen = false;
+    let isClosed = false;
+    /** Whether the handler of the present read has asked for more. */
+    let mayRead = true;
+
+    const socket = createConnection({
+        host: host ?? "",
+        port: Number(port),
+        allowHalfOpen: true,
+        noDelay: true,
+        keepAlive: true,
+        keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
+        onread: { buffer: readBuffer, callback: bytesRead => handleRead(bytesRead) },
+    });
+
+    const close = (): void => {
+        if (!isClosed) {
+            isClosed = true;
+            clearTimeout(connectTimer);
+            socket.destroy();
+            onClose();
+        }
+    };
+
+    const connectTimer = setTimeout(() => fail("the connection didn't open in time"), CONNECT_TIMEOUT_MS);
+
+    const fail = (reason: string, malformed = false): void => {
+        const failed = exchange;
+        exchange = undefined;
+        close();
+        failed?.handlers.onFailure({ sent: failed.sent, malformed, reason });
+    };
+
+    const complete = (completed: Exchange, isReusable: boolean): void => {
+        if (exchange !== completed) {
+            return;
+        }
+        exchange = undefined;
+        // A target may answer before it has read the whole request. The rest of the request must not be taken for another one.
+        if (isReusable && socket.writableLength === 0) {
+            onFree(completed.idleMs);
+        }
+        else {
+            close();
+        }
+        completed.handlers.onEnd();
+    };
+
+    const handleRead = (bytesRead: number): boolean => {
+        if (exchange === undefined) {
+            // Bytes that belong to no request spoil the connection.
+            close();
+            return true;
+        }
+        mayRead = true;
+        try {
+            exchange.parser.push(readBuffer.subarray(0, bytesRead));
+        }
+        catch (err) {
+            fail((err as Error).message, true);
+        }
+        return mayRead;
+    };
+
+    const writeRequest = (): void => {
+        if (exchange !== undefined && request !== undefined) {
+            exchange.sent = true;
+            socket.write(request);
+            request = undefined;
+        }
+    };
+
+    const handleEnd = (): void => {
+        if (exchange === undefined) {
+            close();
+            return;
+        }
+        if (!exchange.parser.isCloseDelimited()) {
+            fail("the connection ended inside the answer");
+            return;
+        }
+        // Data and a reset that arrive together look like an orderly end. A write reveals the reset as an error, before the
+        // immediate callback. An empty line between requests means nothing to a target that has closed the connection.
+        const ended = exchange;
+        socket.write("\r\n");
+        setImmediate(() => complete(ended, false));
+    };
+
+    socket.once("connect", () => {
+        isOpen = true;
+        clearTimeout(connectTimer);
+        onOpen();
+        writeRequest();
+    });
+    socket.once("end", handleEnd);
+    socket.on("error", err => fail(err.message));
+    socket.once("close", () => fail("the connection was closed"));
+
+    return {
+        /** Sends a request. Only a connection that was never used or has reported to be free may be given one. */
+        send: (message: TargetRequestMessage, handlers: PooledResponseHandlers): void => {
+            const current: Exchange = {
+                handlers,
+                sent: false,
+                reusable: false,
+                idleMs: 0,
+                parser: createResponseParser({
+                    onHead: (status, headers) => {
+                        current.reusable = !CLOSE_OPTION.test(headers.connection ?? "");
+                        current.idleMs = keepAliveMs(headers["keep-alive"]);
+                        handlers.onHead(status, headers);
+                    },
+                    onBody: bytes => {
+                        if (exchange === current) {
+                            mayRead = handlers.onChunk(bytes) && mayRead;
+                        }
+                    },
+                    onComplete: surplus => complete(current, current.reusable && surplus === 0),
+                }, message.method !== NO_BODY_METHOD),
+            };
+            exchange = current;
+            request = encodeRequest(message);
+            if (isOpen) {
+                writeRequest();
+            }
+        },
+        isClosed: (): boolean => isClosed,
+        resume: (): void => void socket.resume(),
+        /** Closes the connection. The request on it gets no further callback. */
+        close: (): void => {
+            exchange = undefined;
+            close();
+        },
+    };
+};
