--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -104,7 +104,7 @@
     {
         invariant: "gateway, one holder: a new planner sends orders while orders of its predecessor may still arrive",
         file: "packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts",
-        from: "previousHolder === undefined ? now() + leaseMs + HANDOVER_MARGIN_MS : now()",
+        from: "previousHolder?.active === true ? now() : now() + leaseMs + HANDOVER_MARGIN_MS",
         to: "now()",
         check: PLANNER_LEASE_TEST,
     },
--- /dev/null
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -0,0 +1,167 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { MetadataStore } from "medlarlb-types/metadataStore";
+import type { StoreEntry } from "medlarlb-types/storeEntry";
+import type { StoreError } from "medlarlb-types/storeError";
+import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
+import { createDirectorySync } from "../gateway/createDirectorySync.js";
+
+const watcher = brandAs<InstanceId>("a:1");
+const self = brandAs<InstanceId>("b:1");
+const HEARTBEAT_MS = 300;
+
+describe("the directory of an instance", () => {
+    let sync: ReturnType<typeof createDirectorySync>;
+    let stopHeartbeat = (): void => undefined;
+
+    afterEach(() => {
+        stopHeartbeat();
+        sync.stop();
+    });
+
+    const createFixture = () => {
+        const calls: string[] = [];
+        const events: string[] = [];
+        const relays: DirectoryRelay[] = [];
+        let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
+        let reachable = true;
+        const revision = (): number => Math.max(...items.map(item => item.revision));
+        const answer = <Value>(value: Value): Result<Value, StoreError> =>
+            (reachable ? Result.ok<Value, StoreError>(value) : Result.err<Value, StoreError>({ kind: "unknown", message: "no answer" }));
+        const store = {
+            list: async () => {
+                calls.push("list");
+                return answer({ items, revision: revision() });
+            },
+            watch: async (_prefix: string, after: number, waitMs: number) => {
+                calls.push(`watch ${after}`);
+                const changed = () => items.filter(item => item.revision > after);
+                await sleep(changed().length > 0 ? 0 : waitMs);
+                return answer({ items: changed(), revision: revision() });
+            },
+        } as unknown as MetadataStore;
+        const role = createWatchRole(self, performance.now());
+        role.setOrder([watcher, self], performance.now());
+        sync = createDirectorySync({
+            store,
+            now: () => performance.now(),
+            configKey: "op/config",
+            targetPrefix: "servers/",
+            role,
+            relay: changes => relays.push(changes),
+            handlers: {
+                onConfig: text => events.push(text),
+                onTargetEntry: (id, text) => events.push(`${id} ${text}`),
+                onTargetGone: id => events.push(`${id} gone`),
+                onInstances: () => undefined,
+                onPlanners: () => undefined,
+                onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
+            },
+        });
+        const relay = (after: number, entries: StoreEntry[]): void => {
+            const last = Math.max(after, ...entries.map(entry => entry.revision));
+            sync.applyRelay(watcher, { after, revision: last, items: entries, contactAgeMs: 0, outageEndedAgoMs: undefined });
+        };
+        /** Has the watcher of the zone tell every now and then that it is in contact with the store. */
+        const startHeartbeat = (known: () => number): void => {
+            const timer = setInterval(() => relay(known(), []), HEARTBEAT_MS);
+            stopHeartbeat = () => clearInterval(timer);
+            relay(known(), []);
+        };
+        return {
+            calls,
+            events,
+            relays,
+            relay,
+            startHeartbeat,
+            change: (entry: StoreEntry): void => {
+                items = [...items.filter(item => item.key !== entry.key), entry];
+            },
+            setReachable: (value: boolean): void => {
+                reachable = value;
+            },
+        };
+    };
+
+    it("follows the watcher of its zone without calls to the store of its own", async () => {
+        const { calls, events, relays, relay, startHeartbeat } = createFixture();
+        sync.start();
+        await sleep(20);
+        startHeartbeat(() => 5);
+        await sleep(700);
+        calls.splice(0);
+        relay(5, [{ key: "op/config", value: "config 2", revision: 6 }, { key: "servers/e1", value: "entry", revision: 7 }]);
+        relay(7, [{ key: "servers/e1", value: undefined, revision: 8 }]);
+        stopHeartbeat();
+        startHeartbeat(() => 8);
+        await sleep(700);
+        expect(events).to.deep.equal(["config 1", "config 2", "e1 entry", "e1 gone"]);
+        expect(calls).to.deep.equal([]);
+        expect(relays).to.deep.equal([]);
+    });
+
+    it("reads missing changes from the store if the watcher passes on later ones", async () => {
+        const { calls, events, relay, startHeartbeat, change } = createFixture();
+        sync.start();
+        await sleep(20);
+        startHeartbeat(() => 5);
+        await sleep(700);
+        calls.splice(0);
+        change({ key: "op/config", value: "config 2", revision: 9 });
+        relay(8, [{ key: "servers/e1", value: "entry", revision: 10 }]);
+        await sleep(100);
+        expect(calls).to.deep.equal(["watch 5"]);
+        expect(events).to.include("config 2");
+    });
+
+    it("watches the store itself within 1.5 s when the watcher is silent, and passes changes on", async () => {
+        const { calls, events, relays, startHeartbeat, change } = createFixture();
+        sync.start();
+        await sleep(20);
+        startHeartbeat(() => 5);
+        await sleep(700);
+        stopHeartbeat();
+        calls.splice(0);
+        change({ key: "op/config", value: "config 2", revision: 6 });
+        await sleep(1_500);
+        expect(calls[0]).to.equal("watch 5");
+        expect(events).to.include("config 2");
+        expect(relays[0]).to.deep.include({ after: 5, revision: 6, items: [{ key: "op/config", value: "config 2", revision: 6 }] });
+    });
+
+    it("watches the store itself if the watcher has lost contact with the store", async () => {
+        const { calls } = createFixture();
+        sync.start();
+        await sleep(20);
+        calls.splice(0);
+        const timer = setInterval(() => sync.applyRelay(watcher, {
+            after: 5,
+            revision: 5,
+            items: [],
+            contactAgeMs: 5_000,
+            outageEndedAgoMs: undefined,
+        }), HEARTBEAT_MS);
+        stopHeartbeat = () => clearInterval(timer);
+        await sleep(1_200);
+        expect(calls).to.include("watch 5");
+    });
+
+    it("waits with removals after an outage of which the watcher tells, because entries reappear", async () => {
+        const { events } = createFixture();
+        sync.start();
+        await sleep(20);
+        const passOn = (after: number, entry: StoreEntry): void =>
+            sync.applyRelay(watcher, { after, revision: entry.revision, items: [entry], contactAgeMs: 0, outageEndedAgoMs: 100 });
+        passOn(5, { key: "servers/e1", value: "entry", revision: 6 });
+        passOn(6, { key: "servers/e1", value: undefined, revision: 7 });
+        await sleep(200);
+        expect(events).to.not.include("e1 gone");
+        passOn(7, { key: "servers/e1", value: "entry", revision: 8 });
+        await sleep(2_300);
+        expect(events).to.not.include("e1 gone");
+    });
+});
--- a/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
@@ -4,7 +4,7 @@
 import type { StoreError } from "medlarlb-types/storeError";
 import { createGatewayPlannerLease } from "../gateway/createGatewayPlannerLease.js";
 
-const TICK_MS = 50;
+const TICK_MS = 200;
 
 /** Lets pending promise callbacks of the store run. */
 const flushPromises = async (): Promise<void> => {
@@ -18,16 +18,21 @@
         let steadyMs = 1_000;
         let wallMs = 5_000_000;
         let reachable = true;
+        let rank = 0;
         /** Renewals without a response yet; undefined while renewals are answered at once. */
         let delayedRenewals: (() => void)[] | undefined;
         let tick: () => void = () => undefined;
         const changes: (number | undefined)[] = [];
+        const written: string[] = [];
         const noResponse: StoreError = { kind: "unknown", message: "no answer" };
         const answer = <Value>(value: Value): Promise<Result<Value, StoreError>> =>
             Promise.resolve(reachable ? Result.ok<Value, StoreError>(value) : Result.err<Value, StoreError>(noResponse));
         const store = {
             grantLease: () => answer(7),
-            change: () => answer(41),
+            change: ({ puts }: Parameters<MetadataStore["change"]>[0]) => {
+                written.push(...puts.map(put => put.value));
+                return answer(41);
+            },
             renewLease: () => {
                 const pendingRenewals = delayedRenewals;
                 return pendingRenewals === undefined
@@ -43,6 +48,7 @@
             now: () => steadyMs,
             wallNow: () => wallMs,
             leaseMs: 3_000,
+            rank: () => rank,
             every: (_ms, run) => {
                 tick = run;
                 return () => undefined;
@@ -60,7 +66,11 @@
         return {
             lease,
             changes,
+            written,
             advance,
+            setRank: (value: number): void => {
+                rank = value;
+            },
             setReachable: (value: boolean): void => {
                 reachable = value;
             },
@@ -94,18 +104,38 @@
 
     it("is not acquired while another instance holds it", async () => {
         const { lease, advance, changes } = createFixture();
-        lease.setHolder({ instance: "other" as never, revision: 9 });
+        lease.setHolder({ instance: "other" as never, revision: 9, active: true });
         await advance(10_000);
         expect(changes).to.deep.equal([]);
     });
 
     it("is acquired without a wait by the instance that held it before it restarted", async () => {
         const { lease, advance } = createFixture();
-        lease.setHolder({ instance: "i" as never, revision: 9 });
+        lease.setHolder({ instance: "i" as never, revision: 9, active: true });
         await advance(300);
         expect(lease.isValid()).to.equal(true);
     });
 
+    it("is acquired with the whole wait by an instance whose former process or lost change was still waiting", async () => {
+        const { lease, advance, written } = createFixture();
+        lease.setHolder({ instance: "i" as never, revision: 9, active: false });
+        await advance(3_000);
+        expect(lease.isValid()).to.equal(false);
+        await advance(1_000);
+        expect(lease.isValid()).to.equal(true);
+        expect(written).to.deep.equal(["i", "i active"]);
+    });
+
+    it("is acquired late by an instance that stands behind others, so that few of them try", async () => {
+        const { lease, advance, written, setRank } = createFixture();
+        setRank(5);
+        lease.setHolder(undefined);
+        await advance(1_000);
+        expect(written).to.deep.equal([]);
+        await advance(1_000);
+        expect(written).to.deep.equal(["i"]);
+    });
+
     it("becomes invalid before the store can grant it to another instance", async () => {
         const { lease, advance, setReachable, changes } = createFixture();
         lease.setHolder(undefined);
@@ -165,7 +195,7 @@
         const { lease, advance } = createFixture();
         lease.setHolder(undefined);
         await advance(5_000);
-        lease.setHolder({ instance: "other" as never, revision: 50 });
+        lease.setHolder({ instance: "other" as never, revision: 50, active: false });
         expect(lease.isValid()).to.equal(false);
     });
 });
--- /dev/null
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -0,0 +1,91 @@
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { GatewayCommand } from "medlarlb-decisions/gateway/gatewayCommand";
+import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
+import type { createPeerGroup } from "medlarlb-peers/createPeerGroup";
+import type { GatewayMessage } from "medlarlb-peers/gatewayMessage";
+import type { createEngineControl } from "medlarlb-site-adapter/createEngineControl";
+import type { createCallProxy } from "./createCallProxy.js";
+import type { createGatewayMetrics } from "./createGatewayMetrics.js";
+import type { createGatewayPlannerLease } from "./createGatewayPlannerLease.js";
+
+interface ExecutorOptions {
+    callProxy: ReturnType<typeof createCallProxy>;
+    peers: ReturnType<typeof createPeerGroup>;
+    engines: ReturnType<typeof createEngineControl>;
+    plannerLease: Pick<ReturnType<typeof createGatewayPlannerLease>, "isValid">;
+    orderMs: ReturnType<typeof createGatewayMetrics>["orderMs"];
+    now: () => number;
+    push: (input: GatewayInput) => void;
+    logEvent: (event: string, fields: Record<string, unknown>) => void;
+}
+
+/** Creates the function that carries out the commands of the decisions. */
+export const createCommandExecutor = (options: ExecutorOptions): ((command: GatewayCommand) => void) => {
+    const { callProxy, peers, engines, plannerLease, orderMs, now, push, logEvent } = options;
+
+    /** Sends one message to several instances, which is encoded once. */
+    const sendToAll = (ids: readonly InstanceId[], message: GatewayMessage): void => ids.forEach(id => peers.send(id, message));
+
+    const sendOrder = async (command: Extract<GatewayCommand, { kind: "order" }>): Promise<void> => {
+        const { targetId, address } = command;
+        if (!plannerLease.isValid()) {
+            push({ kind: "ordered", targetId, answer: "refused", reason: "the planner lease is no longer valid" });
+            return;
+        }
+        const sentAtMs = now();
+        const result = await engines.order({ targetId, address }, command.order);
+        orderMs.observe(now() - sentAtMs);
+        push({ kind: "ordered", targetId, ...result });
+    };
+
+    const requestReport = async ({ targetId, address }: Extract<GatewayCommand, { kind: "report" }>): Promise<void> => {
+        const requestedAtMs = now();
+        const result = await engines.report({ targetId, address });
+        if (result.isOk) {
+            push({ kind: "report", report: result.value, requestedAtMs });
+        }
+        else {
+            push({ kind: "reportFailed", targetId, reason: result.error });
+        }
+    };
+
+    return (command: GatewayCommand): void => {
+        switch (command.kind) {
+            case "send":
+                callProxy.send(command);
+                break;
+            case "abort":
+                callProxy.abort(command.callId, command.attempt);
+                break;
+            case "answer":
+                callProxy.answer(command);
+                break;
+            case "order":
+                void sendOrder(command);
+                break;
+            case "report":
+                void requestReport(command);
+                break;
+            case "want": {
+                const { to, service, model, adapter, targetId } = command;
+                peers.send(to, { kind: "wanted", service, model, adapter, targetId });
+                break;
+            }
+            case "shareStatus":
+                sendToAll(command.to, { kind: "status", status: command.status });
+                break;
+            case "shareDigest":
+                peers.send(command.to, { kind: "digest", digest: command.digest });
+                break;
+            case "shareNews":
+                sendToAll(command.to, { kind: "news", news: command.news });
+                break;
+            case "shareLeaving":
+                peers.publish({ key: `leaving/${command.targetId}`, version: peers.nextVersion(`leaving/${command.targetId}`), value: true }, true);
+                break;
+            case "log":
+                logEvent(command.event, command.fields);
+                break;
+        }
+    };
+};
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -1,11 +1,16 @@
+import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
+import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
+import type { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
+import { createDelay } from "../shared/createDelay.js";
 import type { DirectoryHandlers } from "./directoryHandlers.js";
 import { directoryKeys } from "./directoryKeys.js";
+import { plannerEntry } from "./plannerEntry.js";
 
 interface DirectorySyncOptions {
     store: MetadataStore;
@@ -13,38 +18,40 @@
     /** Key of the operator's configuration document, and prefix of the keys under which targets register. */
     configKey: string;
     targetPrefix: string;
-    /** Returns the number of instances that the store lists. */
-    instanceCount: () => number;
+    /** Decides whether this instance watches the store or follows another instance that does. */
+    role: ReturnType<typeof createWatchRole>;
+    /** Sends changes of the store to the other instances of this zone. */
+    relay: (changes: DirectoryRelay) => void;
     handlers: DirectoryHandlers;
 }
 
 /**
  * Longest time in ms that a watch waits for a change. A dead connection is detected after this time and the store
- * client's margin.
+ * client's margin. Its end also shows the instances that follow this one that the store still answers.
  */
-const WATCH_TIMEOUT_MS = 1_000;
+const WATCH_TIMEOUT_MS = 400;
 /**
- * Shortest pause in ms between watches, so that changes close together cost one call. The pause grows with the number of
- * instances, because they share the store's call rate and send urgent changes to each other. The longest pause is part
- * of the time within which a change by the operator has to take effect.
+ * Pause in ms between watches, so that changes close together cost one call. It is longer while an instance watches only until
+ * it hears of another one that does.
  */
-const MIN_WATCH_PAUSE_MS = 250;
-const MAX_WATCH_PAUSE_MS = 1_000;
-/** Number of instances up to which the shortest pause applies. */
-const FULL_RATE_INSTANCE_COUNT = 16;
-/** Base delay in ms before a failed call is retried. Each consecutive failure, also the first, doubles it up to the longest delay. */
-const RETRY_DELAY_MS = 100;
-const MAX_RETRY_DELAY_MS = 800;
+const WATCH_PAUSE_MS = 100;
+const INTERIM_WATCH_PAUSE_MS = 500;
+/** Interval in ms at which an instance that follows another one checks whether it still can. */
+const FOLLOWING_CHECK_MS = 150;
 /** Time in ms after a store outage during which a removed target isn't reported as gone, because its entry may reappear. */
 const REMOVAL_GRACE_MS = 2_200;
 
-const delay = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
-
-/** Creates the watcher of the store, which reports changes of the configuration, targets, instances and planners. */
-export const createDirectorySync = ({ store, now, configKey, targetPrefix, instanceCount, handlers }: DirectorySyncOptions) => {
+/**
+ * Creates the source of the configuration, targets, instances and planners that the platform's store lists. It watches the
+ * store and passes changes on to the instances of its zone, or follows another instance that does so.
+ */
+export const createDirectorySync = ({ store, now, configKey, targetPrefix, role, relay, handlers }: DirectorySyncOptions) => {
     const entriesByKey = new Map<string, StoreEntry>();
     const pendingRemovals = new Map<string, NodeJS.Timeout>();
+    const pause = createDelay();
     let revision: number | undefined;
+    /** Whether another instance has passed on changes that follow others which this instance doesn't know. */
+    let isBehind = false;
     let stopped = false;
     let consecutiveFailures = 0;
     let outageEndedAtMs = Number.NEGATIVE_INFINITY;
@@ -61,10 +68,10 @@
             }
         });
 
-    const listPlanners = (): Map<ZoneId, { instance: InstanceId; revision: number }> => {
+    const listPlanners = (): Map<ZoneId, StoredPlanner> => {
         const prefix = directoryKeys.planner("");
         return new Map([...entriesByKey.values()].filter(entry => entry.key.startsWith(prefix))
-            .map(entry => [entry.key.slice(prefix.length) as ZoneId, { instance: (entry.value ?? "") as InstanceId, revision: entry.revision }]));
+            .map(entry => [entry.key.slice(prefix.length) as ZoneId, plannerEntry.decode(entry.value ?? "", entry.revision)]));
     };
 
     const removeTarget = (key: string): void => {
@@ -116,6 +123,20 @@
         }
     };
 
+    /** Passes on changes that this instance has read itself. */
+    const relayChanges = (after: number, items: StoreEntry[]): void => {
+        if (role.shouldRelay(now())) {
+            const sinceOutageMs = now() - outageEndedAtMs;
+            relay({
+                after,
+                revision: revision ?? after,
+                items,
+                contactAgeMs: 0,
+                outageEndedAgoMs: Number.isFinite(sinceOutageMs) ? sinceOutageMs : undefined,
+            });
+        }
+    };
+
     const readAll = async (): Promise<boolean> => {
         const list = await store.list("");
         if (list.isErr) {
@@ -141,8 +162,10 @@
             return recordFailure(changes.error.message);
         }
         recordSuccess();
+        isBehind = false;
         applyEntries(changes.value.items);
-        revision = Math.max(after, changes.value.revision);
+        revision = Math.max(revision ?? after, changes.value.revision);
+        relayChanges(after, changes.value.items);
         return true;
     };
 
@@ -163,13 +186,21 @@
         consecutiveFailures = 0;
     };
 
-    const watchPauseMs = (): number =>
-        Math.min(MAX_WATCH_PAUSE_MS, MIN_WATCH_PAUSE_MS * Math.max(1, instanceCount() / FULL_RATE_INSTANCE_COUNT));
+    /** Reads the store once if this instance has to, and returns the time in ms until the next check. */
+    const followStoreOnce = async (): Promise<number> => {
+        if (revision === undefined) {
+            return await readAll() ? 0 : role.retryDelayMs();
+        }
+        if (isBehind || role.shouldWatch(now())) {
+            const pauseMs = role.shouldRelay(now()) ? WATCH_PAUSE_MS : INTERIM_WATCH_PAUSE_MS;
+            return await watchOnce(revision) ? pauseMs : role.retryDelayMs();
+        }
+        return FOLLOWING_CHECK_MS;
+    };
 
     const followStore = async (): Promise<void> => {
         while (!stopped) {
-            const succeeded = revision === undefined ? await readAll() : await watchOnce(revision);
-            await delay(succeeded ? watchPauseMs() : Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** consecutiveFailures));
+            await pause.wait(await followStoreOnce());
         }
     };
 
@@ -186,8 +217,27 @@
                 applyEntries(entries);
             }
         },
+        /** Applies changes that another instance of this zone passes on. */
+        applyRelay: (from: InstanceId, changes: DirectoryRelay): void => {
+            role.recordWatcher(from, now() - changes.contactAgeMs);
+            if (revision === undefined) {
+                return;
+            }
+            if (changes.after > revision) {
+                // Changes in between are missing. The store returns them at once.
+                isBehind = true;
+                pause.end();
+                return;
+            }
+            if (changes.outageEndedAgoMs !== undefined) {
+                outageEndedAtMs = Math.max(outageEndedAtMs, now() - changes.outageEndedAgoMs);
+            }
+            applyEntries(changes.items);
+            revision = Math.max(revision, changes.revision);
+        },
         stop: (): void => {
             stopped = true;
+            pause.end();
             pendingRemovals.forEach(timer => clearTimeout(timer));
         },
     };
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -6,12 +6,14 @@
 import type { BootId } from "medlarlb-types/bootId";
 import { brandAs } from "medlarlb-types/brandAs";
 import type { InstanceId } from "medlarlb-types/instanceId";
+import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import { createGatewayDecisions } from "medlarlb-decisions/gateway/createGatewayDecisions";
 import type { GatewayCommand } from "medlarlb-decisions/gateway/gatewayCommand";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
+import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createPeerGroup } from "medlarlb-peers/createPeerGroup";
 import { callerFirstEventTimeoutMs } from "medlarlb-site-adapter/callerFirstEventTimeoutMs";
 import { createEngineControl } from "medlarlb-site-adapter/createEngineControl";
@@ -29,6 +31,7 @@
 import { repeatEvery } from "../shared/repeatEvery.js";
 import { waitUntil } from "../shared/waitUntil.js";
 import { createCallProxy } from "./createCallProxy.js";
+import { createCommandExecutor } from "./createCommandExecutor.js";
 import { createDirectorySync } from "./createDirectorySync.js";
 import { createGatewayPlannerLease } from "./createGatewayPlannerLease.js";
 import { createGatewayMetrics } from "./createGatewayMetrics.js";
@@ -45,6 +48,8 @@
 /** Time in ms within which the platform's load balancer detects that an instance isn't ready: two checks, a second apart. */
 const READINESS_DETECTION_MS = 2_500;
 const RESPONSE_FLUSH_MS = 100; // time for the last answers to leave the process
+/** Time in ms for which an instance waits for a configuration from the store before it requests it from another instance. */
+const CONFIG_PULL_DELAY_MS = 500;
 const CONFIG_ENTRY_KEY = "config";
 
 /** Assembles an instance that routes requests by the operator's configuration in the platform's store. */
@@ -76,7 +81,7 @@
         storeLoadWindowMs: settings.limits.storeLoadWindowSeconds * MS_PER_SECOND,
         storeLoadFactor: settings.limits.storeLoadFactor,
     }, random);
-    const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => performCommand(command), now, decisions.nextStepAtMs);
+    const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => executeCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
     const store = createStoreClient({ address: settings.store.address, countCall: call => metrics.storeCalls.inc({ call }) });
@@ -111,7 +116,7 @@
         configText = text;
         ingress.applyLimits(config);
         push({ kind: "config", config });
-        peers.gossipNow();
+        // Instances that can't read the store learn of the new revision from the next probes.
     };
 
     const peers = createPeerGroup({
@@ -120,6 +125,9 @@
         now,
         random,
         configRevision: () => config?.version ?? 0,
+        configPullDelayMs: CONFIG_PULL_DELAY_MS,
+        // Instances exchange gossip with the planner of their zone, and planners with each other.
+        hubs: () => [...planners].filter(([name]) => name === zone || planners.get(zone) === instanceId).map(([, id]) => id),
         configSince: () => {
             const revision = config?.version ?? 0;
             return { revision, base: 0, entries: [{ key: CONFIG_ENTRY_KEY, value: configText, revision }] };
@@ -134,11 +142,14 @@
         },
         onMembers: () => pushInstances(),
         onDemand: () => undefined,
-        onGatewayMessage: message => {
+        onGatewayMessage: (message, from) => {
             if (message.kind === "directory") {
                 logEvent("directoryFromPeer", { items: message.items.length, used: !directory.hasReadStore() });
                 directory.applyPeerEntries(message.items);
             }
+            else if (message.kind === "directoryChange") {
+                directory.applyRelay(from, message.changes);
+            }
             else if (message.kind === "wanted") {
                 push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
             }
@@ -152,12 +163,24 @@
     });
 
     let planners = new Map<ZoneId, InstanceId>();
-    let listedInstanceCount = 1;
+    /** Other instances of this zone that respond. */
+    let zoneMembers: InstanceId[] = [];
+    const watchRole = createWatchRole(instanceId, now());
+    let listedInstances: ListedInstance[] = [];
     const pushInstances = (): void => {
         const alive = peers.alive();
-        const members = alive.filter(member => member.id !== instanceId)
-            .map(({ id, zone: memberZone }) => ({ id, zone: brandAs<ZoneId>(memberZone) }));
-        push({ kind: "instances", count: Math.max(listedInstanceCount, alive.length), planners, members });
+        const dead = new Set(peers.members().filter(member => member.state === "dead").map(member => member.info.id));
+        // Gossip takes a moment to reach all, so that listed instances count as members until they are known to be gone.
+        const known = [...listedInstances.map(each => ({ id: each.id as InstanceId, zone: each.zone })), ...alive];
+        const members = [...new Map(known.filter(each => each.id !== instanceId && !dead.has(each.id))
+            .map(each => [each.id, { id: each.id, zone: brandAs<ZoneId>(each.zone) }])).values()];
+        zoneMembers = members.filter(member => member.zone === zone).map(member => member.id);
+        // The planner watches the store for its zone and collects its load. The others replace it in the order of their ids.
+        const planner = planners.get(zone);
+        const others = [...zoneMembers, instanceId].filter(id => id !== planner).sort();
+        const zoneOrder = planner === undefined ? others : [planner, ...others];
+        watchRole.setOrder(zoneOrder, now());
+        push({ kind: "instances", count: Math.max(listedInstances.length, alive.length), planners, members, zoneOrder });
     };
 
     const plannerLease = createGatewayPlannerLease({
@@ -167,6 +190,7 @@
         now,
         wallNow: Date.now,
         leaseMs: settings.limits.leaseMs,
+        rank: watchRole.rank,
         every: repeatEvery,
         onChange: (fence, reason) => {
             logEvent("dutyChanged", { fence, reason });
@@ -179,7 +203,11 @@
         now,
         configKey: storeKeys.config,
         targetPrefix: storeKeys.targetPrefix,
-        instanceCount: () => listedInstanceCount,
+        role: watchRole,
+        relay: changes => {
+            const message = { kind: "directoryChange", changes } as const;
+            zoneMembers.forEach(id => peers.send(id, message));
+        },
         handlers: {
             onConfig: text => applyConfig(text, "store"),
             onTargetEntry: (id, text) => {
@@ -193,7 +221,7 @@
             },
             onTargetGone: targetId => push({ kind: "targetGone", targetId }),
             onInstances: instances => {
-                listedInstanceCount = instances.length;
+                listedInstances = instances;
                 peers.setListed(instances);
                 pushInstances();
             },
@@ -207,68 +235,8 @@
     });
     const registration = createRegistration(store, instanceId, zone);
 
-    const sendOrder = async (command: Extract<GatewayCommand, { kind: "order" }>): Promise<void> => {
-        const { targetId, address } = command;
-        if (!plannerLease.isValid()) {
-            push({ kind: "ordered", targetId, answer: "refused", reason: "the planner lease is no longer valid" });
-            return;
-        }
-        const sentAtMs = now();
-        const result = await engines.order({ targetId, address }, command.order);
-        metrics.orderMs.observe(now() - sentAtMs);
-        push({ kind: "ordered", targetId, ...result });
-    };
-
-    const requestReport = async ({ targetId, address }: Extract<GatewayCommand, { kind: "report" }>): Promise<void> => {
-        const requestedAtMs = now();
-        const result = await engines.report({ targetId, address });
-        if (result.isOk) {
-            push({ kind: "report", report: result.value, requestedAtMs });
-        }
-        else {
-            push({ kind: "reportFailed", targetId, reason: result.error });
-        }
-    };
-
-    const performCommand = (command: GatewayCommand): void => {
-        switch (command.kind) {
-            case "send":
-                callProxy.send(command);
-                break;
-            case "abort":
-                callProxy.abort(command.callId, command.attempt);
-                break;
-            case "answer":
-                callProxy.answer(command);
-                break;
-            case "order":
-                void sendOrder(command);
-                break;
-            case "report":
-                void requestReport(command);
-                break;
-            case "want": {
-                const { to, service, model, adapter: adapterName, targetId } = command;
-                peers.send(to, { kind: "wanted", service, model, adapter: adapterName, targetId });
-                break;
-            }
-            case "shareStatus":
-                command.to.forEach(id => peers.send(id, { kind: "status", status: command.status }));
-                break;
-            case "shareDigest":
-                peers.send(command.to, { kind: "digest", digest: command.digest });
-                break;
-            case "shareNews":
-                command.to.forEach(id => peers.send(id, { kind: "news", news: command.news }));
-                break;
-            case "shareLeaving":
-                peers.publish({ key: `leaving/${command.targetId}`, version: peers.nextVersion(`leaving/${command.targetId}`), value: true }, true);
-                break;
-            case "log":
-                logEvent(command.event, command.fields);
-                break;
-        }
-    };
+    const { orderMs } = metrics;
+    const executeCommand = createCommandExecutor({ callProxy, peers, engines, plannerLease, orderMs, now, push, logEvent });
 
     const readiness = createServer((_req, res) => {
         res.writeHead(config !== undefined && !stopping ? 200 : 503, { "content-length": "0" }).end();
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -1,6 +1,8 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
+import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
 import { directoryKeys } from "./directoryKeys.js";
+import { plannerEntry } from "./plannerEntry.js";
 
 interface LeaseOptions {
     store: MetadataStore;
@@ -11,6 +13,8 @@
     wallNow: () => number;
     /** Shortest time in ms between the last order of one holder and the first order of the next. */
     leaseMs: number;
+    /** Returns how many instances of the zone try to acquire a free lease before this one. */
+    rank: () => number;
     /** Calls a function at an interval, and returns a function that stops it. */
     every: (ms: number, run: () => void) => () => void;
     /** Called with the fencing number when orders may be sent, and with undefined when they no longer may. */
@@ -41,6 +45,9 @@
 const MAX_CLOCK_DRIFT_MS = 200;
 /** Longest time in ms between two checks of the clocks. A longer one means that the process was paused. */
 const MAX_TICK_GAP_MS = 600;
+/** Delay in ms between the attempts of two instances to acquire a free lease, so that most instances make none, and its limit. */
+const ACQUISITION_STEP_MS = 250;
+const MAX_ACQUISITION_DELAY_MS = 2_000;
 /** Margin in ms that a new holder waits in addition to `leaseMs`. */
 const HANDOVER_MARGIN_MS = 300;
 
@@ -51,10 +58,10 @@
  * across one. A new holder waits until the orders of the holder before it are past, unless it replaces its own entry.
  */
 export const createGatewayPlannerLease = (options: LeaseOptions) => {
-    const { store, zone, instanceId, now, wallNow, leaseMs, every, onChange } = options;
+    const { store, zone, instanceId, now, wallNow, leaseMs, rank, every, onChange } = options;
     let heldLease: HeldLease | undefined;
     /** Planner of the zone that the store names. */
-    let storedHolder: { instance: InstanceId; revision: number } | undefined;
+    let storedHolder: StoredPlanner | undefined;
     let isHolderKnown = false;
     let isCalling = false;
     /** Number of process pauses and clock jumps. A renewal that was sent before one doesn't extend the lease after it. */
@@ -102,11 +109,11 @@
             return;
         }
         const key = directoryKeys.planner(zone);
-        // After a restart this instance replaces its own entry at once: its former process can't send orders any more.
+        // After a restart this instance replaces its own entry, and has to wait only if its former process was still waiting.
         const previousHolder = storedHolder;
         const change = await store.change({
             conditions: [{ key, revision: previousHolder?.revision ?? 0 }],
-            puts: [{ key, value: instanceId, lease: lease.value }],
+            puts: [{ key, value: plannerEntry.encode(instanceId, false), lease: lease.value }],
             removes: [],
         });
         if (change.isErr) {
@@ -118,7 +125,7 @@
             lease: lease.value,
             fence: change.value,
             validUntilMs: startedAtMs + LEASE_TTL_MS - EXPIRY_MARGIN_MS,
-            activeAtMs: previousHolder === undefined ? now() + leaseMs + HANDOVER_MARGIN_MS : now(),
+            activeAtMs: previousHolder?.active === true ? now() : now() + leaseMs + HANDOVER_MARGIN_MS,
             active: false,
         };
     };
@@ -157,6 +164,13 @@
         }
     };
 
+    /** Records in the store that the wait is over. A process that restarts without this record waits once more. */
+    const recordActivation = async ({ lease, fence }: HeldLease): Promise<void> => {
+        const key = directoryKeys.planner(zone);
+        const puts = [{ key, value: plannerEntry.encode(instanceId, true), lease }];
+        await store.change({ conditions: [{ key, revision: fence }], puts, removes: [] });
+    };
+
     const tick = (): void => {
         checkClocks();
         if (heldLease?.active === true && now() >= heldLease.validUntilMs) {
@@ -165,6 +179,7 @@
         if (heldLease !== undefined && !heldLease.active && now() >= heldLease.activeAtMs && now() < heldLease.validUntilMs) {
             heldLease.active = true;
             onChange(heldLease.fence, "the lease is held and orders of an earlier holder are past");
+            void recordActivation(heldLease);
         }
         if (!isCalling && !stopped && now() >= nextCallAtMs) {
             void acquireOrRenew();
@@ -185,9 +200,13 @@
     return {
         isValid,
         /** Sets the planner of the zone that the store names, with the revision of its entry. */
-        setHolder: (newHolder: { instance: InstanceId; revision: number } | undefined): void => {
+        setHolder: (newHolder: StoredPlanner | undefined): void => {
+            const isNewlyFree = newHolder === undefined && (!isHolderKnown || storedHolder !== undefined);
             isHolderKnown = true;
             storedHolder = newHolder;
+            if (isNewlyFree && heldLease === undefined) {
+                nextCallAtMs = now() + Math.min(MAX_ACQUISITION_DELAY_MS, rank() * ACQUISITION_STEP_MS);
+            }
             if (newHolder !== undefined && newHolder.instance !== instanceId && heldLease !== undefined) {
                 deactivate(`the store names ${newHolder.instance} as planner`);
                 heldLease = undefined;
--- a/packages/medlarlb-daemon/src/gateway/createRegistration.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRegistration.ts
@@ -2,9 +2,12 @@
 import type { MetadataStore } from "medlarlb-types/metadataStore";
 import { directoryKeys } from "./directoryKeys.js";
 
-/** Time to live in ms of an instance's entry, and the interval in ms of its renewal. */
-const LEASE_TTL_MS = 6_000;
-const RENEWAL_INTERVAL_MS = 2_000;
+/**
+ * Time to live in ms of an instance's entry, and the interval in ms of its renewal. The other instances detect by probes that
+ * an instance is gone, so that its entry may stay for a while.
+ */
+const LEASE_TTL_MS = 30_000;
+const RENEWAL_INTERVAL_MS = 10_000;
 /** Delay in ms before a failed registration or renewal is retried. */
 const RETRY_DELAY_MS = 500;
 
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -1,5 +1,5 @@
-import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
+import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 
@@ -10,7 +10,7 @@
     onTargetEntry: (id: string, text: string) => void;
     onTargetGone: (targetId: TargetId) => void;
     onInstances: (instances: ListedInstance[]) => void;
-    onPlanners: (planners: Map<ZoneId, { instance: InstanceId; revision: number }>) => void;
+    onPlanners: (planners: Map<ZoneId, StoredPlanner>) => void;
     /** Called when the store becomes reachable or unreachable. */
     onReachabilityChange: (reachable: boolean, reason: string) => void;
 }
--- a/packages/medlarlb-decisions/src/gateway/__tests__/largeGroup.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/largeGroup.test.ts
@@ -1,4 +1,7 @@
 import { expect } from "chai";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { ZoneId } from "medlarlb-types/zoneId";
 import { createVirtualDeployment } from "./support/createVirtualDeployment.js";
 
 const ZONES = 3;
@@ -70,14 +73,55 @@
     it("discards collected arrivals when an instance becomes the planner, so that they aren't reported twice", () => {
         const deployment = createVirtualDeployment({ seed: 13, zones: ZONES, enginesPerZone: 2, models: 6, instancesPerZone: 6 });
         deployment.run(WARM_UP_MS);
-        deployment.instances[0]?.inputs.push({ kind: "duty", fence: undefined });
-        for (let tick = 0; tick < 40; tick += 1) {
-            deployment.sendCall(ZONES * 2, "m0", { tokens: 300 });
-            deployment.run(50);
-        }
         const successor = deployment.instances[ZONES];
+        const status = {
+            instanceId: brandAs<InstanceId>("i6"),
+            zone: brandAs<ZoneId>("z0"),
+            ofZone: false,
+            planning: false,
+            arrivals: [{ service: "llm", model: "m0", tokens: 300, requests: 1 }],
+            waiting: [],
+            loads: [],
+        };
+        successor?.decisions.step(deployment.now(), [{ kind: "status", status }]);
         expect(successor?.decisions.view().zoneArrivals.size, "received without a planner").to.be.above(0);
         successor?.decisions.step(deployment.now(), [{ kind: "duty", fence: 9 }]);
         expect(successor?.decisions.view().zoneArrivals.size).to.equal(0);
     });
+
+    it("collects the load of a zone at the next instance within a second when the planner of the zone stops responding", () => {
+        const route = { latencyTargetMs: 3_000 };
+        const deployment = createVirtualDeployment({ seed: 14, zones: ZONES, enginesPerZone: 2, models: 6, instancesPerZone: 20, route });
+        deployment.run(WARM_UP_MS);
+        const [planner, , , successor] = deployment.instances;
+        const stopped = planner ?? expect.fail("there is no planner");
+        stopped.stopped = true;
+        deployment.run(1_500);
+        const messagesBefore = deployment.instances.map(each => each.messages);
+        // An instance of the zone, and one of another zone, learn of the load that a third instance puts on an engine.
+        deployment.sendCall(ZONES * 2, "m0", { tokens: 20_000 });
+        deployment.run(1_000);
+        const countPeerRuns = (index: number): number => [...deployment.instances[index]?.decisions.view().targets.values() ?? []]
+            .flatMap(target => [...target.peerLoads.values()]).reduce((sum, load) => sum + load.running, 0);
+        expect(countPeerRuns(ZONES * 3), "in the zone").to.equal(1);
+        expect(countPeerRuns(1), "in another zone").to.equal(1);
+        expect(successor?.decisions.view().zoneStatuses.size).to.equal(18);
+        const perSecond = deployment.instances.map((each, index) => each.messages - (messagesBefore[index] ?? 0));
+        const others = perSecond.filter((_, index) => index >= ZONES && index !== ZONES);
+        expect(Math.max(...others)).to.be.below(15);
+    });
+
+    it("has an instance collect the load of its zone if no planner is known yet, without messages from each to all", () => {
+        const deployment = createVirtualDeployment({ seed: 15, zones: ZONES, enginesPerZone: 2, models: 6, instancesPerZone: 20 });
+        deployment.instances.forEach((instance, index) => {
+            instance.inputs.push({ kind: "duty", fence: undefined });
+            instance.stopped = index < ZONES;
+        });
+        deployment.run(2_000);
+        const messagesBefore = deployment.instances.reduce((sum, each) => sum + each.messages, 0);
+        deployment.run(1_000);
+        const messages = deployment.instances.reduce((sum, each) => sum + each.messages, 0) - messagesBefore;
+        // Each of 57 instances sends and receives five messages a second, and three hubs exchange theirs.
+        expect(messages).to.be.below(57 * 10 + 100);
+    });
 });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
@@ -103,7 +103,7 @@
     }));
     const instances = Array.from({ length: zones * instancesPerZone }, (_, index) => {
         const settings = createSettings(`i${index}`, `z${index % zones}`, policy);
-        return { settings, decisions: createGatewayDecisions(settings, random), inputs: [] as GatewayInput[], messages: 0 };
+        return { settings, decisions: createGatewayDecisions(settings, random), inputs: [] as GatewayInput[], messages: 0, stopped: false };
     });
     const events: { atMs: number; run: () => void }[] = [];
     const outcomes = new Map<string, Outcome>();
@@ -206,7 +206,7 @@
         const due = events.filter(each => each.atMs <= nowMs);
         due.forEach(each => events.splice(events.indexOf(each), 1));
         due.forEach(each => each.run());
-        for (const instance of instances) {
+        for (const instance of instances.filter(each => !each.stopped)) {
             const inputs = instance.inputs.splice(0);
             instance.decisions.step(nowMs, inputs).forEach(command => executeCommand(instance, command));
         }
@@ -221,6 +221,7 @@
             count: instances.length,
             planners,
             members: instances.filter(each => each !== instance).map(({ settings }) => ({ id: settings.instanceId, zone: settings.zone })),
+            zoneOrder: instances.filter(each => each.settings.zone === instance.settings.zone).map(({ settings }) => settings.instanceId),
         },
         ...(index < zones ? [{ kind: "duty" as const, fence: index + 1 }] : []),
     ));
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -64,10 +64,11 @@
     },
     finished: applyFinished,
     failed: applyFailed,
-    instances: (context, { count, planners, members }) => {
+    instances: (context, { count, planners, members, zoneOrder }) => {
         context.instanceCount = count;
         context.planners = planners;
         context.members = members;
+        context.zoneOrder = zoneOrder;
         markAllPools(context);
     },
     stop: context => {
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -43,6 +43,15 @@
     planners: Map<ZoneId, InstanceId>;
     /** Other instances that respond to this one. */
     members: { id: InstanceId; zone: ZoneId }[];
+    /** The instances of this zone that respond, this one included: the planner, then the others in the order of their ids. */
+    zoneOrder: InstanceId[];
+    /**
+     * What this instance knows of the instances that collect the load of its zone: since when it sends them its status, the time
+     * of their latest load digest, and until when they are passed over because they were silent.
+     */
+    hubContacts: Map<InstanceId, { sinceMs: number; digestAtMs: number; passedOverUntilMs: number }>;
+    /** Latest time at which an instance sent the sum over another zone. */
+    zoneHubs: Map<ZoneId, { id: InstanceId; atMs: number }>;
     /** Latest status of each instance of this zone. */
     zoneStatuses: Map<InstanceId, { status: InstanceStatus; atMs: number }>;
     /** Arrivals at the instances of this zone since the last sum over the zone, by service and model. */
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -12,6 +12,17 @@
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { PlacementUpdate } from "medlarlb-types/placementUpdate";
 
+interface InstancesInput {
+    kind: "instances";
+    /** Number of serving instances, including this one. */
+    count: number;
+    planners: Map<ZoneId, InstanceId>;
+    /** The others that respond to this one. */
+    members: { id: InstanceId; zone: ZoneId }[];
+    /** The instances of this zone, this one included, in the order in which they collect the zone's load. */
+    zoneOrder: InstanceId[];
+}
+
 /** Inputs of the gateway's decisions. Times are in ms of the instance's steady clock. */
 export type GatewayInput =
     | { kind: "config"; config: RoutingConfig }
@@ -31,8 +42,7 @@
     | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string }
     /** This instance stops. Calls that still wait are refused now, so that callers can use another instance. */
     | { kind: "stop" }
-    /** `count` serving instances, including this one. `members` are the others that respond to this one. */
-    | { kind: "instances"; count: number; planners: Map<ZoneId, InstanceId>; members: { id: InstanceId; zone: ZoneId }[] }
+    | InstancesInput
     | { kind: "status"; status: InstanceStatus }
     /** Load digest from the planner of this zone, in a large group. */
     | { kind: "digest"; digest: LoadDigest }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
@@ -11,6 +11,8 @@
 export const applyLoadDigest = (context: GatewayContext, digest: LoadDigest): void => {
     const { instanceId, reachedZones, planningZones, loads } = digest;
     const { zone } = context.settings;
+    const contact = context.hubContacts.get(instanceId) ?? { sinceMs: context.nowMs, digestAtMs: 0, passedOverUntilMs: 0 };
+    context.hubContacts.set(instanceId, { ...contact, digestAtMs: context.nowMs });
     for (const target of context.targets.values()) {
         target.peerLoads.clear();
     }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -24,6 +24,9 @@
         context.targets.get(targetId as TargetId)?.peerLoads.set(instanceId, { zone, backlogTokens, running, runs, atMs: context.nowMs });
     }
     context.zoneLastSeenAtMs.set(zone, context.nowMs);
+    if (ofZone) {
+        context.zoneHubs.set(zone, { id: instanceId, atMs: context.nowMs });
+    }
     if (status.planning) {
         context.plannerLastSeenAtMs.set(zone, context.nowMs);
     }
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -1,11 +1,12 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { recordDemand } from "../placement/recordDemand.js";
+import type { InstanceId } from "medlarlb-types/instanceId";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import { addArrivals } from "./addArrivals.js";
+import { chooseHub } from "./chooseHub.js";
 import { createLoadDigestBuilder } from "./createLoadDigestBuilder.js";
 import { isLargeGroup } from "./isLargeGroup.js";
 import { sumZoneStatuses } from "./sumZoneStatuses.js";
-import { listZoneMembers } from "./listZoneMembers.js";
 
 /** Interval in ms at which instances send each other their load: the time to process a few prompts. */
 const STATUS_INTERVAL_MS = 150;
@@ -72,27 +73,39 @@
     context.commands.push({ kind: "shareStatus", to: [...to], status });
 };
 
+/** Lists the instances that collect the load of the other zones: their planners, and those that sent the sum over a zone. */
+const listOtherHubs = (context: GatewayContext): InstanceId[] => {
+    const hubs = new Set<InstanceId>();
+    context.planners.forEach((id, zone) => zone !== context.settings.zone && hubs.add(id));
+    for (const { id, atMs } of context.zoneHubs.values()) {
+        if (context.nowMs - atMs < MAX_STATUS_AGE_MS) {
+            hubs.add(id);
+        }
+    }
+    hubs.delete(context.settings.instanceId);
+    return [...hubs];
+};
+
 /**
- * Sends the status in a large group: to this zone's planner only. The planner sends the sum over its zone to the other
- * planners, and a digest of the load of all zones to the instances of its zone. The number of messages of an instance thus
- * doesn't grow with the group, and that of a planner grows with its zone.
+ * Sends the status in a large group: to the hub of this zone only. The hub sends the sum over its zone to the other hubs, and
+ * a digest of the load of all zones to the instances of its zone. The number of messages of an instance thus doesn't grow with
+ * the group, and that of a hub grows with its zone. An instance is a hub for those that send it their status.
  */
 const sendInLargeGroup = (context: GatewayContext, status: InstanceStatus): void => {
-    const { zone, instanceId } = context.settings;
-    const zoneMembers = listZoneMembers(context);
-    const planner = context.planners.get(zone);
-    const otherPlanners = [...context.planners].filter(([each, id]) => each !== zone && id !== instanceId).map(([, id]) => id);
-    if (context.fence !== undefined) {
+    const hub = chooseHub(context);
+    const isHub = hub === context.settings.instanceId;
+    const followers = [...context.zoneStatuses].filter(([, { atMs }]) => context.nowMs - atMs < MAX_STATUS_AGE_MS).map(([id]) => id);
+    if (isHub || followers.length > 0) {
         addArrivals(context.zoneArrivals, status.arrivals);
-        context.commands.push({ kind: "shareStatus", to: otherPlanners, status: sumZoneStatuses(context, status, MAX_STATUS_AGE_MS) });
+    }
+    const sum = isHub || followers.length > 0 ? sumZoneStatuses(context, status, MAX_STATUS_AGE_MS) : status;
+    context.commands.push(isHub
+        ? { kind: "shareStatus", to: listOtherHubs(context), status: sum }
+        : { kind: "shareStatus", to: [hub], status: { ...sum, ofZone: false } });
+    if (followers.length > 0) {
         const createDigest = createLoadDigestBuilder(context, MAX_STATUS_AGE_MS);
-        zoneMembers.forEach(id => context.commands.push({ kind: "shareDigest", to: id, digest: createDigest(id) }));
-        return;
+        followers.forEach(id => context.commands.push({ kind: "shareDigest", to: id, digest: createDigest(id) }));
     }
-    const to = planner !== undefined && planner !== instanceId && hasReachablePlanner(context)
-        ? [planner]
-        : [...zoneMembers, ...otherPlanners];
-    context.commands.push({ kind: "shareStatus", to, status });
 };
 
 /** Builds the status of this instance, its arrivals and load, and sends it to other instances at a fixed interval. */
--- /dev/null
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -0,0 +1,40 @@
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { PeerGroupOptions } from "./peerGroupOptions.js";
+import type { PeerMessage } from "./peerMessage.js";
+
+/** Creates the handler of the messages that carry data of the instances rather than of the group. */
+export const createDataMessageHandler = (
+    options: PeerGroupOptions,
+    completePull: (decisions: Extract<PeerMessage, { kind: "decisions" }>) => void,
+) => {
+    return (peerId: InstanceId, message: PeerMessage, reply: (message: PeerMessage) => void): void => {
+        switch (message.kind) {
+            case "pullConfig":
+                reply({ kind: "config", ...options.configSince(message.since) });
+                break;
+            case "config":
+                options.onConfig(message);
+                break;
+            case "demand":
+                options.onDemand(message.counts);
+                break;
+            case "pullDirectory":
+                reply({ kind: "directory", items: options.directoryItems?.() ?? [] });
+                break;
+            case "status":
+            case "directory":
+            case "directoryChange":
+            case "digest":
+            case "news":
+            case "wanted":
+                options.onGatewayMessage?.(message, peerId);
+                break;
+            case "pullDecisions":
+                reply({ kind: "decisions", sequence: message.sequence, bootId: options.self.bootId, ...options.decisionsAfter(message.after) });
+                break;
+            case "decisions":
+                completePull(message);
+                break;
+        }
+    };
+};
--- a/packages/medlarlb-peers/src/createFrameDecoder.ts
+++ b/packages/medlarlb-peers/src/createFrameDecoder.ts
@@ -1,7 +1,9 @@
+import { inflateRawSync } from "node:zlib";
 import { frameCodec } from "./frameCodec.js";
+import { frameLayout } from "./frameLayout.js";
 import type { PeerMessage } from "./peerMessage.js";
 
-const LENGTH_BYTES = 4;
+const { lengthBytes, compressedFlag } = frameLayout;
 
 /**
  * Creates the decoder of one connection's bytes. It throws when a frame is too long, isn't CBOR, or holds no message.
@@ -11,16 +13,20 @@
     let buffered: Buffer = Buffer.alloc(0);
     return (chunk: Buffer): void => {
         buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-        while (buffered.length >= LENGTH_BYTES) {
-            const length = buffered.readUInt32BE(0);
+        while (buffered.length >= lengthBytes) {
+            const header = buffered.readUInt32BE(0);
+            const isCompressed = header >= compressedFlag;
+            const length = isCompressed ? header - compressedFlag : header;
             if (length > maxFrameBytes) {
                 throw new Error(`a frame of ${length} bytes is over the limit of ${maxFrameBytes}`);
             }
-            if (buffered.length < LENGTH_BYTES + length) {
+            if (buffered.length < lengthBytes + length) {
                 return;
             }
-            const message = frameCodec.decode(buffered.subarray(LENGTH_BYTES, LENGTH_BYTES + length)) as PeerMessage | undefined;
-            buffered = buffered.subarray(LENGTH_BYTES + length);
+            const body = buffered.subarray(lengthBytes, lengthBytes + length);
+            const plain = isCompressed ? inflateRawSync(body, { maxOutputLength: maxFrameBytes }) : body;
+            const message = frameCodec.decode(plain) as PeerMessage | undefined;
+            buffered = buffered.subarray(lengthBytes + length);
             if (typeof message !== "object" || typeof message.kind !== "string") {
                 throw new Error("a frame holds no message");
             }
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -1,9 +1,13 @@
 import type { DemandCount } from "medlarlb-types/demandCount";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
+import { createConfigPull } from "./createConfigPull.js";
+import { createDataMessageHandler } from "./createDataMessageHandler.js";
 import { createPendingPulls } from "./createPendingPulls.js";
 import { createMembership } from "./createMembership.js";
 import { createPeerNetwork } from "./createPeerNetwork.js";
+import { isLargeGroup } from "./isLargeGroup.js";
+import { listNeighbors } from "./listNeighbors.js";
 import { createGossipTable } from "./createGossipTable.js";
 import type { GatewayMessage } from "./gatewayMessage.js";
 import type { MemberInfo } from "./memberInfo.js";
@@ -14,6 +18,8 @@
 
 const TICK_INTERVAL_MS = 250;
 const PROBE_INTERVAL_MS = 500;
+/** Interval in ms in a large group, whose members learn from their hubs who responds. */
+const LARGE_GROUP_PROBE_INTERVAL_MS = 1_000;
 const PROBE_TIMEOUT_MS = 400;
 const INDIRECT_PROBE_COUNT = 2; // members that are asked to probe an unresponsive one too
 const GOSSIP_FANOUT_COUNT = 3; // members that receive an urgent entry at once
@@ -79,9 +85,17 @@
         });
     };
 
-    /** Sends gossip to a few random members at once; it spreads to the rest from there. */
+    const pullConfig = createConfigPull({
+        delayMs: options.configPullDelayMs ?? 0,
+        configRevision: options.configRevision,
+        request: id => send(id, { kind: "pullConfig", since: options.configRevision() }),
+    });
+
+    const neighbors = () => listNeighbors(self.id, membership.listProbeCandidates(), options.hubs?.() ?? []);
+
+    /** Sends gossip to a few members at once; it spreads to the rest from there. */
     const gossipNow = (): void => {
-        for (const { id, zone } of sample(membership.listProbeCandidates(), GOSSIP_FANOUT_COUNT)) {
+        for (const { id, zone } of sample(neighbors(), GOSSIP_FANOUT_COUNT)) {
             sendProbe(id, zone);
         }
     };
@@ -139,7 +153,7 @@
         membership.recordContact(sender, options.now());
         handleGossip(received);
         if (configRevision > options.configRevision()) {
-            send(sender.id, { kind: "pullConfig", since: options.configRevision() });
+            pullConfig(sender.id, configRevision);
         }
     };
 
@@ -182,39 +196,11 @@
                 handleGossip(message.rumours);
                 break;
             default:
-                handleDataMessage(message, reply);
+                handleDataMessage(peerId, message, reply);
         }
     };
 
-    const handleDataMessage = (message: PeerMessage, reply: (message: PeerMessage) => void): void => {
-        switch (message.kind) {
-            case "pullConfig":
-                reply({ kind: "config", ...options.configSince(message.since) });
-                break;
-            case "config":
-                options.onConfig(message);
-                break;
-            case "demand":
-                options.onDemand(message.counts);
-                break;
-            case "pullDirectory":
-                reply({ kind: "directory", items: options.directoryItems?.() ?? [] });
-                break;
-            case "status":
-            case "directory":
-            case "digest":
-            case "news":
-            case "wanted":
-                options.onGatewayMessage?.(message);
-                break;
-            case "pullDecisions":
-                reply({ kind: "decisions", sequence: message.sequence, bootId: self.bootId, ...options.decisionsAfter(message.after) });
-                break;
-            case "decisions":
-                pendingPulls.complete(message);
-                break;
-        }
-    };
+    const handleDataMessage = createDataMessageHandler(options, pendingPulls.complete);
 
     const checkProbes = (nowMs: number): void => {
         for (const [probeSequence, pendingProbe] of [...probes]) {
@@ -242,7 +228,7 @@
     };
 
     const probeRandomMembers = (): void => {
-        const candidates = membership.listProbeCandidates();
+        const candidates = neighbors();
         const inOwnZone = candidates.filter(each => each.zone === self.zone);
         const inOtherZones = candidates.filter(each => each.zone !== self.zone);
         for (const { id, zone } of [...sample(inOwnZone, 1), ...sample(inOtherZones, 1)]) {
@@ -251,7 +237,7 @@
     };
 
     const pullFromRandomMember = (): void => {
-        for (const { id } of sample(membership.listProbeCandidates(), 1)) {
+        for (const { id } of sample(neighbors(), 1)) {
             send(id, { kind: "pullRumours", digest: gossip.digest() });
         }
     };
@@ -271,7 +257,8 @@
         checkProbes(nowMs);
         membership.removeExpiredSuspects(nowMs);
         if (nowMs >= nextProbeMs) {
-            nextProbeMs = nowMs + PROBE_INTERVAL_MS;
+            const isLarge = isLargeGroup(membership.listProbeCandidates().length);
+            nextProbeMs = nowMs + (isLarge ? LARGE_GROUP_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS);
             probeRandomMembers();
         }
         if (nowMs >= nextPullMs) {
--- a/packages/medlarlb-peers/src/createPeerNetwork.ts
+++ b/packages/medlarlb-peers/src/createPeerNetwork.ts
@@ -26,6 +26,8 @@
  */
 export const createPeerNetwork = (options: NetworkOptions) => {
     const outgoing = new Map<string, { connection: Connection; waiting: PeerMessage[]; address: string }>();
+    /** Times until which no connection to a peer is opened, because the last one never became ready. */
+    const heldOffUntilMs = new Map<string, number>();
     const sockets = new Set<Socket>();
 
     const trackSocket = (socket: Socket): void => {
@@ -65,6 +67,9 @@
             },
             onMessage: (id, message) => options.onMessage(id, message, reply => connection.send(reply)),
             onClose: fault => {
+                if (!connection.isReady()) {
+                    heldOffUntilMs.set(peerId, performance.now() + peerLimits.reconnectDelayMs);
+                }
                 if (outgoing.get(peerId)?.connection === connection) {
                     outgoing.delete(peerId);
                 }
@@ -83,6 +88,10 @@
             }),
         send: (peerId: InstanceId, address: string, message: PeerMessage): void => {
             if (outgoing.get(peerId)?.address !== address) {
+                if (performance.now() < (heldOffUntilMs.get(peerId) ?? 0)) {
+                    return;
+                }
+                heldOffUntilMs.delete(peerId);
                 outgoing.get(peerId)?.connection.close("the instance has another address now");
                 openConnection(peerId, address);
             }
--- a/packages/medlarlb-peers/src/frameCodec.ts
+++ b/packages/medlarlb-peers/src/frameCodec.ts
@@ -50,6 +50,12 @@
     "value",
     "calm",
     "adapter",
+    "changes",
+    "after",
+    "revision",
+    "items",
+    "contactAgeMs",
+    "outageEndedAgoMs",
 ] as const;
 
 /** Encodes and decodes the messages in the frames between instances. */
--- a/packages/medlarlb-peers/src/peerGroupOptions.ts
+++ b/packages/medlarlb-peers/src/peerGroupOptions.ts
@@ -2,6 +2,7 @@
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
 import type { DemandCount } from "medlarlb-types/demandCount";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
+import type { InstanceId } from "medlarlb-types/instanceId";
 import type { GatewayMessage } from "./gatewayMessage.js";
 import type { MemberInfo } from "./memberInfo.js";
 import type { GossipEntry } from "./gossipEntry.js";
@@ -14,6 +15,10 @@
     now: () => number;
     random: () => number;
     configRevision: () => number;
+    /** Time in ms after which a newer configuration is requested from a member that has it; 0 by default. */
+    configPullDelayMs?: number;
+    /** Returns members that all others of a large group exchange probes and gossip with. */
+    hubs?: () => InstanceId[];
     /** Returns the configuration entries that changed after a revision, or all entries with `base` 0. */
     configSince: (revision: number) => { revision: number; base: number; entries: ConfigEntry[] };
     onConfig: (config: { revision: number; base: number; entries: ConfigEntry[] }) => void;
@@ -21,7 +26,7 @@
     onMembers: (alive: MemberInfo[]) => void;
     onDemand: (counts: DemandCount[]) => void;
     /** Handles messages of a gateway: load of other instances, placement updates of planners, and models that callers wait for. */
-    onGatewayMessage?: (message: GatewayMessage) => void;
+    onGatewayMessage?: (message: GatewayMessage, from: InstanceId) => void;
     /** Returns the entries of the platform's store that this instance knows, for instances that can't reach the store. */
     directoryItems?: () => StoreEntry[];
     decisionsAfter: (sequence: number) => { records: DecisionRecord[]; oldest: number };
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -1,5 +1,6 @@
 import type { ConfigEntry } from "medlarlb-types/configEntry";
 import type { DemandCount } from "medlarlb-types/demandCount";
+import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
@@ -31,6 +32,8 @@
     /** Asks for the entries of the platform's store that the receiver knows; `directory` answers it. */
     | { kind: "pullDirectory" }
     | { kind: "directory"; items: StoreEntry[] }
+    /** Changes of the platform's store, from the instance that watches it for its zone. */
+    | { kind: "directoryChange"; changes: DirectoryRelay }
     /** Asks a planner for a model or an adapter that a caller waits for. */
     | { kind: "wanted"; service: string; model: string; adapter: string | undefined; targetId: string | undefined }
     | { kind: "decisions"; sequence: number; bootId: string; records: DecisionRecord[]; oldest: number };
--- /dev/null
+++ b/packages/medlarlb-types/src/directoryRelay.ts
@@ -0,0 +1,13 @@
+import type { StoreEntry } from "./storeEntry.js";
+
+/** Changes of the platform's store that an instance passes on to the others of its zone. */
+export interface DirectoryRelay {
+    /** Revisions of the store before and after the changes. They are equal if nothing has changed. */
+    after: number;
+    revision: number;
+    items: StoreEntry[];
+    /** Time in ms since the store answered the sender. */
+    contactAgeMs: number;
+    /** Time in ms since the store answered the sender again after an outage; undefined if it had none. */
+    outageEndedAgoMs: number | undefined;
+}
--- /dev/null
+++ b/packages/medlarlb-types/src/storedPlanner.ts
@@ -0,0 +1,10 @@
+import type { InstanceId } from "./instanceId.js";
+
+/** The planner of a zone as its entry in the platform's store names it. */
+export interface StoredPlanner {
+    instance: InstanceId;
+    /** Revision of the entry. */
+    revision: number;
+    /** Whether the planner has waited until the orders of its predecessor were past. */
+    active: boolean;
+}
