--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -0,0 +1,299 @@
+import TinyQueue from "tinyqueue";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { RequestId } from "medlarlb-types/requestId";
+import type { Route } from "medlarlb-types/route";
+import { createGatewayDecisions } from "../../createGatewayDecisions.js";
+import type { GatewayCommand } from "../../gatewayCommand.js";
+import type { GatewayInput } from "../../gatewayInput.js";
+import { createSettings } from "./createSettings.js";
+import { createVirtualTarget } from "./createVirtualTarget.js";
+import type { VirtualRun } from "./virtualRun.js";
+
+interface ServiceOptions {
+    seed: number;
+    instances: number;
+    zones: number;
+    targets: number;
+    /** Returns whether a request ends each target that begins to run it. */
+    isCrashing?: (content: string) => boolean;
+}
+
+interface VirtualInstance {
+    index: number;
+    zone: string;
+    settings: ReturnType<typeof createSettings>;
+    decisions: ReturnType<typeof createGatewayDecisions>;
+    inputs: GatewayInput[];
+    isPaused: boolean;
+    isCut: boolean;
+    /** Start of the process. What was under way for an earlier one is lost. */
+    boot: number;
+    /** Latest time at which it was restarted, paused or cut off. */
+    disturbedAtMs: number;
+}
+
+interface Arrival {
+    atMs: number;
+    content: string;
+    targetId: string;
+    instance: number;
+    /** Whether the instance had been undisturbed for a while. */
+    inTouch: boolean;
+}
+
+interface Answer {
+    atMs: number;
+    content: string;
+    status: number;
+    reason: string;
+    instance: number;
+}
+
+/** One-way delay between instances, targets and callers, in ms. */
+const DELAY_MS = 2;
+/** Time in ms for which an instance has to be undisturbed to be in touch. */
+const CONTACT_MS = 3_000;
+/** Delay in ms until the list shows a target that has started, and until it drops one that has ended. */
+const LISTED_AFTER_MS = 100;
+const UNLISTED_AFTER_MS = 3_600;
+
+const ROUTE: Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    kind: "safe",
+    timeoutMs: 1_000,
+    latencyTargetMs: 190,
+    gapTargetMs: undefined,
+    priority: 1,
+    maxAttempts: 3,
+    resumable: false,
+    destinations: [{ service: "app", weight: 1 }],
+};
+
+/**
+ * Simulates instances before the targets of a plain service, over virtual time. Targets end under certain requests and start
+ * again; instances restart, pause, and are cut off from each other. The same seed repeats a run exactly.
+ */
+export const createVirtualService = ({ seed, instances: instanceCount, zones, targets: targetCount, isCrashing = () => false }: ServiceOptions) => {
+    const generator = xoroshiro128plus(seed);
+    const random = (): number => uniformFloat64(generator);
+    const queue = new TinyQueue<{ atMs: number; sequence: number; run: () => void }>([], (one, other) => one.atMs - other.atMs || one.sequence - other.sequence);
+    const arrivals: Arrival[] = [];
+    const answers: Answer[] = [];
+    const ends: { atMs: number; contents: string[]; targetId: string }[] = [];
+    const contents = new Map<string, string>();
+    let nowMs = 0;
+    let sequence = 0;
+
+    const at = (atMs: number, run: () => void): void => {
+        sequence += 1;
+        queue.push({ atMs, sequence, run });
+    };
+    const after = (delayMs: number, run: () => void): void => at(nowMs + delayMs, run);
+
+    const targets = Array.from({ length: targetCount }, (_, index) => createVirtualTarget({
+        index,
+        zone: `z${index % zones}`,
+        now: () => nowMs,
+        after,
+        isCrashing,
+        onEnded: (targetId, runs) => {
+            ends.push({ atMs: nowMs, contents: runs.map(run => run.content), targetId });
+            runs.forEach(run => run.onCut());
+            after(UNLISTED_AFTER_MS, () => instances.forEach(each => give(each, { kind: "targetGone", targetId: brandAs(targetId) })));
+        },
+        onStarted: entry => after(LISTED_AFTER_MS, () => instances.forEach(each => give(each, { kind: "target", entry }))),
+    }));
+
+    const createInstance = (index: number, boot: number): VirtualInstance => {
+        const settings = createSettings(`i${index}`, `z${index % zones}`);
+        return { index, zone: settings.zone, settings, decisions: createGatewayDecisions(settings, random), inputs: [], isPaused: false, isCut: false, boot, disturbedAtMs: Number.NEGATIVE_INFINITY };
+    };
+    const instances = Array.from({ length: instanceCount }, (_, index) => createInstance(index, 0));
+    const find = (id: string): VirtualInstance | undefined => instances.find(each => each.settings.instanceId === id);
+
+    const step = (instance: VirtualInstance): void => {
+        if (instance.isPaused) {
+            return;
+        }
+        const inputs = instance.inputs.splice(0);
+        instance.decisions.step(nowMs, inputs).forEach(command => execute(instance, command));
+        const nextAtMs = instance.decisions.nextStepAtMs();
+        if (Number.isFinite(nextAtMs)) {
+            const { boot } = instance;
+            at(Math.max(nowMs + 1, nextAtMs), () => instance.boot === boot && instance.inputs.length === 0 && nowMs >= instance.decisions.nextStepAtMs() && step(instance));
+        }
+    };
+
+    const give = (instance: VirtualInstance, ...inputs: GatewayInput[]): void => {
+        if (instance.inputs.length === 0) {
+            at(nowMs, () => instance.inputs.length > 0 && step(instance));
+        }
+        instance.inputs.push(...inputs);
+    };
+
+    const deliver = (from: VirtualInstance, to: readonly string[], input: GatewayInput): void => to.forEach(id => {
+        const receiver = find(id);
+        if (receiver !== undefined && !receiver.isCut && !from.isCut) {
+            after(DELAY_MS, () => !receiver.isCut && give(receiver, input));
+        }
+    });
+
+    const send = (from: VirtualInstance, { callId, attempt, targetId, address }: Extract<GatewayCommand, { kind: "send" }>): void => {
+        const target = targets.find(each => each.address === address);
+        const content = contents.get(callId) ?? "";
+        const { boot } = from;
+        const reply = (...inputs: GatewayInput[]): void => after(DELAY_MS, () => from.boot === boot && give(from, ...inputs));
+        after(DELAY_MS, () => {
+            if (target === undefined || !target.isUp()) {
+                reply({ kind: "failed", callId, attempt, ran: "no", cause: "connect", reason: "connect ECONNREFUSED" });
+                return;
+            }
+            if (target.id() !== targetId) {
+                reply({ kind: "failed", callId, attempt, ran: "no", cause: "otherTarget", reason: "another target" });
+                return;
+            }
+            arrivals.push({ atMs: nowMs, content, targetId, instance: from.index, inTouch: nowMs - from.disturbedAtMs > CONTACT_MS });
+            const run: VirtualRun = {
+                content,
+                onCut: () => reply({ kind: "failed", callId, attempt, ran: "unknown", cause: "cut", reason: "the connection ended inside the answer" }),
+                onFull: () => reply({ kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" }),
+                onDone: () => reply({ kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200, longestGapMs: 0 }),
+            };
+            target.run(run);
+        });
+    };
+
+    const execute = (from: VirtualInstance, command: GatewayCommand): void => {
+        switch (command.kind) {
+            case "send":
+                send(from, command);
+                break;
+            case "answer":
+                answers.push({ atMs: nowMs, content: contents.get(command.callId) ?? "", status: command.status, reason: command.reason, instance: from.index });
+                break;
+            case "probe": {
+                const { targetId, startedAtMs, address } = command;
+                after(DELAY_MS, () => {
+                    const state = targets.find(each => each.address === address)?.isUp() === true ? "listening" : "refused";
+                    after(DELAY_MS, () => give(from, { kind: "probed", targetId, startedAtMs, state }));
+                });
+                break;
+            }
+            case "shareStatus":
+                deliver(from, command.to, { kind: "status", status: command.status });
+                break;
+            case "shareDigest":
+                deliver(from, [command.to], { kind: "digest", digest: command.digest });
+                break;
+            default:
+        }
+    };
+
+    /** Gives an instance that has started what the store lists. */
+    const introduce = (instance: VirtualInstance): void => {
+        const members = instances.filter(each => each !== instance).map(({ settings }) => ({ id: settings.instanceId, zone: settings.zone }));
+        const planners = new Map(instances.slice(0, zones).map(({ settings }) => [settings.zone, settings.instanceId]));
+        const zoneOrder = instances.filter(each => each.zone === instance.zone).map(({ settings }) => settings.instanceId);
+        give(
+            instance,
+            ...targets.filter(each => each.isUp()).map(each => ({ kind: "target" as const, entry: each.entry() })),
+            { kind: "instances", count: instances.length, planners, members, zoneOrder },
+            ...(instance.index < zones ? [{ kind: "duty" as const, fence: instance.index + 1 }] : []),
+        );
+    };
+    instances.forEach(introduce);
+
+    const disturb = (index: number, action: (instance: VirtualInstance) => void): void => {
+        const instance = instances[index];
+        if (instance !== undefined) {
+            instance.disturbedAtMs = nowMs;
+            action(instance);
+        }
+    };
+
+    return {
+        random,
+        now: (): number => nowMs,
+        instances,
+        targets,
+        arrivals,
+        answers,
+        ends,
+        after,
+        /** Sends a caller's request to an instance. Requests with equal content have equal fingerprints. */
+        sendCall: (index: number, content: string, route: Partial<Route> = {}): void => {
+            const instance = instances[index % instances.length];
+            if (instance === undefined) {
+                return;
+            }
+            sequence += 1;
+            const callId = brandAs<RequestId>(`c${sequence}`);
+            contents.set(callId, content);
+            const fullRoute = { ...ROUTE, ...route };
+            give(instance, {
+                kind: "call",
+                metadata: {
+                    callId,
+                    fingerprint: brandAs(content),
+                    callerRequestId: callId,
+                    route: fullRoute,
+                    service: "app",
+                    model: undefined,
+                    adapter: undefined,
+                    promptTokens: 0,
+                    outputTokens: 0,
+                    expectedTokens: 0,
+                    promptParts: [],
+                    arrivedAtMs: nowMs,
+                    latencyTargetAtMs: nowMs + fullRoute.latencyTargetMs,
+                    firstEventDeadlineAtMs: nowMs + fullRoute.timeoutMs,
+                    deadlineAtMs: nowMs + fullRoute.timeoutMs,
+                },
+            });
+        },
+        /** Kills an instance and starts it again after a time. It has lost all its tables. */
+        restart: (index: number, downMs: number): void => disturb(index, instance => {
+            Object.assign(instance, { ...createInstance(index, instance.boot + 1), isPaused: true, disturbedAtMs: nowMs + downMs });
+            const { boot } = instance;
+            after(downMs, () => {
+                if (instance.boot === boot) {
+                    instance.isPaused = false;
+                    introduce(instance);
+                }
+            });
+        }),
+        pause: (index: number, durationMs: number): void => disturb(index, instance => {
+            instance.isPaused = true;
+            instance.disturbedAtMs = nowMs + durationMs;
+            const { boot } = instance;
+            after(durationMs, () => {
+                if (instance.boot === boot) {
+                    instance.isPaused = false;
+                    step(instance);
+                }
+            });
+        }),
+        /** Cuts an instance off from the other instances. Its targets and callers still reach it. */
+        cut: (index: number, durationMs: number): void => disturb(index, instance => {
+            instance.isCut = true;
+            instance.disturbedAtMs = nowMs + durationMs;
+            after(durationMs, () => {
+                instance.isCut = false;
+            });
+        }),
+        /** Advances the virtual time by a number of ms. */
+        run: (ms: number): void => {
+            const endMs = nowMs + ms;
+            for (let next = queue.peek(); next !== undefined && next.atMs <= endMs; next = queue.peek()) {
+                queue.pop();
+                nowMs = Math.max(nowMs, next.atMs);
+                next.run();
+            }
+            nowMs = endMs;
+        },
+    };
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualTarget.ts
@@ -0,0 +1,110 @@
+import { brandAs } from "medlarlb-types/brandAs";
+import type { TargetEntry } from "medlarlb-types/targetEntry";
+import type { VirtualRun } from "./virtualRun.js";
+
+interface TargetOptions {
+    index: number;
+    zone: string;
+    now: () => number;
+    after: (delayMs: number, run: () => void) => void;
+    isCrashing: (content: string) => boolean;
+    /** Called when the target ends, with all requests that it had. */
+    onEnded: (targetId: string, runs: VirtualRun[]) => void;
+    onStarted: (entry: TargetEntry) => void;
+}
+
+const SLOTS = 6;
+const MAX_WAITING = 12;
+const WORK_MS = 43;
+/** Time in ms from the start of a crashing request to the end of the target, and until it starts again. */
+const CRASH_AFTER_MS = 36;
+const DOWN_MS = 3_000;
+
+/** Simulates a target of a plain service, which ends under crashing requests and starts again at its address. */
+export const createVirtualTarget = ({ index, zone, now, after, isCrashing, onEnded, onStarted }: TargetOptions) => {
+    const address = `10.0.0.${index}:80`;
+    const running = new Set<VirtualRun>();
+    const waiting: VirtualRun[] = [];
+    let starts = 0;
+    let isUp = true;
+    /** Every second target keeps its id over a restart, which only the time of its start tells apart. */
+    const id = (): string => (index % 2 === 0 ? `t${index}` : `t${index}-${starts}`);
+    const entry = (): TargetEntry => ({
+        targetId: brandAs(id()),
+        service: "app",
+        address,
+        zone: brandAs(zone),
+        slots: SLOTS,
+        leaving: false,
+        startedAtMs: starts,
+        remainingMs: undefined,
+        models: [],
+        inMemory: [],
+        onDisk: [],
+    });
+
+    const crash = (): void => {
+        const runs = [...running, ...waiting.splice(0)];
+        running.clear();
+        isUp = false;
+        onEnded(id(), runs);
+        after(DOWN_MS, () => {
+            starts += 1;
+            isUp = true;
+            onStarted(entry());
+        });
+    };
+
+    const startNext = (): void => {
+        while (running.size < SLOTS) {
+            const run = waiting.shift();
+            if (run === undefined) {
+                return;
+            }
+            running.add(run);
+            const startedIn = starts;
+            const crashes = isCrashing(run.content);
+            after(crashes ? CRASH_AFTER_MS : WORK_MS, () => {
+                if (!isUp || starts !== startedIn) {
+                    return;
+                }
+                if (crashes) {
+                    crash();
+                    return;
+                }
+                running.delete(run);
+                run.onDone();
+                startNext();
+            });
+        }
+    };
+
+    return {
+        address,
+        id,
+        entry,
+        isUp: (): boolean => isUp,
+        startedAtMs: (): number => starts,
+        now,
+        /** Ends the target although no request made it. */
+        crash: (): void => {
+            if (isUp) {
+                crash();
+            }
+        },
+        /** Resets all connections. The target goes on, but the answers of its runs are lost. */
+        resetConnections: (): void => {
+            const runs = [...running, ...waiting.splice(0)];
+            running.clear();
+            runs.forEach(run => run.onCut());
+        },
+        run: (run: VirtualRun): void => {
+            if (waiting.length >= MAX_WAITING) {
+                run.onFull();
+                return;
+            }
+            waiting.push(run);
+            startNext();
+        },
+    };
+};
