--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashHistories.test.ts
@@ -0,0 +1,101 @@
+import { expect } from "chai";
+import { createVirtualService } from "./support/createVirtualService.js";
+
+const HISTORIES = Number(process.env.MEDLARLB_HISTORIES ?? 40);
+const FIRST_SEED = Number(process.env.MEDLARLB_SEED ?? 22_001);
+/** Time in ms after which all instances have to know that a request has ended three targets, and requests allowed from then on. */
+const CONTACT_MS = 3_000;
+const MAX_LATER_SENDS = 3;
+/** Time in ms for which two ends are a reason to refuse, and until all instances know of a completed request. */
+const LIKELY_MS = 3_100;
+const MESSAGE_MS = 700;
+const HISTORY_MS = 16_000;
+const CRASH_REFUSAL = /targets have ended while they ran this request/;
+
+/** Of ten histories, seven have 6 instances, two have 63 and one has 195. */
+const chooseGroup = (index: number): { instances: number; targets: number } => {
+    if (index % 10 === 9) {
+        return { instances: 195, targets: 24 };
+    }
+    return index % 5 === 3 ? { instances: 63, targets: 9 } : { instances: 6, targets: 3 };
+};
+
+/** Plays ordinary, popular and crashing requests beside resets, random ends, restarts, pauses and cuts, in series and overlapping. */
+const playHistory = (seed: number, index: number) => {
+    const { instances, targets } = chooseGroup(index);
+    const service = createVirtualService({ seed, instances, zones: 3, targets, isCrashing: content => content.startsWith("crashing") });
+    const { random } = service;
+    const pick = (count: number): number => Math.floor(random() * count);
+    const crashingCount = 1 + pick(4);
+    const troubles = [
+        () => service.restart(pick(instances), 300 + random() * 1_500),
+        () => service.pause(pick(instances), 300 + random() * 4_000),
+        () => service.cut(pick(instances), 500 + random() * 5_000),
+        () => service.targets[pick(targets)]?.crash(),
+        () => service.targets[pick(targets)]?.resetConnections(),
+    ];
+    const troubleRate = random() * 0.08;
+    service.run(1_000);
+    for (let tick = 0; service.now() < HISTORY_MS; tick += 1) {
+        for (let count = Math.ceil(instances / 30); count > 0; count -= 1) {
+            service.sendCall(pick(instances), `ordinary-${tick}-${count}`, { kind: random() < 0.5 ? "unsafe" : "safe" });
+        }
+        if (random() < 0.3) {
+            service.sendCall(pick(instances), `popular-${pick(3)}`);
+        }
+        if (random() < 0.15) {
+            const content = `crashing-${pick(crashingCount)}`;
+            service.sendCall(pick(instances), content, { kind: content.endsWith("1") ? "unsafe" : "safe" });
+        }
+        for (let count = random() < troubleRate ? 1 + pick(4) : 0; count > 0; count -= 1) {
+            troubles[pick(troubles.length)]?.();
+        }
+        service.run(50);
+    }
+    return service;
+};
+
+const countLaterSends = ({ ends, arrivals }: ReturnType<typeof playHistory>, content: string): number => {
+    const thirdEndMs = ends.filter(end => end.contents.includes(content)).map(end => end.atMs)[2] ?? Number.POSITIVE_INFINITY;
+    return arrivals.filter(each => each.content === content && each.inTouch && each.atMs > thirdEndMs + CONTACT_MS).length;
+};
+
+/**
+ * Returns whether a request looked like the cause of ends at a time, as far as anything shows: three targets had ended under it
+ * since it was last completed, or two lately.
+ */
+const hasReason = ({ ends, completions }: ReturnType<typeof playHistory>, content: string, atMs: number): boolean => {
+    const completed = completions.filter(each => each.content === content && each.inTouch && each.atMs < atMs - MESSAGE_MS);
+    const completedAtMs = completed.at(-1)?.atMs ?? 0;
+    const endTimes = ends.filter(each => each.contents.includes(content)).map(each => each.atMs)
+        .filter(each => each > completedAtMs && each <= atMs);
+    return endTimes.length >= 3 || (endTimes.length === 2 && atMs - (endTimes[1] ?? 0) < LIKELY_MS);
+};
+
+describe("histories with crashing requests", () => {
+    it(`keep each crashing request from targets after three ends, and refuse others only if they look the same (${HISTORIES} from seed ${FIRST_SEED})`, function () {
+        this.timeout(Math.max(60_000, HISTORIES * 4_000));
+        const faults: string[] = [];
+        let refusedOthers = 0;
+        let sentOthers = 0;
+        for (let index = 0; index < HISTORIES; index += 1) {
+            const seed = FIRST_SEED + index;
+            const service = playHistory(seed, index);
+            for (const content of new Set(service.arrivals.map(each => each.content).filter(each => each.startsWith("crashing")))) {
+                const laterSends = countLaterSends(service, content);
+                if (laterSends > MAX_LATER_SENDS) {
+                    faults.push(`seed ${seed}: ${content} was sent ${laterSends} times more`);
+                }
+            }
+            const others = service.answers.filter(each => !each.content.startsWith("crashing") && CRASH_REFUSAL.test(each.reason));
+            // Instances that were paused, restarted or cut off know later of ends and completed requests.
+            others.filter(each => each.inTouch && !hasReason(service, each.content, each.atMs))
+                .forEach(each => faults.push(`seed ${seed}: ${each.content} was refused at ${Math.round(each.atMs)} ms: ${each.reason}`));
+            refusedOthers += others.length;
+            sentOthers += service.arrivals.filter(each => !each.content.startsWith("crashing")).length;
+        }
+        expect(faults).to.deep.equal([]);
+        // The users allow one in 500 proper requests to be turned away.
+        expect(refusedOthers / sentOthers).to.be.below(1 / 500);
+    });
+});
--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
@@ -1,4 +1,11 @@
 import { expect } from "chai";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { CrashEvidence } from "medlarlb-types/crashEvidence";
+import type { Fingerprint } from "medlarlb-types/fingerprint";
+import { createGatewayDecisions } from "../createGatewayDecisions.js";
+import type { GatewayInput } from "../gatewayInput.js";
+import { createServiceCall } from "./support/createServiceCall.js";
+import { createSettings } from "./support/createSettings.js";
 import { createVirtualService } from "./support/createVirtualService.js";
 
 /** Content of a request that ends each target which begins to run it. */
@@ -27,13 +34,115 @@
     return arrivals.filter(each => each.content === CRASHING && each.inTouch && each.atMs > thirdEndMs + CONTACT_MS).length;
 };
 
+/** Table of an instance that has the given observations, and the requests that it refuses or suspects. */
+const judge = (...evidence: CrashEvidence[]) => {
+    const decisions = createGatewayDecisions(createSettings("i1", "z1"), () => 0.5);
+    decisions.step(1_000, [{ kind: "crashEvidence", evidence, reporterZone: undefined, ageMs: 100 }]);
+    const { refused, suspects } = decisions.view().crashes;
+    return { refused: [...refused.keys()].sort(), suspects: [...suspects].sort() };
+};
+
+const end = (target: string, ...fingerprints: string[]): CrashEvidence =>
+    ({ kind: "ended", targetId: brandAs(target), startedAtMs: 0, fingerprints: fingerprints.map(each => brandAs<Fingerprint>(each)) });
+
 describe("a request that ends every target which runs it", () => {
-    for (const instances of [6, 63]) {
+    for (const [instances, targets] of [[6, 3], [63, 3], [195, 24]] as const) {
         it(`is no longer sent to targets by any of ${instances} instances once three targets have ended under it`, () => {
-            const service = createVirtualService({ seed: 1, instances, zones: 3, targets: 3, isCrashing: content => content === CRASHING });
+            const service = createVirtualService({ seed: 1, instances, zones: 3, targets, isCrashing: content => content === CRASHING });
             service.run(1_000);
             runRepeatedCrashes(service, instances, 20_000);
             expect(countLaterSends(service)).to.be.at.most(MAX_LATER_SENDS);
         });
     }
+
+    it("is refused after two ends if no other request was on both targets, and otherwise after three", () => {
+        expect(judge(end("t1", "a", "b"))).to.deep.equal({ refused: [], suspects: [] });
+        expect(judge(end("t1", "a", "b"), end("t2", "a", "c"))).to.deep.equal({ refused: ["a"], suspects: [] });
+        expect(judge(end("t1", "a", "b"), end("t2", "a", "b"))).to.deep.equal({ refused: [], suspects: ["a", "b"] });
+        expect(judge(end("t1", "a", "b"), end("t2", "a", "b"), end("t3", "a"))).to.deep.equal({ refused: ["a"], suspects: [] });
+    });
+
+    it("explains the ends of its targets, which then don't count against the other requests on them", () => {
+        const ends = [end("t1", "a", "b"), end("t2", "a", "c"), end("t3", "a", "b"), end("t4", "b"), end("t5", "a", "c")];
+        expect(judge(...ends)).to.deep.equal({ refused: ["a"], suspects: [] });
+    });
+
+    it("isn't a request that targets have completed since, or a target that has responded since", () => {
+        const ends = [end("t1", "a"), end("t2", "a"), end("t3", "a")];
+        expect(judge(...ends, { kind: "completed", fingerprint: brandAs("a"), agoMs: 0 }).refused).to.deep.equal([]);
+        const alive = ["t1", "t2"].map((id): CrashEvidence => ({ kind: "alive", targetId: brandAs(id), startedAtMs: 0 }));
+        expect(judge(...ends, ...alive).refused).to.deep.equal([]);
+    });
+
+    it("is refused although targets have completed it before, if six have ended under it since", () => {
+        const completed: CrashEvidence = { kind: "completed", fingerprint: brandAs("a"), agoMs: 0 };
+        const ends = ["t1", "t2", "t3", "t4", "t5", "t6"].map(id => end(id, "a"));
+        expect(judge(...ends, completed).refused, "ends before it").to.deep.equal([]);
+        expect(judge({ ...completed, agoMs: 50 }, ...ends.slice(1)).refused, "five ends after it").to.deep.equal([]);
+        expect(judge({ ...completed, agoMs: 50 }, ...ends).refused, "six ends after it").to.deep.equal(["a"]);
+    });
+
+    it("is known to all instances of a large group within half a second, whichever zone they are in", () => {
+        const service = createVirtualService({ seed: 2, instances: 63, zones: 3, targets: 3, isCrashing: content => content === CRASHING });
+        service.run(1_000);
+        service.sendCall(30, CRASHING, { kind: "unsafe" });
+        service.run(550);
+        expect(service.ends).to.have.length(1);
+        expect(service.instances.filter(each => each.decisions.view().crashes.ends.size === 0)).to.deep.equal([]);
+    });
+
+    it("is judged alike whatever the order of the observations", () => {
+        const evidence = [end("t1", "a", "b"), end("t2", "a", "c"), end("t3", "a", "b"), end("t3", "d"), end("t4", "d", "b")];
+        expect(judge(...evidence)).to.deep.equal(judge(...[...evidence].reverse()));
+    });
+
+    it("isn't blamed for connections that were reset", () => {
+        const service = createVirtualService({ seed: 3, instances: 3, zones: 3, targets: 3 });
+        service.run(1_000);
+        for (let round = 0; round < 10; round += 1) {
+            service.sendCall(round, "slow");
+            service.run(15);
+            service.targets.forEach(each => each.resetConnections());
+            service.run(200);
+        }
+        expect(service.answers.filter(each => each.reason.includes("targets have ended"))).to.deep.equal([]);
+        expect(service.instances.map(each => each.decisions.view().crashes.ends.size)).to.deep.equal([0, 0, 0]);
+    });
+
+    it("isn't blamed if its target still listens or doesn't respond at all after it was cut", () => {
+        for (const state of ["listening", "silent"] as const) {
+            const decisions = createGatewayDecisions(createSettings("i1", "z1"), () => 0.5);
+            const target = createVirtualService({ seed: 6, instances: 1, zones: 1, targets: 1 }).targets[0]?.entry() ?? expect.fail("no target");
+            const metadata = createServiceCall(brandAs("c1"), "a", 1_000, { kind: "unsafe", maxAttempts: 1 });
+            decisions.step(1_000, [{ kind: "target", entry: target }, { kind: "call", metadata }]);
+            decisions.step(1_020, [{ kind: "failed", callId: brandAs("c1"), attempt: 1, ran: "unknown", cause: "cut", reason: "cut" }]);
+            decisions.step(1_030, [{ kind: "probed", targetId: target.targetId, startedAtMs: target.startedAtMs, state }]);
+            expect(decisions.view().crashes.ends.size, state).to.equal(0);
+        }
+    });
+
+    it("isn't a target that refused a connection but responds to a later request", () => {
+        const decisions = createGatewayDecisions(createSettings("i1", "z1"), () => 0.5);
+        const target = createVirtualService({ seed: 4, instances: 1, zones: 1, targets: 1 }).targets[0]?.entry() ?? expect.fail("no target");
+        const call = (index: number): GatewayInput =>
+            ({ kind: "call", metadata: createServiceCall(brandAs(`c${index}`), "a", 1_000, { kind: "unsafe", maxAttempts: 1 }) });
+        decisions.step(1_000, [{ kind: "target", entry: target }, call(1)]);
+        decisions.step(1_020, [{ kind: "failed", callId: brandAs("c1"), attempt: 1, ran: "unknown", cause: "cut", reason: "cut" }]);
+        decisions.step(1_030, [{ kind: "probed", targetId: target.targetId, startedAtMs: target.startedAtMs, state: "refused" }]);
+        expect(decisions.view().crashes.ends.size).to.equal(1);
+        decisions.step(1_040, [call(2)]);
+        decisions.step(1_080, [{ kind: "begun", callId: brandAs("c2"), attempt: 1 }]);
+        expect(decisions.view().crashes.ends.size).to.equal(0);
+    });
+
+    it("isn't blamed when it was on a target that had said that it leaves", () => {
+        const decisions = createGatewayDecisions(createSettings("i1", "z1"), () => 0.5);
+        const target = createVirtualService({ seed: 5, instances: 1, zones: 1, targets: 1 }).targets[0]?.entry() ?? expect.fail("no target");
+        const metadata = createServiceCall(brandAs("c1"), "a", 1_000, { kind: "unsafe", maxAttempts: 1 });
+        decisions.step(1_000, [{ kind: "target", entry: target }, { kind: "call", metadata }]);
+        decisions.step(1_010, [{ kind: "targetLeaving", targetId: target.targetId, source: "test" }]);
+        const commands = decisions.step(1_020, [{ kind: "failed", callId: brandAs("c1"), attempt: 1, ran: "unknown", cause: "cut", reason: "cut" }]);
+        expect(commands.filter(each => each.kind === "probe")).to.deep.equal([]);
+        expect(decisions.view().crashes.ends.size).to.equal(0);
+    });
 });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -7,8 +7,10 @@
 import { createGatewayDecisions } from "../../createGatewayDecisions.js";
 import type { GatewayCommand } from "../../gatewayCommand.js";
 import type { GatewayInput } from "../../gatewayInput.js";
+import { createServiceCall } from "./createServiceCall.js";
 import { createSettings } from "./createSettings.js";
 import { createVirtualTarget } from "./createVirtualTarget.js";
+import type { VirtualServiceInstance } from "./virtualServiceInstance.js";
 import type { VirtualRun } from "./virtualRun.js";
 
 interface ServiceOptions {
@@ -20,18 +22,10 @@
     isCrashing?: (content: string) => boolean;
 }
 
-interface VirtualInstance {
-    index: number;
-    zone: string;
-    settings: ReturnType<typeof createSettings>;
-    decisions: ReturnType<typeof createGatewayDecisions>;
-    inputs: GatewayInput[];
-    isPaused: boolean;
-    isCut: boolean;
-    /** Start of the process. What was under way for an earlier one is lost. */
-    boot: number;
-    /** Latest time at which it was restarted, paused or cut off. */
-    disturbedAtMs: number;
+interface Event {
+    atMs: number;
+    sequence: number;
+    run: () => void;
 }
 
 interface Arrival {
@@ -49,6 +43,7 @@
     status: number;
     reason: string;
     instance: number;
+    inTouch: boolean;
 }
 
 /** One-way delay between instances, targets and callers, in ms. */
@@ -59,28 +54,19 @@
 const LISTED_AFTER_MS = 100;
 const UNLISTED_AFTER_MS = 3_600;
 
-const ROUTE: Route = {
-    name: "r",
-    host: "h",
-    prefix: "/",
-    kind: "safe",
-    timeoutMs: 1_000,
-    latencyTargetMs: 190,
-    gapTargetMs: undefined,
-    priority: 1,
-    maxAttempts: 3,
-    resumable: false,
-    destinations: [{ service: "app", weight: 1 }],
-};
+/** Time in ms until an instance that has started gets the gossip of another, and mean interval at which one gets more. */
+const FIRST_GOSSIP_MS = 300;
+const GOSSIP_INTERVAL_MS = 1_000;
 
 /**
  * Simulates instances before the targets of a plain service, over virtual time. Targets end under certain requests and start
  * again; instances restart, pause, and are cut off from each other. The same seed repeats a run exactly.
  */
-export const createVirtualService = ({ seed, instances: instanceCount, zones, targets: targetCount, isCrashing = () => false }: ServiceOptions) => {
+export const createVirtualService = (options: ServiceOptions) => {
+    const { seed, zones, isCrashing = () => false } = options;
     const generator = xoroshiro128plus(seed);
     const random = (): number => uniformFloat64(generator);
-    const queue = new TinyQueue<{ atMs: number; sequence: number; run: () => void }>([], (one, other) => one.atMs - other.atMs || one.sequence - other.sequence);
+    const queue = new TinyQueue<Event>([], (one, other) => one.atMs - other.atMs || one.sequence - other.sequence);
     const arrivals: Arrival[] = [];
     const answers: Answer[] = [];
     const ends: { atMs: number; contents: string[]; targetId: string }[] = [];
@@ -93,8 +79,10 @@
         queue.push({ atMs, sequence, run });
     };
     const after = (delayMs: number, run: () => void): void => at(nowMs + delayMs, run);
+    const completions: { atMs: number; content: string; inTouch: boolean }[] = [];
+    const isInTouch = (instance: VirtualServiceInstance): boolean => nowMs - instance.disturbedAtMs > CONTACT_MS;
 
-    const targets = Array.from({ length: targetCount }, (_, index) => createVirtualTarget({
+    const targets = Array.from({ length: options.targets }, (_, index) => createVirtualTarget({
         index,
         zone: `z${index % zones}`,
         now: () => nowMs,
@@ -108,14 +96,25 @@
         onStarted: entry => after(LISTED_AFTER_MS, () => instances.forEach(each => give(each, { kind: "target", entry }))),
     }));
 
-    const createInstance = (index: number, boot: number): VirtualInstance => {
+    const createInstance = (index: number, boot: number): VirtualServiceInstance => {
         const settings = createSettings(`i${index}`, `z${index % zones}`);
-        return { index, zone: settings.zone, settings, decisions: createGatewayDecisions(settings, random), inputs: [], isPaused: false, isCut: false, boot, disturbedAtMs: Number.NEGATIVE_INFINITY };
+        return {
+            index,
+            zone: settings.zone,
+            settings,
+            decisions: createGatewayDecisions(settings, random),
+            inputs: [],
+            known: [],
+            isPaused: false,
+            isCut: false,
+            boot,
+            disturbedAtMs: Number.NEGATIVE_INFINITY,
+        };
     };
-    const instances = Array.from({ length: instanceCount }, (_, index) => createInstance(index, 0));
-    const find = (id: string): VirtualInstance | undefined => instances.find(each => each.settings.instanceId === id);
+    const instances = Array.from({ length: options.instances }, (_, index) => createInstance(index, 0));
+    const find = (id: string): VirtualServiceInstance | undefined => instances.find(each => each.settings.instanceId === id);
 
-    const step = (instance: VirtualInstance): void => {
+    const step = (instance: VirtualServiceInstance): void => {
         if (instance.isPaused) {
             return;
         }
@@ -124,25 +123,27 @@
         const nextAtMs = instance.decisions.nextStepAtMs();
         if (Number.isFinite(nextAtMs)) {
             const { boot } = instance;
-            at(Math.max(nowMs + 1, nextAtMs), () => instance.boot === boot && instance.inputs.length === 0 && nowMs >= instance.decisions.nextStepAtMs() && step(instance));
+            const isIdle = (): boolean => instance.boot === boot && instance.inputs.length === 0;
+            const isDue = (): boolean => isIdle() && nowMs >= instance.decisions.nextStepAtMs();
+            at(Math.max(nowMs + 1, nextAtMs), () => isDue() && step(instance));
         }
     };
 
-    const give = (instance: VirtualInstance, ...inputs: GatewayInput[]): void => {
+    const give = (instance: VirtualServiceInstance, ...inputs: GatewayInput[]): void => {
         if (instance.inputs.length === 0) {
             at(nowMs, () => instance.inputs.length > 0 && step(instance));
         }
         instance.inputs.push(...inputs);
     };
 
-    const deliver = (from: VirtualInstance, to: readonly string[], input: GatewayInput): void => to.forEach(id => {
+    const deliver = (from: VirtualServiceInstance, to: readonly string[], input: GatewayInput): void => to.forEach(id => {
         const receiver = find(id);
         if (receiver !== undefined && !receiver.isCut && !from.isCut) {
             after(DELAY_MS, () => !receiver.isCut && give(receiver, input));
         }
     });
 
-    const send = (from: VirtualInstance, { callId, attempt, targetId, address }: Extract<GatewayCommand, { kind: "send" }>): void => {
+    const send = (from: VirtualServiceInstance, { callId, attempt, targetId, address }: Extract<GatewayCommand, { kind: "send" }>): void => {
         const target = targets.find(each => each.address === address);
         const content = contents.get(callId) ?? "";
         const { boot } = from;
@@ -156,24 +157,34 @@
                 reply({ kind: "failed", callId, attempt, ran: "no", cause: "otherTarget", reason: "another target" });
                 return;
             }
-            arrivals.push({ atMs: nowMs, content, targetId, instance: from.index, inTouch: nowMs - from.disturbedAtMs > CONTACT_MS });
+            arrivals.push({ atMs: nowMs, content, targetId, instance: from.index, inTouch: isInTouch(from) });
             const run: VirtualRun = {
                 content,
-                onCut: () => reply({ kind: "failed", callId, attempt, ran: "unknown", cause: "cut", reason: "the connection ended inside the answer" }),
+                onCut: () => reply({ kind: "failed", callId, attempt, ran: "unknown", cause: "cut", reason: "the connection ended" }),
                 onFull: () => reply({ kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" }),
-                onDone: () => reply({ kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200, longestGapMs: 0 }),
+                onDone: () => {
+                    completions.push({ atMs: nowMs, content, inTouch: isInTouch(from) });
+                    reply({ kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200, longestGapMs: 0 });
+                },
             };
             target.run(run);
         });
     };
 
-    const execute = (from: VirtualInstance, command: GatewayCommand): void => {
+    const execute = (from: VirtualServiceInstance, command: GatewayCommand): void => {
         switch (command.kind) {
             case "send":
                 send(from, command);
                 break;
             case "answer":
-                answers.push({ atMs: nowMs, content: contents.get(command.callId) ?? "", status: command.status, reason: command.reason, instance: from.index });
+                answers.push({
+                    atMs: nowMs,
+                    content: contents.get(command.callId) ?? "",
+                    status: command.status,
+                    reason: command.reason,
+                    instance: from.index,
+                    inTouch: isInTouch(from),
+                });
                 break;
             case "probe": {
                 const { targetId, startedAtMs, address } = command;
@@ -183,6 +194,14 @@
                 });
                 break;
             }
+            case "shareCrashEvidence": {
+                const { to, reporterZone, evidence, isOwn } = command;
+                deliver(from, to, { kind: "crashEvidence", evidence, reporterZone, ageMs: 0 });
+                if (isOwn) {
+                    from.known.push({ evidence, atMs: nowMs });
+                }
+                break;
+            }
             case "shareStatus":
                 deliver(from, command.to, { kind: "status", status: command.status });
                 break;
@@ -193,9 +212,30 @@
         }
     };
 
+    /** Passes on what an instance knows by gossip, which also reaches those that messages have missed. */
+    const pullGossip = (instance: VirtualServiceInstance): void => {
+        const others = instances.filter(each => each !== instance && !each.isCut && !each.isPaused);
+        const other = others[Math.floor(random() * others.length)];
+        if (other === undefined || instance.isCut) {
+            return;
+        }
+        const fresh = other.known.filter(each => !instance.known.includes(each));
+        instance.known.push(...fresh);
+        for (const { evidence, atMs } of fresh) {
+            give(instance, { kind: "crashEvidence", evidence, reporterZone: undefined, ageMs: nowMs - atMs });
+        }
+    };
+    const pullRepeatedly = (instance: VirtualServiceInstance): void => after(GOSSIP_INTERVAL_MS * (0.5 + random()), () => {
+        if (!instance.isPaused) {
+            pullGossip(instance);
+        }
+        pullRepeatedly(instance);
+    });
+
     /** Gives an instance that has started what the store lists. */
-    const introduce = (instance: VirtualInstance): void => {
-        const members = instances.filter(each => each !== instance).map(({ settings }) => ({ id: settings.instanceId, zone: settings.zone }));
+    const introduce = (instance: VirtualServiceInstance): void => {
+        const members = instances.filter(each => each !== instance)
+            .map(({ settings }) => ({ id: settings.instanceId, zone: settings.zone }));
         const planners = new Map(instances.slice(0, zones).map(({ settings }) => [settings.zone, settings.instanceId]));
         const zoneOrder = instances.filter(each => each.zone === instance.zone).map(({ settings }) => settings.instanceId);
         give(
@@ -206,8 +246,9 @@
         );
     };
     instances.forEach(introduce);
+    instances.forEach(pullRepeatedly);
 
-    const disturb = (index: number, action: (instance: VirtualInstance) => void): void => {
+    const disturb = (index: number, action: (instance: VirtualServiceInstance) => void): void => {
         const instance = instances[index];
         if (instance !== undefined) {
             instance.disturbedAtMs = nowMs;
@@ -223,6 +264,7 @@
         arrivals,
         answers,
         ends,
+        completions,
         after,
         /** Sends a caller's request to an instance. Requests with equal content have equal fingerprints. */
         sendCall: (index: number, content: string, route: Partial<Route> = {}): void => {
@@ -233,27 +275,7 @@
             sequence += 1;
             const callId = brandAs<RequestId>(`c${sequence}`);
             contents.set(callId, content);
-            const fullRoute = { ...ROUTE, ...route };
-            give(instance, {
-                kind: "call",
-                metadata: {
-                    callId,
-                    fingerprint: brandAs(content),
-                    callerRequestId: callId,
-                    route: fullRoute,
-                    service: "app",
-                    model: undefined,
-                    adapter: undefined,
-                    promptTokens: 0,
-                    outputTokens: 0,
-                    expectedTokens: 0,
-                    promptParts: [],
-                    arrivedAtMs: nowMs,
-                    latencyTargetAtMs: nowMs + fullRoute.latencyTargetMs,
-                    firstEventDeadlineAtMs: nowMs + fullRoute.timeoutMs,
-                    deadlineAtMs: nowMs + fullRoute.timeoutMs,
-                },
-            });
+            give(instance, { kind: "call", metadata: createServiceCall(callId, content, nowMs, route) });
         },
         /** Kills an instance and starts it again after a time. It has lost all its tables. */
         restart: (index: number, downMs: number): void => disturb(index, instance => {
@@ -263,6 +285,7 @@
                 if (instance.boot === boot) {
                     instance.isPaused = false;
                     introduce(instance);
+                    after(FIRST_GOSSIP_MS, () => instance.boot === boot && pullGossip(instance));
                 }
             });
         }),
@@ -279,11 +302,8 @@
         }),
         /** Cuts an instance off from the other instances. Its targets and callers still reach it. */
         cut: (index: number, durationMs: number): void => disturb(index, instance => {
-            instance.isCut = true;
-            instance.disturbedAtMs = nowMs + durationMs;
-            after(durationMs, () => {
-                instance.isCut = false;
-            });
+            Object.assign(instance, { isCut: true, disturbedAtMs: nowMs + durationMs });
+            after(durationMs, () => Object.assign(instance, { isCut: false }));
         }),
         /** Advances the virtual time by a number of ms. */
         run: (ms: number): void => {
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -2,6 +2,7 @@
 import { recordContact } from "./calls/recordContact.js";
 import { logEvent } from "./calls/logEvent.js";
 import { removeCall } from "./calls/removeCall.js";
+import { applyCrashEvidence } from "./crashes/applyCrashEvidence.js";
 import { applyProbed } from "./crashes/applyProbed.js";
 import type { GatewayInput } from "./gatewayInput.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -73,6 +74,7 @@
         markAllPools(context);
     },
     probed: applyProbed,
+    crashEvidence: applyCrashEvidence,
     stop: context => {
         for (const row of [...context.calls.values()].filter(each => each.pool !== undefined)) {
             failCall(context, row, "this instance stops", 0);
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -93,7 +93,13 @@
         unreachableZones.set(entry.zone, isUnreachable);
         return !isUnreachable || (mayProbe && activeAttempts.size === 0);
     };
+    const { suspects } = context.crashes;
+    const isSuspect = suspects.has(row.metadata.fingerprint);
     for (const target of row.pool?.targets ?? []) {
+        // Two requests that may have ended the same targets don't share one again, so that its end or their answers tell which did.
+        if (isSuspect && [...target.activeAttempts.values()].some(each => suspects.has(each.fingerprint))) {
+            continue;
+        }
         const isEligible = isUsable(target, context.nowMs) && !row.excludedTargets.has(target.entry.targetId);
         if (isEligible && hasRequestedModel(target, row.metadata, false) && isReachable(target)) {
             choices.push(evaluateTarget(context, row, target));
--- a/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
@@ -14,7 +14,11 @@
 export const resumeCall = (context: GatewayContext, row: CallRow, reason: string): boolean => {
     const copyTargetId = row.currentAttempt?.copyTargetId;
     const target = copyTargetId === undefined ? undefined : context.targets.get(copyTargetId);
-    if (!row.delivered || target === undefined || !isUsable(target, context.nowMs) || !takeRetryToken(context, row.metadata.service)) {
+    const isRefused = context.crashes.refused.has(row.metadata.fingerprint);
+    if (isRefused || !row.delivered || target === undefined || !isUsable(target, context.nowMs)) {
+        return false;
+    }
+    if (!takeRetryToken(context, row.metadata.service)) {
         return false;
     }
     logEvent(context, "continued", { request: row.metadata.callerRequestId, from: row.currentAttempt?.targetId, target: copyTargetId, reason });
--- a/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
@@ -13,8 +13,11 @@
     reason: string;
 }
 
-/** Delay in ms before a request is sent again after a target without room or without the model has refused it. */
-const REFUSAL_RETRY_DELAY_MS = 30;
+/**
+ * Delay in ms before a request is sent again: after a target without room or without the model has refused it, and after a cut
+ * until probes have shown whether the target has ended, and the instances have told each other.
+ */
+const retryDelaysMs: Partial<Record<FailureCause, number>> = { full: 30, notHeld: 30, cut: 30 };
 /** Delay before a retry that callers are given if there is no better prediction, in ms. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
@@ -58,6 +61,6 @@
         const patienceMs = row.metadata.firstEventDeadlineAtMs - row.metadata.arrivedAtMs;
         row.nextEventDeadlineAtMs = Math.min(row.metadata.deadlineAtMs, context.nowMs + patienceMs);
     }
-    row.notBeforeMs = failure.cause === "full" || failure.cause === "notHeld" ? context.nowMs + REFUSAL_RETRY_DELAY_MS : context.nowMs;
+    row.notBeforeMs = context.nowMs + (retryDelaysMs[failure.cause] ?? 0);
     enqueueCall(context, row);
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -42,6 +42,11 @@
  * left waiting before it.
  */
 const routeCall = (context: GatewayContext, row: CallRow, pool: ModelPool, queueMsByPool: Map<ModelPool, number>): void => {
+    const endedTargets = context.crashes.refused.get(row.metadata.fingerprint);
+    if (endedTargets !== undefined) {
+        failCall(context, row, `${endedTargets} targets have ended while they ran this request; change it, an equal one stays refused for ten minutes`);
+        return;
+    }
     if (context.nowMs < row.notBeforeMs) {
         checkAgainAfter(context, pool, row.notBeforeMs - context.nowMs);
         return;
--- a/packages/medlarlb-decisions/src/gateway/crashes/applyProbed.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/applyProbed.ts
@@ -1,12 +1,29 @@
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { GatewayInput } from "../gatewayInput.js";
+import { probeTarget } from "./probeTarget.js";
+import { reportEnd } from "./reportEnd.js";
 
-/** Records what a probe has shown of a target that cut a request. */
-export const applyProbed = (context: GatewayContext, input: Extract<GatewayInput, { kind: "probed" }>): void => {
-    const target = context.targets.get(input.targetId);
-    if (target === undefined || target.entry.startedAtMs !== input.startedAtMs) {
+/**
+ * Records what a probe has shown of a target that cut requests. Only a machine that refuses connections shows that the
+ * process has ended; a frozen or cut-off target is silent, and one whose connections were reset still listens.
+ */
+export const applyProbed = (context: GatewayContext, { targetId, startedAtMs, state }: Extract<GatewayInput, { kind: "probed" }>): void => {
+    const target = context.targets.get(targetId);
+    if (target === undefined || target.entry.startedAtMs !== startedAtMs || target.probedAtMs === undefined) {
         return;
     }
-    logEvent(context, "targetProbed", { target: input.targetId, startedAtMs: input.startedAtMs, state: input.state, tookMs: Math.round(context.nowMs - target.probedAtMs) });
+    const { probedAtMs } = target;
+    const cutRequests = target.cutRequests.splice(0);
+    target.probedAtMs = undefined;
+    logEvent(context, "targetProbed", { target: targetId, startedAtMs, state, cutRequests: cutRequests.length, tookMs: Math.round(context.nowMs - probedAtMs) });
+    if (state === "refused" && !target.leaving) {
+        reportEnd(context, target, cutRequests.map(each => each.fingerprint));
+        return;
+    }
+    // The probe was sent before these were cut, so that it says nothing about them.
+    target.cutRequests = cutRequests.filter(each => each.atMs > probedAtMs);
+    if (target.cutRequests.length > 0) {
+        probeTarget(context, target);
+    }
 };
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordCut.ts
@@ -0,0 +1,24 @@
+import type { GatewayContext } from "../gatewayContext.js";
+import type { CallRow } from "../rows/callRow.js";
+import type { PoolTarget } from "../rows/poolTarget.js";
+import { incarnationKey } from "./incarnationKey.js";
+import { probeTarget } from "./probeTarget.js";
+import { reportEnd } from "./reportEnd.js";
+
+/**
+ * Records that a target has cut a request. Whether the target has ended or only the connection, a probe shows. A target that
+ * is leaving ends as planned, which says nothing about its requests.
+ */
+export const recordCut = (context: GatewayContext, row: CallRow, target: PoolTarget): void => {
+    if (target.leaving) {
+        return;
+    }
+    const { targetId, startedAtMs } = target.entry;
+    const { fingerprint } = row.metadata;
+    if (context.crashes.ends.has(incarnationKey(targetId, startedAtMs))) {
+        reportEnd(context, target, [fingerprint]);
+        return;
+    }
+    target.cutRequests.push({ fingerprint, atMs: context.nowMs });
+    probeTarget(context, target);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/crashes/reportEnd.ts
@@ -0,0 +1,17 @@
+import type { CrashEvidence } from "medlarlb-types/crashEvidence";
+import type { Fingerprint } from "medlarlb-types/fingerprint";
+import { logEvent } from "../calls/logEvent.js";
+import type { GatewayContext } from "../gatewayContext.js";
+import type { PoolTarget } from "../rows/poolTarget.js";
+import { shareCrashEvidence } from "./shareCrashEvidence.js";
+import { shareOwnCompletions } from "./shareOwnCompletions.js";
+
+/** Records that a target has ended while it had requests of this instance, and tells the others. */
+export const reportEnd = (context: GatewayContext, target: PoolTarget, requests: readonly Fingerprint[]): void => {
+    const { targetId, startedAtMs } = target.entry;
+    const fingerprints = [...new Set(requests)];
+    const evidence: CrashEvidence = { kind: "ended", targetId, startedAtMs, fingerprints };
+    logEvent(context, "targetEnded", { target: targetId, startedAtMs, fingerprints });
+    shareCrashEvidence(context, evidence);
+    shareOwnCompletions(context, evidence);
+};
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -1,5 +1,6 @@
 import TinyQueue from "tinyqueue";
 import type { RandomSource } from "../randomSource.js";
+import { createCrashTable } from "./crashes/createCrashTable.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { CallCheck } from "./rows/callCheck.js";
@@ -20,6 +21,7 @@
     callChecks: new TinyQueue<CallCheck>([], (one, other) => one.atMs - other.atMs),
     serviceMsPerWorkUnit: new Map(),
     serviceFailureRate: new Map(),
+    crashes: createCrashTable(),
     retryBudgets: new Map(),
     instanceCount: 1,
     planners: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
@@ -3,6 +3,7 @@
 import { expireCalls } from "./calls/expireCalls.js";
 import { nextCallCheck } from "./calls/nextCallCheck.js";
 import { routeCalls } from "./calls/routeCalls.js";
+import { judgeCrashes } from "./crashes/judgeCrashes.js";
 import { createGatewayContext } from "./createGatewayContext.js";
 import type { GatewayCommand } from "./gatewayCommand.js";
 import type { GatewayInput } from "./gatewayInput.js";
@@ -25,6 +26,7 @@
             for (const input of inputs) {
                 applyGatewayInput(context, input);
             }
+            judgeCrashes(context);
             expireCalls(context);
             routeCalls(context);
             planPlacement(context);
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -1,7 +1,9 @@
+import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { PlacementOrder } from "medlarlb-types/placementOrder";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { TargetId } from "medlarlb-types/targetId";
+import type { ZoneId } from "medlarlb-types/zoneId";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { PlacementUpdate } from "medlarlb-types/placementUpdate";
@@ -40,5 +42,7 @@
     | { kind: "shareStatus"; to: InstanceId[]; status: InstanceStatus }
     | { kind: "shareDigest"; to: InstanceId; digest: LoadDigest }
     | { kind: "shareNews"; to: InstanceId[]; news: PlacementUpdate }
+    /** `isOwn` tells observations of this instance from those that it relays. */
+    | { kind: "shareCrashEvidence"; to: InstanceId[]; reporterZone: ZoneId; evidence: CrashEvidence[]; isOwn: boolean }
     | { kind: "shareLeaving"; targetId: TargetId }
     | { kind: "log"; event: string; fields: Record<string, unknown> };
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -6,6 +6,7 @@
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { RandomSource } from "../randomSource.js";
+import type { CrashTable } from "./crashes/crashTable.js";
 import type { GatewayCommand } from "./gatewayCommand.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { DemandTable } from "./placement/demandTable.js";
@@ -38,6 +39,7 @@
     serviceMsPerWorkUnit: Map<string, number>;
     /** Share of recent attempts that failed, by service: the rate that its requests cause whichever target they run on. */
     serviceFailureRate: Map<string, number>;
+    crashes: CrashTable;
     retryBudgets: Map<string, RetryBudget>;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -1,4 +1,5 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
+import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { EngineReport } from "medlarlb-types/engineReport";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListeningState } from "medlarlb-types/listeningState";
@@ -43,6 +44,8 @@
     | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string }
     /** A new connection to a target has shown whether it still runs. */
     | { kind: "probed"; targetId: TargetId; startedAtMs: number; state: ListeningState }
+    /** Observations of other instances. `reporterZone` is undefined if they came by gossip, which spreads by itself. */
+    | { kind: "crashEvidence"; evidence: CrashEvidence[]; reporterZone: ZoneId | undefined; ageMs: number }
     /** This instance stops. Calls that still wait are refused now, so that callers can use another instance. */
     | { kind: "stop" }
     | InstancesInput
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -1,6 +1,7 @@
 import { resumeCall } from "../calls/resumeCall.js";
 import { logEvent } from "../calls/logEvent.js";
-import { probeAfterCut } from "../crashes/probeAfterCut.js";
+import { recordCut } from "../crashes/recordCut.js";
+import { recordResponse } from "../crashes/recordResponse.js";
 import { retryCall } from "../calls/retryCall.js";
 import type { GatewayInput } from "../gatewayInput.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -66,6 +67,9 @@
         return;
     }
     const target = context.targets.get(row.currentAttempt.targetId);
+    if (target !== undefined && input.cause === "full") {
+        recordResponse(context, target, row.currentAttempt.sentAtMs);
+    }
     if (target !== undefined) {
         updateFailedTarget(context, row, target, input);
     }
@@ -80,7 +84,7 @@
             leaving: target?.leaving,
         });
         if (target !== undefined) {
-            probeAfterCut(context, target);
+            recordCut(context, row, target);
         }
     }
     if (input.cause === "cut" && resumeCall(context, row, input.reason)) {
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -1,6 +1,7 @@
 import { recordContact } from "../calls/recordContact.js";
 import { removeCall } from "../calls/removeCall.js";
 import { logEvent } from "../calls/logEvent.js";
+import { recordCompletion } from "../crashes/recordCompletion.js";
 import type { GatewayInput } from "../gatewayInput.js";
 import { servicePaceMs } from "../calls/servicePaceMs.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -10,6 +11,8 @@
 /** Weight of a new sample in the moving averages of a plain service's answer time. */
 const NEW_SAMPLE_WEIGHT = 0.05;
 
+const MIN_FAILURE_STATUS = 300;
+
 const updatePace = (context: GatewayContext, target: PoolTarget, tookMs: number): void => {
     const { service } = target.entry;
     const paceMs = servicePaceMs(context, target);
@@ -34,6 +37,9 @@
             updatePace(context, target, context.nowMs - attempt.sentAtMs);
         }
     }
+    if (input.status < MIN_FAILURE_STATUS) {
+        recordCompletion(context, metadata.fingerprint);
+    }
     const answerStartedAtMs = attempt.answerStartedAtMs ?? context.nowMs;
     const hasLongGap = input.longestGapMs > (metadata.route.gapTargetMs ?? Number.POSITIVE_INFINITY);
     logEvent(context, "finished", {
--- a/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
@@ -1,8 +1,10 @@
+import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { TargetId } from "medlarlb-types/targetId";
 
 /** One attempt of a call on a target. */
 export interface CallAttempt {
     targetId: TargetId;
+    fingerprint: Fingerprint;
     /** Number of the attempt, from 1. Events with a lower number belong to an earlier attempt and are ignored. */
     attempt: number;
     /** Prompt tokens that the target has to process, or 1 for a plain service. */
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -1,3 +1,4 @@
+import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { TargetEntry } from "medlarlb-types/targetEntry";
@@ -47,8 +48,10 @@
     /** Time until which the target gets no new work. */
     backoffUntilMs: number;
     lastSeenAtMs: number;
-    /** Time of the latest probe after the target cut a request. */
-    probedAtMs: number;
+    /** Requests that the target has cut and that no probe has explained yet. */
+    cutRequests: { fingerprint: Fingerprint; atMs: number }[];
+    /** Start of the probe that is under way. */
+    probedAtMs: number | undefined;
     promptCache: PromptCache;
     /** Number of orders that the engine had accepted at the time of its planner's latest placement update. */
     lastUpdateOrderCount: number;
--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -13,23 +13,20 @@
 import { findFreePort } from "../cluster/findFreePort.js";
 import { waitFor } from "../cluster/waitFor.js";
 import { listen } from "../shared/listen.js";
+import { createOperatorConfig } from "./support/createOperatorConfig.js";
 
 const GATEWAY_SCRIPT = "packages/medlarlb-daemon/lib/gatewayMain.js";
 const ROUTE_HOST = "site.example";
 
 const listenOnFreePort = async (server: Server): Promise<string> => `127.0.0.1:${await listen(server, 0)}`;
 
-const createConfig = (version: number) => ({
-    version,
-    routes: [
-        { name: "safe", host: ROUTE_HOST, prefix: "/safe/", kind: "safe", timeout_ms: 2_000, service: "s", max_attempts: 2 },
-        { name: "unsafe", host: ROUTE_HOST, prefix: "/unsafe/", kind: "unsafe", timeout_ms: 2_000, service: "s", max_attempts: 1 },
-        { name: "stream", host: ROUTE_HOST, prefix: "/stream/", kind: "streaming", timeout_ms: 4_000, service: "s", max_attempts: 1 },
-        { name: "resumable", host: ROUTE_HOST, prefix: "/stream/again/", kind: "streaming", timeout_ms: 4_000, service: "s", max_attempts: 2, resumable: true },
-    ],
-    services: [{ name: "s", health_path: "/health", max_conns: 50 }],
-    limits: { max_header_bytes: 4_096, max_body_bytes: 10_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
-});
+interface SendOptions {
+    body?: string;
+    host?: string;
+    headers?: Record<string, string>;
+    /** Address of the gateway; the first one if it isn't given. */
+    to?: string;
+}
 
 /** Addresses in the settings of a gateway: those that it listens on, and that of the metadata store. */
 interface Addresses {
@@ -71,8 +68,8 @@
     let sequence = 0;
 
     /** Writes the entry of an engine into the metadata store. */
-    const registerEngine = (id: string, address: string, state = "ready"): void =>
-        store.put(`servers/${id}`, JSON.stringify({ service: "s", address, zone: "a", slots: 8, state, models: [], seq: 1 }));
+    const registerEngine = (id: string, address: string, state = "ready", service = "s"): void =>
+        store.put(`servers/${id}`, JSON.stringify({ service, address, zone: "a", slots: 8, state, models: [], seq: 1 }));
 
     /** Starts a gateway on free ports and waits until it reaches an engine. Without `readLog` its output pipe is left to fill up. */
     const startGateway = async (readLog: boolean): Promise<void> => {
@@ -98,9 +95,9 @@
     };
 
     /** Sends a request to the gateway. A response whose connection breaks gets the text "cut". */
-    const sendRequest = async (method: "GET" | "POST", path: string, { body = "", host = ROUTE_HOST, headers = {} }: { body?: string; host?: string; headers?: Record<string, string> } = {}) => {
+    const sendRequest = async (method: "GET" | "POST", path: string, { body = "", host = ROUTE_HOST, headers = {}, to = caller }: SendOptions = {}) => {
         sequence += 1;
-        const res = await request(`http://${caller}${path}`, {
+        const res = await request(`http://${to}${path}`, {
             method,
             headers: { host, "x-request-id": `r${sequence}`, "x-deadline-ms": "2000", ...headers },
             ...(body === "" ? {} : { body }),
@@ -113,7 +110,7 @@
 
     before(async () => {
         await listenOnFreePort(store.server);
-        store.put("op/config", JSON.stringify(createConfig(3)));
+        store.put("op/config", JSON.stringify(createOperatorConfig(3)));
         for (const engine of engines) {
             registerEngine(engine.id, await listenOnFreePort(engine.server));
         }
@@ -207,9 +204,9 @@
         store.put("servers/broken", "not an entry");
         await new Promise(resolve => setTimeout(resolve, 600));
         expect((await sendRequest("GET", "/safe/x")).status).to.equal(200);
-        store.put("op/config", JSON.stringify({ ...createConfig(9), routes: createConfig(9).routes.slice(1) }));
+        store.put("op/config", JSON.stringify({ ...createOperatorConfig(9), routes: createOperatorConfig(9).routes.slice(1) }));
         await waitFor("the route is gone", async () => (await sendRequest("GET", "/safe/x")).status === 404);
-        store.put("op/config", JSON.stringify(createConfig(12)));
+        store.put("op/config", JSON.stringify(createOperatorConfig(12)));
         await waitFor("the route is back", async () => (await sendRequest("GET", "/safe/x")).status === 200);
     });
 
@@ -228,22 +225,60 @@
         expect(await res.body.text()).to.match(/medlarlb_answers_total\{status="200",by="target"\} \d+/);
     });
 
-    it("starts with the configuration of another instance if the metadata store doesn't respond", async () => {
+    /** Starts another gateway on free ports. Without a store address it can't reach the store. */
+    const startSecondGateway = async (storeAddress?: string): Promise<{ child: ChildProcess; caller: string }> => {
         const addresses = await Promise.all(Array.from({ length: 5 }, findFreePort));
         const [ownCaller = "", ownReadiness = "", ownPeer = "", ownMetrics = "", dead = ""] = addresses.map(port => `127.0.0.1:${port}`);
-        const path = join(folder, "second.ini");
-        const ownAddresses = { caller: ownCaller, readiness: ownReadiness, peer: ownPeer, metrics: ownMetrics, store: dead };
+        const path = join(folder, `${ownPeer}.ini`);
+        const storeToUse = storeAddress ?? dead;
+        const ownAddresses = { caller: ownCaller, readiness: ownReadiness, peer: ownPeer, metrics: ownMetrics, store: storeToUse };
         writeFileSync(path, createSettings(ownAddresses, peer));
-        const second = spawn(process.execPath, [GATEWAY_SCRIPT], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "ignore", "inherit"] });
+        const env = { ...process.env, MEDLARLB_CONFIG: path };
+        const child = spawn(process.execPath, [GATEWAY_SCRIPT], { env, stdio: ["ignore", "ignore", "inherit"] });
+        return { child, caller: ownCaller };
+    };
+
+    /** Waits until a gateway answers a request on the path with the text of an engine. */
+    const waitForAnswer = (address: string, path: string) => waitFor(`${address} answers from a target`, async () => {
+        const headers = { "host": ROUTE_HOST, "x-request-id": "ready", "x-deadline-ms": "2000" };
+        const res = await request(`http://${address}${path}`, { headers }).catch(() => undefined);
+        return res !== undefined && res.statusCode === 200 && (await res.body.text()).startsWith("answer of e");
+    });
+
+    it("starts with the configuration of another instance if the metadata store doesn't respond", async () => {
+        const second = await startSecondGateway();
+        try {
+            await waitForAnswer(second.caller, "/safe/x");
+        }
+        finally {
+            second.child.kill("SIGKILL");
+        }
+    });
+
+    it("sends a request under which two targets have ended to no other target, from another instance neither", async () => {
+        const ending = ["e3", "e4", "e5"].map(createUserEngineServer);
+        for (const engine of ending) {
+            registerEngine(engine.id, await listenOnFreePort(engine.server), "ready", "other");
+            engine.setBehavior("ending");
+        }
+        const second = await startSecondGateway(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
         try {
-            await waitFor("the second instance answers from a target", async () => {
-                const res = await request(`http://${ownCaller}/safe/x`, { headers: { "host": ROUTE_HOST, "x-request-id": "second", "x-deadline-ms": "2000" } })
-                    .catch(() => undefined);
-                return res !== undefined && res.statusCode === 200 && (await res.body.text()).startsWith("answer of e");
-            });
+            await waitForAnswer(caller, "/other/x");
+            await waitForAnswer(second.caller, "/other/x");
+            expect((await sendRequest("GET", "/other/crash")).status).to.equal(502);
+            expect((await sendRequest("GET", "/other/crash")).status).to.equal(502);
+            const isUp = ending.map(engine => engine.server.listening);
+            expect(isUp.filter(Boolean)).to.have.length(1);
+            const refusals = [await sendRequest("GET", "/other/crash"), await sendRequest("GET", "/other/crash", { to: second.caller })];
+            expect(refusals.map(each => each.status)).to.deep.equal([503, 503]);
+            expect(refusals.every(each => each.text.includes("targets have ended while they ran this request"))).to.equal(true);
+            expect(ending.map(engine => engine.server.listening)).to.deep.equal(isUp);
+            expect((await sendRequest("GET", "/other/y", { to: second.caller })).status).to.equal(200);
         }
         finally {
-            second.kill("SIGKILL");
+            second.child.kill("SIGKILL");
+            ending.forEach(engine => engine.close());
+            ending.forEach(engine => store.put(`servers/${engine.id}`, "{}"));
         }
     });
 
--- a/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
@@ -10,9 +10,11 @@
  * - `failing`: answers with status 500.
  * - `failingResume`: as `cutStream`, and answers a resumed stream with status 500.
  * - `other`: answers with the id of another request.
+ * - `ending`: ends, as a process that crashes does, when it has started a request whose path ends with `CRASHING_PATH_END`.
  */
-type EngineBehavior = "normal" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
+type EngineBehavior = "ending" | "normal" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
 
+const CRASHING_PATH_END = "/crash";
 const EVENT_COUNT = 5;
 const EVENT_INTERVAL_MS = 20;
 
@@ -59,6 +61,10 @@
             res.socket?.resetAndDestroy();
             return;
         }
+        if (behavior === "ending" && req.url?.endsWith(CRASHING_PATH_END) === true) {
+            close();
+            return;
+        }
         res.setHeader("x-request-id", behavior === "other" ? "another" : requestId);
         res.setHeader("x-response-stamp", `stamp-${id}`);
         const isResume = req.headers["last-event-id"] !== undefined;
@@ -90,6 +96,11 @@
         });
     });
 
+    const close = (): void => {
+        server.close();
+        server.closeAllConnections();
+    };
+
     return {
         id,
         server,
@@ -97,9 +108,6 @@
         setBehavior: (next: EngineBehavior): void => {
             behavior = next;
         },
-        close: (): void => {
-            server.closeAllConnections();
-            server.close();
-        },
+        close,
     };
 };
--- a/packages/medlarlb-peers/src/createDataMessageHandler.ts
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -27,6 +27,7 @@
             case "digest":
             case "news":
             case "wanted":
+            case "crashEvidence":
                 options.onGatewayMessage?.(message, peerId);
                 break;
             case "pullDecisions":
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -1,4 +1,5 @@
 import type { ConfigEntry } from "medlarlb-types/configEntry";
+import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { DemandCount } from "medlarlb-types/demandCount";
 import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
@@ -6,6 +7,7 @@
 import type { StoreEntry } from "medlarlb-types/storeEntry";
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { PlacementUpdate } from "medlarlb-types/placementUpdate";
+import type { ZoneId } from "medlarlb-types/zoneId";
 import type { MemberInfo } from "./memberInfo.js";
 import type { GossipEntry } from "./gossipEntry.js";
 
@@ -29,6 +31,8 @@
     | { kind: "digest"; digest: LoadDigest }
     /** Placement update of a planner. */
     | { kind: "news"; news: PlacementUpdate }
+    /** Observations about requests that end targets, from an instance of `reporterZone`. */
+    | { kind: "crashEvidence"; reporterZone: ZoneId; evidence: CrashEvidence[] }
     /** Asks for the entries of the platform's store that the receiver knows; `directory` answers it. */
     | { kind: "pullDirectory" }
     | { kind: "directory"; items: StoreEntry[] }
