Send a suspect once a call, and see that a target has ended by its successor

Trace: two of its ends were seen only by instances that were cut off, so that the others took it for a suspect of two ends; then its connections were reset twice, and each reset led to another attempt. Ruled out: wrong counting after the evidence had arrived. Change: a suspect whose attempt may have run isn't sent again for the same call; a request on two ended targets stays a suspect although another one explains them; and a probe that reaches another target at the same address shows the end, which an instance that was paused missed before.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -253,7 +253,7 @@
     {
         invariant: "gateway, crashing requests: a reset connection counts as the end of its target",
         file: `${GATEWAY}/crashes/applyProbed.ts`,
-        from: "if (state === \"refused\" && !target.leaving) {",
+        from: "if ((state === \"refused\" || (state === \"listening\" && isReplaced(context, target))) && !target.leaving) {",
         to: "if (!target.leaving) {",
         check: CRASHES_TEST,
     },
--- a/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
@@ -21,11 +21,15 @@
 /** Delay before a retry that callers are given if there is no better prediction, in ms. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
-const mayRepeat = (row: CallRow, failure: Failure): boolean => {
+const mayRepeat = (context: GatewayContext, row: CallRow, failure: Failure): boolean => {
     // A refused attempt to resume from a copy doesn't undo the run before it.
     if (failure.ran === "no" && !row.mayHaveRun) {
         return true;
     }
+    // Whether the target of a suspect has ended under it may not be known yet.
+    if (context.crashes.suspects.has(row.metadata.fingerprint)) {
+        return false;
+    }
     const { kind, resumable, maxAttempts } = row.metadata.route;
     const repeatable = (kind === "safe" && !row.delivered) || (kind === "streaming" && resumable);
     return repeatable && row.possibleRuns < maxAttempts;
@@ -43,8 +47,8 @@
         row.excludedTargets.add(targetId);
     }
     // An attempt whose connection never opened has not reached the target and takes no token of the retry budget.
-    const isWithinBudget = failure.cause === "connect" || (mayRepeat(row, failure) && takeRetryToken(context, row.metadata.service));
-    if (!mayRepeat(row, failure) || !isWithinBudget) {
+    const isWithinBudget = failure.cause === "connect" || (mayRepeat(context, row, failure) && takeRetryToken(context, row.metadata.service));
+    if (!mayRepeat(context, row, failure) || !isWithinBudget) {
         failCall(context, row, failure.reason, DEFAULT_RETRY_AFTER_MS);
         return;
     }
--- a/packages/medlarlb-decisions/src/gateway/crashes/crashTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/crashTable.ts
@@ -13,7 +13,7 @@
     ownCompletions: Map<Fingerprint, number>;
     /** Requests that aren't sent to targets any more, with the number of targets that ended under them. */
     refused: Map<Fingerprint, number>;
-    /** Requests that may be the cause of several ends, but others may be it as well. */
+    /** Requests that may be the cause of several ends, although others may be it as well. */
     suspects: Set<Fingerprint>;
     /** Whether observations have been added that `refused` and `suspects` don't include yet. */
     isChanged: boolean;
--- a/packages/medlarlb-decisions/src/gateway/crashes/findCrashingRequests.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/findCrashingRequests.ts
@@ -45,7 +45,9 @@
         };
         const causes = [...counts].filter(([each, count]) => count >= LIKELY_END_COUNT && isCause(each, count));
         if (causes.length === 0) {
-            return { crashing, suspects: new Set([...counts].filter(([, count]) => count >= LIKELY_END_COUNT).map(([each]) => each)) };
+            // Two causes may have been on the same targets, so that one explains ends of the other.
+            const suspects = [...countEnds(ends)].filter(([each, count]) => count >= LIKELY_END_COUNT && !crashing.has(each));
+            return { crashing, suspects: new Set(suspects.map(([each]) => each)) };
         }
         const highest = causes.reduce((max, [, count]) => Math.max(max, count), 0);
         const foremost = causes.filter(([, count]) => count === highest);
