Read the request limits that targets name, and log them

The header is read from every answer, refusals too; targetLimit logs each change. No request is routed differently.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -10,6 +10,8 @@
 
 interface RelayEvents {
     onLoad: (load: NonNullable<AnswerHeaders["load"]>) => void;
+    /** Called with each answer that a target makes, also if it names no limit. */
+    onLimit: (perSecond: number | undefined) => void;
     onBegun: () => void;
     /** Called at most once in a while although bytes keep arriving. */
     onContact: () => void;
@@ -227,6 +229,7 @@
             if (answerHeaders.load !== undefined) {
                 events.onLoad(answerHeaders.load);
             }
+            events.onLimit(answerHeaders.requestLimit);
             mode = chooseMode();
         },
         onChunk: chunk => {
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -1,4 +1,5 @@
 import type { RequestId } from "medlarlb-types/requestId";
+import type { TargetId } from "medlarlb-types/targetId";
 import type { GatewayCommand } from "medlarlb-decisions/gateway/gatewayCommand";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
 import type { createConnectionPool } from "medlarlb-targets/createConnectionPool";
@@ -35,6 +36,8 @@
 /** Creates the proxy that carries out the decisions' commands for calls: send an attempt, abort it, or answer the caller. */
 export const createCallProxy = ({ adapter, pool, metrics, now, push, note, isStopping }: CallProxyOptions) => {
     const openCalls = new Map<RequestId, OpenCall>();
+    /** Targets that named a limit in their latest answer. */
+    const limitedTargets = new Set<TargetId>();
 
     const accept = (call: IngressCall): void => {
         const { callId } = call.metadata;
@@ -59,6 +62,17 @@
         push({ kind: "call", metadata: call.metadata });
     };
 
+    /** Reports each limit that a target names in an answer, and the first answer without one. */
+    const readLimit = (targetId: TargetId, perSecond: number | undefined): void => {
+        if (perSecond !== undefined) {
+            limitedTargets.add(targetId);
+            push({ kind: "limit", targetId, perSecond });
+        }
+        else if (limitedTargets.delete(targetId)) {
+            push({ kind: "limit", targetId, perSecond });
+        }
+    };
+
     const observeFirstEvent = (openCall: OpenCall, sentAtMs: number, predictedMs: number): void => {
         metrics.firstEventMs.observe(now() - openCall.call.metadata.arrivedAtMs);
         metrics.predictionErrorMs.observe(now() - sentAtMs - predictedMs);
@@ -94,6 +108,7 @@
             exchange: () => openCall.exchange,
             events: {
                 onLoad: load => push({ kind: "load", targetId, ...load }),
+                onLimit: perSecond => readLimit(targetId, perSecond),
                 onBegun: () => {
                     observeFirstEvent(openCall, sentAtMs, command.predictedMs);
                     push({ kind: "begun", callId, attempt });
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -57,6 +57,13 @@
             markTargetPools(context, target);
         }
     },
+    limit: (context, { targetId, perSecond }) => {
+        const target = context.targets.get(targetId);
+        if (target !== undefined && target.requestLimit !== perSecond) {
+            target.requestLimit = perSecond;
+            logEvent(context, "targetLimit", { target: targetId, perSecond, source: "answer" });
+        }
+    },
     begun: applyAnswerStarted,
     contact: (context, { targetId, atMs }) => {
         const target = context.targets.get(targetId);
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -35,6 +35,8 @@
     | { kind: "callerLeft"; callId: RequestId }
     /** A target has reported its load in a response. */
     | { kind: "load"; targetId: TargetId; running: number; waiting: number; slots: number }
+    /** A target has named a limit in a response, or none any more. */
+    | { kind: "limit"; targetId: TargetId; perSecond: number | undefined }
     /** The first event or byte of an answer has arrived. */
     | { kind: "begun"; callId: RequestId; attempt: number }
     /** Further bytes of an answer have arrived from a target, the latest at `atMs`. It needs no step of its own. */
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -13,6 +13,7 @@
     pendingTokens: 0,
     peerLoads: new Map(),
     reportedLoad: undefined,
+    requestLimit: undefined,
     msPerWorkUnit,
     msPerWorkUnitAtMs: nowMs,
     failureRate: 0,
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -36,6 +36,8 @@
     peerLoads: Map<InstanceId, PeerLoad>;
     /** Latest load that the target itself reported. */
     reportedLoad: { running: number; waiting: number; slots: number; atMs: number } | undefined;
+    /** Requests per second that the target takes from all instances together; undefined if it names no limit. */
+    requestLimit: number | undefined;
     /** Moving average of the time in ms to process a prompt token, or a request of a plain service. */
     msPerWorkUnit: number;
     /** Time of the latest update of `msPerWorkUnit` from an answer of a plain service. */
--- a/packages/medlarlb-types/src/parsedAnswerHeaders.ts
+++ b/packages/medlarlb-types/src/parsedAnswerHeaders.ts
@@ -10,6 +10,8 @@
     encoded: boolean;
     contentLength: number | undefined;
     load: { running: number; waiting: number; slots: number } | undefined;
+    /** Requests per second that the target takes from all instances together; undefined if it names no limit. */
+    requestLimit: number | undefined;
     targetId: string | undefined;
     forwarded: [string, string][];
 }
