--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -9,6 +9,7 @@
 import type { GatewayInput } from "../../gatewayInput.js";
 import { createServiceCall } from "./createServiceCall.js";
 import { createSettings } from "./createSettings.js";
+import { createVirtualGossip } from "./createVirtualGossip.js";
 import { createVirtualTarget } from "./createVirtualTarget.js";
 import type { VirtualServiceInstance } from "./virtualServiceInstance.js";
 import type { VirtualRun } from "./virtualRun.js";
@@ -35,6 +36,8 @@
     instance: number;
     /** Whether the instance had been undisturbed for a while. */
     inTouch: boolean;
+    /** Time at which the target first told the instance of a limit. */
+    toldAtMs: number | undefined;
 }
 
 interface Answer {
@@ -54,10 +57,6 @@
 const LISTED_AFTER_MS = 100;
 const UNLISTED_AFTER_MS = 3_600;
 
-/** Time in ms until an instance that has started gets the gossip of another, and mean interval at which one gets more. */
-const FIRST_GOSSIP_MS = 300;
-const GOSSIP_INTERVAL_MS = 1_000;
-
 /**
  * Simulates instances before the targets of a plain service, over virtual time. Targets end under certain requests and start
  * again; instances restart, pause, and are cut off from each other. The same seed repeats a run exactly.
@@ -105,6 +104,7 @@
             decisions: createGatewayDecisions(settings, random),
             inputs: [],
             known: [],
+            toldAtMs: new Map(),
             isPaused: false,
             isCut: false,
             boot,
@@ -157,14 +157,22 @@
                 reply({ kind: "failed", callId, attempt, ran: "no", cause: "otherTarget", reason: "another target" });
                 return;
             }
-            arrivals.push({ atMs: nowMs, content, targetId, instance: from.index, inTouch: isInTouch(from) });
+            const toldAtMs = from.toldAtMs.get(targetId);
+            arrivals.push({ atMs: nowMs, content, targetId, instance: from.index, inTouch: isInTouch(from), toldAtMs });
+            const tellLimit = (): GatewayInput => {
+                const limit = target.limit();
+                if (limit !== undefined && !from.toldAtMs.has(targetId)) {
+                    from.toldAtMs.set(targetId, nowMs + DELAY_MS);
+                }
+                return { kind: "limit", targetId, perSecond: limit?.perSecond };
+            };
             const run: VirtualRun = {
                 content,
                 onCut: () => reply({ kind: "failed", callId, attempt, ran: "unknown", cause: "cut", reason: "the connection ended" }),
-                onFull: () => reply({ kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" }),
+                onFull: () => reply(tellLimit(), { kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" }),
                 onDone: () => {
                     completions.push({ atMs: nowMs, content, inTouch: isInTouch(from) });
-                    reply({ kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200, longestGapMs: 0 });
+                    reply(tellLimit(), { kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200, longestGapMs: 0 });
                 },
             };
             target.run(run);
@@ -212,25 +220,7 @@
         }
     };
 
-    /** Passes on what an instance knows by gossip, which also reaches those that messages have missed. */
-    const pullGossip = (instance: VirtualServiceInstance): void => {
-        const others = instances.filter(each => each !== instance && !each.isCut && !each.isPaused);
-        const other = others[Math.floor(random() * others.length)];
-        if (other === undefined || instance.isCut) {
-            return;
-        }
-        const fresh = other.known.filter(each => !instance.known.includes(each));
-        instance.known.push(...fresh);
-        for (const { evidence, atMs } of fresh) {
-            give(instance, { kind: "crashEvidence", evidence, reporterZone: undefined, ageMs: nowMs - atMs });
-        }
-    };
-    const pullRepeatedly = (instance: VirtualServiceInstance): void => after(GOSSIP_INTERVAL_MS * (0.5 + random()), () => {
-        if (!instance.isPaused) {
-            pullGossip(instance);
-        }
-        pullRepeatedly(instance);
-    });
+    const gossip = createVirtualGossip({ random, now: () => nowMs, after, give, instances: () => instances });
 
     /** Gives an instance that has started what the store lists. */
     const introduce = (instance: VirtualServiceInstance): void => {
@@ -246,7 +236,7 @@
         );
     };
     instances.forEach(introduce);
-    instances.forEach(pullRepeatedly);
+    instances.forEach(gossip.pullRepeatedly);
 
     const disturb = (index: number, action: (instance: VirtualServiceInstance) => void): void => {
         const instance = instances[index];
@@ -285,7 +275,7 @@
                 if (instance.boot === boot) {
                     instance.isPaused = false;
                     introduce(instance);
-                    after(FIRST_GOSSIP_MS, () => instance.boot === boot && pullGossip(instance));
+                    gossip.pullSoon(instance);
                 }
             });
         }),
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualTarget.ts
@@ -27,6 +27,8 @@
     const waiting: VirtualRun[] = [];
     let starts = 0;
     let isUp = true;
+    /** Requests per second that it says it takes from all instances together, and since when. */
+    let limit: { perSecond: number; sinceMs: number } | undefined;
     /** Every second target keeps its id over a restart, which only the time of its start tells apart. */
     const id = (): string => (index % 2 === 0 ? `t${index}` : `t${index}-${starts}`);
     const entry = (): TargetEntry => ({
@@ -85,7 +87,11 @@
         entry,
         isUp: (): boolean => isUp,
         startedAtMs: (): number => starts,
-        now,
+        limit: () => limit,
+        /** Has the target name a limit in its answers; `undefined` ends it. */
+        setLimit: (perSecond: number | undefined): void => {
+            limit = perSecond === undefined ? undefined : { perSecond, sinceMs: now() };
+        },
         /** Ends the target although no request made it. */
         crash: (): void => {
             if (isUp) {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualServiceInstance.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualServiceInstance.ts
@@ -12,6 +12,8 @@
     inputs: GatewayInput[];
     /** Observations that it has published or got by gossip. */
     known: { evidence: CrashEvidence[]; atMs: number }[];
+    /** Time at which each target first told it of a limit. */
+    toldAtMs: Map<string, number>;
     isPaused: boolean;
     isCut: boolean;
     /** Start of the process. What was under way for an earlier one is lost. */
