Don't send a suspect to a full target again and again

Change: a suspect that has reached a target isn't sent again for the same call; its caller gets 503 with a time to come back if it hasn't run.

--- a/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
@@ -22,14 +22,15 @@
 const DEFAULT_RETRY_AFTER_MS = 300;
 
 const mayRepeat = (context: GatewayContext, row: CallRow, failure: Failure): boolean => {
+    // Whether the target of a suspect has ended under it may not be known yet.
+    const hasReachedTarget = failure.cause !== "connect" && failure.cause !== "otherTarget";
+    if (hasReachedTarget && context.crashes.suspects.has(row.metadata.fingerprint)) {
+        return false;
+    }
     // A refused attempt to resume from a copy doesn't undo the run before it.
     if (failure.ran === "no" && !row.mayHaveRun) {
         return true;
     }
-    // Whether the target of a suspect has ended under it may not be known yet.
-    if (context.crashes.suspects.has(row.metadata.fingerprint)) {
-        return false;
-    }
     const { kind, resumable, maxAttempts } = row.metadata.route;
     const repeatable = (kind === "safe" && !row.delivered) || (kind === "streaming" && resumable);
     return repeatable && row.possibleRuns < maxAttempts;
