Count requests that were given up just before their target ended

An instance now keeps what it gave up within the last second, and reports it when it or another instance sees that the target has ended; a refused connection to such a target leads to a probe.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashHistories.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashHistories.test.ts
@@ -100,8 +100,14 @@
         expect(count("refused") / count("sent")).to.be.below(1 / 500);
     });
 
-    // The ends were seen by instances that were cut off, and a suspect was sent again after its connections were reset.
-    it("keep it from targets with seed 22637", () => {
-        expect(checkHistory(22_637, 636).faults).to.deep.equal([]);
-    });
+    for (const [seed, reason] of [
+        [22_637, "its ends were seen by instances that were cut off, and it was sent again after its connections were reset"],
+        [30_068, "it was given up at its deadline just before its target ended"],
+        [30_353, "it was sent again and again to a target that was full"],
+        [30_857, "both of these"],
+    ] as const) {
+        it(`keep it from targets with seed ${seed}, in which ${reason}`, () => {
+            expect(checkHistory(seed, 0).faults).to.deep.equal([]);
+        });
+    }
 });
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -4,6 +4,7 @@
 import { removeCall } from "./calls/removeCall.js";
 import { applyCrashEvidence } from "./crashes/applyCrashEvidence.js";
 import { applyProbed } from "./crashes/applyProbed.js";
+import { recordAbandoned } from "./crashes/recordAbandoned.js";
 import type { GatewayInput } from "./gatewayInput.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { applyAnswerStarted } from "./inputs/applyAnswerStarted.js";
@@ -47,6 +48,7 @@
         const row = context.calls.get(callId);
         if (row !== undefined) {
             logEvent(context, "callerLeft", { request: row.metadata.callerRequestId, target: row.currentAttempt?.targetId });
+            recordAbandoned(context, row);
             removeCall(context, row);
         }
     },
--- a/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
@@ -1,3 +1,4 @@
+import { recordAbandoned } from "../crashes/recordAbandoned.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import { failCall } from "./failCall.js";
@@ -13,6 +14,7 @@
     }
     else if (context.nowMs >= metadata.deadlineAtMs) {
         row.mayHaveRun ||= attempt !== undefined;
+        recordAbandoned(context, row);
         if (attempt !== undefined) {
             context.commands.push({ kind: "abort", callId: metadata.callId, attempt: attempt.attempt });
         }
@@ -20,6 +22,7 @@
     }
     else if (attempt !== undefined && context.nowMs >= firstEventTimeoutAtMs(row)) {
         context.commands.push({ kind: "abort", callId: metadata.callId, attempt: attempt.attempt });
+        recordAbandoned(context, row);
         retryCall(context, row, { ran: "unknown", cause: "silent", reason: "no answer came in time" });
     }
     else {
--- a/packages/medlarlb-decisions/src/gateway/crashes/applyCrashEvidence.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/applyCrashEvidence.ts
@@ -3,6 +3,7 @@
 import type { GatewayInput } from "../gatewayInput.js";
 import { isLargeGroup } from "../status/isLargeGroup.js";
 import { CRASH_EVIDENCE_TTL_MS } from "./crashEvidenceTtlMs.js";
+import { reportEnd } from "./reportEnd.js";
 import { shareOwnCompletions } from "./shareOwnCompletions.js";
 import { mergeCrashEvidence } from "./mergeCrashEvidence.js";
 
@@ -13,7 +14,13 @@
     }
     const news = input.evidence.filter((each: CrashEvidence) => mergeCrashEvidence(context.crashes, each, context.nowMs - input.ageMs));
     context.crashes.isChanged ||= news.length > 0;
-    news.forEach(each => shareOwnCompletions(context, each));
+    news.forEach(each => {
+        shareOwnCompletions(context, each);
+        const target = each.kind === "ended" ? context.targets.get(each.targetId) : undefined;
+        if (each.kind === "ended" && target?.entry.startedAtMs === each.startedAtMs && target.abandonedRequests.length > 0) {
+            reportEnd(context, target, []);
+        }
+    });
     if (isLargeGroup(context) && input.reporterZone !== undefined && input.reporterZone !== context.settings.zone) {
         context.crashes.toRelay.push(...news);
     }
--- a/packages/medlarlb-decisions/src/gateway/crashes/reportEnd.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/reportEnd.ts
@@ -4,12 +4,13 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { shareCrashEvidence } from "./shareCrashEvidence.js";
+import { takeAbandoned } from "./takeAbandoned.js";
 import { shareOwnCompletions } from "./shareOwnCompletions.js";
 
 /** Records that a target has ended while it had requests of this instance, and tells the others. */
 export const reportEnd = (context: GatewayContext, target: PoolTarget, requests: readonly Fingerprint[]): void => {
     const { targetId, startedAtMs } = target.entry;
-    const fingerprints = [...new Set(requests)];
+    const fingerprints = [...new Set([...requests, ...takeAbandoned(context, target)])];
     const evidence: CrashEvidence = { kind: "ended", targetId, startedAtMs, fingerprints };
     logEvent(context, "targetEnded", { target: targetId, startedAtMs, fingerprints });
     shareCrashEvidence(context, evidence);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -1,5 +1,6 @@
 import { resumeCall } from "../calls/resumeCall.js";
 import { logEvent } from "../calls/logEvent.js";
+import { probeTarget } from "../crashes/probeTarget.js";
 import { recordCut } from "../crashes/recordCut.js";
 import { recordResponse } from "../crashes/recordResponse.js";
 import { retryCall } from "../calls/retryCall.js";
@@ -18,6 +19,16 @@
 /** Time in ms since a target's latest response up to which another attempt without a response causes no backoff. */
 const RECENT_RESPONSE_MS = 150;
 
+const recordNoResponse = (context: GatewayContext, target: PoolTarget, { cause }: Failed): void => {
+    recordOutcome(context, target, true);
+    if (context.nowMs - target.lastSeenAtMs > RECENT_RESPONSE_MS) {
+        target.consecutiveNoResponse += 1;
+        target.backoffUntilMs = context.nowMs
+            + FIRST_BACKOFF_MS * 2 ** Math.min(MAX_BACKOFF_DOUBLINGS, target.consecutiveNoResponse - 1);
+        logEvent(context, "targetAvoided", { target: target.entry.targetId, cause, untilInMs: target.backoffUntilMs - context.nowMs });
+    }
+};
+
 const updateFailedTarget = (context: GatewayContext, row: CallRow, target: PoolTarget, input: Failed): void => {
     switch (input.cause) {
         case "leaving":
@@ -33,14 +44,13 @@
             forgetAdapterOrModel(context, target, row);
             break;
         case "connect":
-        case "silent":
-            recordOutcome(context, target, true);
-            if (context.nowMs - target.lastSeenAtMs > RECENT_RESPONSE_MS) {
-                target.consecutiveNoResponse += 1;
-                target.backoffUntilMs = context.nowMs
-                    + FIRST_BACKOFF_MS * 2 ** Math.min(MAX_BACKOFF_DOUBLINGS, target.consecutiveNoResponse - 1);
-                logEvent(context, "targetAvoided", { target: target.entry.targetId, cause: input.cause, untilInMs: target.backoffUntilMs - context.nowMs });
+            if (target.abandonedRequests.length > 0) {
+                probeTarget(context, target);
             }
+            recordNoResponse(context, target, input);
+            break;
+        case "silent":
+            recordNoResponse(context, target, input);
             break;
         default:
             recordOutcome(context, target, true);
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -22,6 +22,7 @@
     backoffUntilMs: 0,
     lastSeenAtMs: nowMs,
     cutRequests: [],
+    abandonedRequests: [],
     probedAtMs: undefined,
     promptCache: { parts: new Map(), tokens: 0 },
     lastUpdateOrderCount: 0,
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -52,6 +52,8 @@
     lastSeenAtMs: number;
     /** Requests that the target has cut and that no probe has explained yet. */
     cutRequests: { fingerprint: Fingerprint; atMs: number }[];
+    /** Requests whose attempts this instance has given up while they may have run, the latest last. */
+    abandonedRequests: { fingerprint: Fingerprint; atMs: number }[];
     /** Start of the probe that is under way. */
     probedAtMs: number | undefined;
     promptCache: PromptCache;
