--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -238,16 +238,16 @@
     },
     {
         invariant: "gateway, crashing requests: an instance keeps to itself which targets ended under a request",
-        file: `${GATEWAY}/crashes/shareCrashEvidence.ts`,
-        from: "to: listEvidenceRecipients(context),",
+        file: `${GATEWAY}/observations/shareObservation.ts`,
+        from: "to: listObservationRecipients(context),",
         to: "to: [],",
         check: CRASH_HISTORIES_TEST,
     },
     {
         invariant: "gateway, crashing requests: observations from other zones aren't passed on in a large group",
-        file: `${GATEWAY}/crashes/relayCrashEvidence.ts`,
-        from: "if (evidence.length > 0) {",
-        to: "if (evidence.length < 0) {",
+        file: `${GATEWAY}/observations/relayObservations.ts`,
+        from: "if (observations.length > 0) {",
+        to: "if (observations.length < 0) {",
         check: CRASHES_TEST,
     },
     {
--- a/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -6,14 +6,14 @@
 import type { createEngineControl } from "medlarlb-site-adapter/createEngineControl";
 import { probeListening } from "medlarlb-targets/probeListening";
 import type { createCallProxy } from "./createCallProxy.js";
-import type { createCrashGossip } from "./createCrashGossip.js";
+import type { createObservationGossip } from "./createObservationGossip.js";
 import type { createGatewayMetrics } from "./createGatewayMetrics.js";
 import type { createGatewayPlannerLease } from "./createGatewayPlannerLease.js";
 
 interface ExecutorOptions {
     callProxy: ReturnType<typeof createCallProxy>;
     peers: ReturnType<typeof createPeerGroup>;
-    crashGossip: Pick<ReturnType<typeof createCrashGossip>, "publish">;
+    observationGossip: Pick<ReturnType<typeof createObservationGossip>, "publish">;
     engines: ReturnType<typeof createEngineControl>;
     plannerLease: Pick<ReturnType<typeof createGatewayPlannerLease>, "isValid">;
     orderMs: ReturnType<typeof createGatewayMetrics>["orderMs"];
@@ -24,7 +24,7 @@
 
 /** Creates the function that carries out the commands of the decisions. */
 export const createCommandExecutor = (options: ExecutorOptions): ((command: GatewayCommand) => void) => {
-    const { callProxy, peers, crashGossip, engines, plannerLease, orderMs, now, push, logEvent } = options;
+    const { callProxy, peers, observationGossip, engines, plannerLease, orderMs, now, push, logEvent } = options;
 
     /** Sends one message to several instances, which is encoded once. */
     const sendToAll = (ids: readonly InstanceId[], message: GatewayMessage): void => ids.forEach(id => peers.send(id, message));
@@ -89,11 +89,11 @@
             case "shareNews":
                 sendToAll(command.to, { kind: "news", news: command.news });
                 break;
-            case "shareCrashEvidence": {
-                const { to, reporterZone, evidence, isOwn } = command;
-                sendToAll(to, { kind: "crashEvidence", reporterZone, evidence });
+            case "shareObservations": {
+                const { to, reporterZone, observations, isOwn } = command;
+                sendToAll(to, { kind: "observations", reporterZone, observations });
                 if (isOwn) {
-                    crashGossip.publish(evidence);
+                    observationGossip.publish(observations);
                 }
                 break;
             }
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -32,7 +32,7 @@
 import { waitUntil } from "../shared/waitUntil.js";
 import { createCallProxy } from "./createCallProxy.js";
 import { createCommandExecutor } from "./createCommandExecutor.js";
-import { createCrashGossip } from "./createCrashGossip.js";
+import { createObservationGossip } from "./createObservationGossip.js";
 import { createDirectorySync } from "./createDirectorySync.js";
 import { createGatewayPlannerLease } from "./createGatewayPlannerLease.js";
 import { createGatewayMetrics } from "./createGatewayMetrics.js";
@@ -140,7 +140,7 @@
             if (kind === "leaving") {
                 push({ kind: "targetLeaving", targetId: brandAs(name ?? ""), source: "another instance" });
             }
-            crashGossip.receive(entry);
+            observationGossip.receive(entry);
         },
         onMembers: () => pushInstances(),
         onDemand: () => undefined,
@@ -155,7 +155,7 @@
             else if (message.kind === "wanted") {
                 push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
             }
-            else if (message.kind === "crashEvidence") {
+            else if (message.kind === "observations") {
                 push({ ...message, ageMs: 0 });
             }
             else if (message.kind !== "pullDirectory") {
@@ -167,7 +167,7 @@
         countBytes: (direction, bytes) => metrics.peerBytes.inc({ direction }, bytes),
     });
 
-    const crashGossip = createCrashGossip(instanceId, () => peers, push);
+    const observationGossip = createObservationGossip(instanceId, () => peers, push);
     let planners = new Map<ZoneId, InstanceId>();
     /** Other instances of this zone that respond. */
     let zoneMembers: InstanceId[] = [];
@@ -242,7 +242,17 @@
     const registration = createRegistration(store, instanceId, zone);
 
     const { orderMs } = metrics;
-    const executeCommand = createCommandExecutor({ callProxy, peers, crashGossip, engines, plannerLease, orderMs, now, push, logEvent });
+    const executeCommand = createCommandExecutor({
+        callProxy,
+        peers,
+        observationGossip,
+        engines,
+        plannerLease,
+        orderMs,
+        now,
+        push,
+        logEvent,
+    });
 
     const readiness = createServer((_req, res) => {
         res.writeHead(config !== undefined && !stopping ? 200 : 503, { "content-length": "0" }).end();
--- a/packages/medlarlb-daemon/src/gateway/createCrashGossip.ts
+++ b/packages/medlarlb-daemon/src/gateway/createObservationGossip.ts
@@ -1,5 +1,5 @@
-import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { InstanceId } from "medlarlb-types/instanceId";
+import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
 import type { createPeerGroup } from "medlarlb-peers/createPeerGroup";
 import type { GossipEntry } from "medlarlb-peers/gossipEntry";
@@ -12,23 +12,23 @@
  * Creates the gossip of observations about requests that end targets. It reaches instances that start later or were cut off
  * when the observations were sent.
  */
-export const createCrashGossip = (
+export const createObservationGossip = (
     instanceId: InstanceId,
     peers: () => Pick<ReturnType<typeof createPeerGroup>, "publish" | "nextVersion">,
     push: (input: GatewayInput) => void,
 ) => {
     let published = 0;
     return {
-        publish: (evidence: CrashEvidence[]): void => {
+        publish: (observations: TargetObservation[]): void => {
             const key = `${KEY_KIND}/${instanceId}/${published % ENTRIES_PER_INSTANCE}`;
             published += 1;
-            peers().publish({ key, version: peers().nextVersion(key), value: evidence, calm: true });
+            peers().publish({ key, version: peers().nextVersion(key), value: observations, calm: true });
         },
         /** Applies a gossip entry if it holds such observations. Its version is the time of day at which it was published. */
         receive: ({ key, version, value }: GossipEntry): void => {
             if (key.startsWith(`${KEY_KIND}/`)) {
                 const ageMs = Math.max(0, Date.now() - version);
-                push({ kind: "crashEvidence", evidence: value as CrashEvidence[], reporterZone: undefined, ageMs });
+                push({ kind: "observations", observations: value as TargetObservation[], reporterZone: undefined, ageMs });
             }
         },
     };
--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
@@ -37,7 +37,7 @@
 /** Table of an instance that has the given observations, and the requests that it refuses or suspects. */
 const judge = (...evidence: CrashEvidence[]) => {
     const decisions = createGatewayDecisions(createSettings("i1", "z1"), () => 0.5);
-    decisions.step(1_000, [{ kind: "crashEvidence", evidence, reporterZone: undefined, ageMs: 100 }]);
+    decisions.step(1_000, [{ kind: "observations", observations: evidence, reporterZone: undefined, ageMs: 100 }]);
     const { refused, suspects } = decisions.view().crashes;
     return { refused: [...refused.keys()].sort(), suspects: [...suspects].sort() };
 };
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualGossip.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualGossip.ts
@@ -24,8 +24,8 @@
         }
         const fresh = other.known.filter(each => !instance.known.includes(each));
         instance.known.push(...fresh);
-        for (const { evidence, atMs } of fresh) {
-            give(instance, { kind: "crashEvidence", evidence, reporterZone: undefined, ageMs: now() - atMs });
+        for (const { observations, atMs } of fresh) {
+            give(instance, { kind: "observations", observations, reporterZone: undefined, ageMs: now() - atMs });
         }
     };
     const pullRepeatedly = (instance: VirtualServiceInstance): void => after(GOSSIP_INTERVAL_MS * (0.5 + random()), () => {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -202,11 +202,11 @@
                 });
                 break;
             }
-            case "shareCrashEvidence": {
-                const { to, reporterZone, evidence, isOwn } = command;
-                deliver(from, to, { kind: "crashEvidence", evidence, reporterZone, ageMs: 0 });
+            case "shareObservations": {
+                const { to, reporterZone, observations, isOwn } = command;
+                deliver(from, to, { kind: "observations", observations, reporterZone, ageMs: 0 });
                 if (isOwn) {
-                    from.known.push({ evidence, atMs: nowMs });
+                    from.known.push({ observations, atMs: nowMs });
                 }
                 break;
             }
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualServiceInstance.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualServiceInstance.ts
@@ -1,4 +1,4 @@
-import type { CrashEvidence } from "medlarlb-types/crashEvidence";
+import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { createGatewayDecisions } from "../../createGatewayDecisions.js";
 import type { GatewayInput } from "../../gatewayInput.js";
 import type { createSettings } from "./createSettings.js";
@@ -11,7 +11,7 @@
     decisions: ReturnType<typeof createGatewayDecisions>;
     inputs: GatewayInput[];
     /** Observations that it has published or got by gossip. */
-    known: { evidence: CrashEvidence[]; atMs: number }[];
+    known: { observations: TargetObservation[]; atMs: number }[];
     /** Time at which each target first told it of a limit. */
     toldAtMs: Map<string, number>;
     isPaused: boolean;
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -2,7 +2,7 @@
 import { recordContact } from "./calls/recordContact.js";
 import { logEvent } from "./calls/logEvent.js";
 import { removeCall } from "./calls/removeCall.js";
-import { applyCrashEvidence } from "./crashes/applyCrashEvidence.js";
+import { applyObservations } from "./observations/applyObservations.js";
 import { applyProbed } from "./crashes/applyProbed.js";
 import { recordAbandoned } from "./crashes/recordAbandoned.js";
 import type { GatewayInput } from "./gatewayInput.js";
@@ -83,7 +83,7 @@
         markAllPools(context);
     },
     probed: applyProbed,
-    crashEvidence: applyCrashEvidence,
+    observations: applyObservations,
     stop: context => {
         for (const row of [...context.calls.values()].filter(each => each.pool !== undefined)) {
             failCall(context, row, "this instance stops", 0);
--- a/packages/medlarlb-decisions/src/gateway/crashes/crashTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/crashTable.ts
@@ -1,4 +1,3 @@
-import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { Fingerprint } from "medlarlb-types/fingerprint";
 
 /** What this instance and the others have observed about requests that end targets, and what follows from it. */
@@ -19,6 +18,4 @@
     isChanged: boolean;
     /** Time at which the oldest observation or the earliest refusal expires. */
     expiresAtMs: number;
-    /** Observations from other zones that this instance passes on to its own zone with the next status, in a large group. */
-    toRelay: CrashEvidence[];
 }
--- a/packages/medlarlb-decisions/src/gateway/crashes/createCrashTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/createCrashTable.ts
@@ -10,5 +10,4 @@
     suspects: new Set(),
     isChanged: false,
     expiresAtMs: Number.POSITIVE_INFINITY,
-    toRelay: [],
 });
--- a/packages/medlarlb-decisions/src/gateway/crashes/shareCrashEvidence.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/shareCrashEvidence.ts
@@ -1,19 +1,12 @@
 import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { GatewayContext } from "../gatewayContext.js";
-import { listEvidenceRecipients } from "./listEvidenceRecipients.js";
+import { shareObservation } from "../observations/shareObservation.js";
 import { mergeCrashEvidence } from "./mergeCrashEvidence.js";
 
-/** Records an observation of this instance and tells the others, unless it is known already. */
+/** Records evidence of this instance and tells the others, unless it is known already. */
 export const shareCrashEvidence = (context: GatewayContext, evidence: CrashEvidence): void => {
-    if (!mergeCrashEvidence(context.crashes, evidence, context.nowMs)) {
-        return;
+    if (mergeCrashEvidence(context.crashes, evidence, context.nowMs)) {
+        context.crashes.isChanged = true;
+        shareObservation(context, evidence);
     }
-    context.crashes.isChanged = true;
-    context.commands.push({
-        kind: "shareCrashEvidence",
-        to: listEvidenceRecipients(context),
-        reporterZone: context.settings.zone,
-        evidence: [evidence],
-        isOwn: true,
-    });
 };
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -22,6 +22,7 @@
     serviceMsPerWorkUnit: new Map(),
     serviceFailureRate: new Map(),
     crashes: createCrashTable(),
+    observationsToRelay: [],
     retryBudgets: new Map(),
     instanceCount: 1,
     planners: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -1,4 +1,4 @@
-import type { CrashEvidence } from "medlarlb-types/crashEvidence";
+import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { PlacementOrder } from "medlarlb-types/placementOrder";
 import type { RequestId } from "medlarlb-types/requestId";
@@ -43,6 +43,6 @@
     | { kind: "shareDigest"; to: InstanceId; digest: LoadDigest }
     | { kind: "shareNews"; to: InstanceId[]; news: PlacementUpdate }
     /** `isOwn` tells observations of this instance from those that it relays. */
-    | { kind: "shareCrashEvidence"; to: InstanceId[]; reporterZone: ZoneId; evidence: CrashEvidence[]; isOwn: boolean }
+    | { kind: "shareObservations"; to: InstanceId[]; reporterZone: ZoneId; observations: TargetObservation[]; isOwn: boolean }
     | { kind: "shareLeaving"; targetId: TargetId }
     | { kind: "log"; event: string; fields: Record<string, unknown> };
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -3,6 +3,7 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
+import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { RandomSource } from "../randomSource.js";
@@ -40,6 +41,8 @@
     /** Share of recent attempts that failed, by service: the rate that its requests cause whichever target they run on. */
     serviceFailureRate: Map<string, number>;
     crashes: CrashTable;
+    /** Observations from other zones that this instance passes on to its own zone with the next status, in a large group. */
+    observationsToRelay: TargetObservation[];
     retryBudgets: Map<string, RetryBudget>;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -1,5 +1,5 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
-import type { CrashEvidence } from "medlarlb-types/crashEvidence";
+import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { EngineReport } from "medlarlb-types/engineReport";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListeningState } from "medlarlb-types/listeningState";
@@ -47,7 +47,7 @@
     /** A new connection to a target has shown whether it still runs. */
     | { kind: "probed"; targetId: TargetId; startedAtMs: number; state: ListeningState }
     /** Observations of other instances. `reporterZone` is undefined if they came by gossip, which spreads by itself. */
-    | { kind: "crashEvidence"; evidence: CrashEvidence[]; reporterZone: ZoneId | undefined; ageMs: number }
+    | { kind: "observations"; observations: TargetObservation[]; reporterZone: ZoneId | undefined; ageMs: number }
     /** This instance stops. Calls that still wait are refused now, so that callers can use another instance. */
     | { kind: "stop" }
     | InstancesInput
--- a/packages/medlarlb-decisions/src/gateway/crashes/listEvidenceRecipients.ts
+++ b/packages/medlarlb-decisions/src/gateway/observations/listObservationRecipients.ts
@@ -7,7 +7,7 @@
 const RELAYS_PER_ZONE = 2;
 
 /** Lists the instances that are told what this one has observed: all or, in a large group, its own zone and two of each other zone. */
-export const listEvidenceRecipients = (context: GatewayContext): InstanceId[] => {
+export const listObservationRecipients = (context: GatewayContext): InstanceId[] => {
     if (!isLargeGroup(context)) {
         return context.members.map(member => member.id);
     }
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -1,4 +1,4 @@
-import { relayCrashEvidence } from "../crashes/relayCrashEvidence.js";
+import { relayObservations } from "../observations/relayObservations.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { recordDemand } from "../placement/recordDemand.js";
 import type { InstanceId } from "medlarlb-types/instanceId";
@@ -118,7 +118,7 @@
     context.nextStatusMs = context.nowMs + (isLarge ? LARGE_GROUP_STATUS_INTERVAL_MS : STATUS_INTERVAL_MS);
     const status = createStatus(context);
     recordDemand(context, status);
-    relayCrashEvidence(context);
+    relayObservations(context);
     if (isLarge) {
         sendInLargeGroup(context, status);
     }
--- a/packages/medlarlb-peers/src/createDataMessageHandler.ts
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -27,7 +27,7 @@
             case "digest":
             case "news":
             case "wanted":
-            case "crashEvidence":
+            case "observations":
                 options.onGatewayMessage?.(message, peerId);
                 break;
             case "pullDecisions":
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -1,5 +1,5 @@
 import type { ConfigEntry } from "medlarlb-types/configEntry";
-import type { CrashEvidence } from "medlarlb-types/crashEvidence";
+import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { DemandCount } from "medlarlb-types/demandCount";
 import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
@@ -31,8 +31,8 @@
     | { kind: "digest"; digest: LoadDigest }
     /** Placement update of a planner. */
     | { kind: "news"; news: PlacementUpdate }
-    /** Observations about requests that end targets, from an instance of `reporterZone`. */
-    | { kind: "crashEvidence"; reporterZone: ZoneId; evidence: CrashEvidence[] }
+    /** Observations of targets, from an instance of `reporterZone`. */
+    | { kind: "observations"; reporterZone: ZoneId; observations: TargetObservation[] }
     /** Asks for the entries of the platform's store that the receiver knows; `directory` answers it. */
     | { kind: "pullDirectory" }
     | { kind: "directory"; items: StoreEntry[] }
