Count a completed request in the histories only if an instance can know of it

Trace: its caller's deadline passed 35 ms before the target finished it, so that the answer reached nobody, and the target ended 40 ms later. No instance could know of the answer; with three ends under it the request looks like the cause. The check now counts answers to open calls only, which are those that an instance sees; refusals without a reason fail as before.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashHistories.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashHistories.test.ts
@@ -105,6 +105,7 @@
         [30_068, "it was given up at its deadline just before its target ended"],
         [30_353, "it was sent again and again to a target that was full"],
         [30_857, "both of these"],
+        [40_661, "another request was given up and completed, which nobody saw"],
     ] as const) {
         it(`keep it from targets with seed ${seed}, in which ${reason}`, () => {
             expect(checkHistory(seed, 0).faults).to.deep.equal([]);
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -171,7 +171,10 @@
                 onCut: () => reply({ kind: "failed", callId, attempt, ran: "unknown", cause: "cut", reason: "the connection ended" }),
                 onFull: () => reply(tellLimit(), { kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" }),
                 onDone: () => {
-                    completions.push({ atMs: nowMs, content, inTouch: isInTouch(from) });
+                    // An answer to a call that was given up reaches nobody, so that no instance can know of it.
+                    if (from.boot === boot && from.decisions.view().calls.has(callId)) {
+                        completions.push({ atMs: nowMs, content, inTouch: isInTouch(from) });
+                    }
                     reply(tellLimit(), { kind: "begun", callId, attempt }, { kind: "finished", callId, attempt, status: 200, longestGapMs: 0 });
                 },
             };
