Send a target nothing while it has asked this instance for a pause

Requests whose targets are all paused wait if a pause ends in time, and are refused at once otherwise, with spread times to come back.

--- a/admin/observationMutations.mjs
+++ b/admin/observationMutations.mjs
@@ -1,7 +1,8 @@
-// Breaks of the guards on what instances observe of targets and tell each other: requests that end targets, and limits.
+// Breaks of the guards on what instances observe of targets and tell each other: requests that end targets, limits and pauses.
 const GATEWAY = "packages/medlarlb-decisions/src/gateway";
 const CRASHES_TEST = `${GATEWAY}/__tests__/crashes.test.ts`;
 const CRASH_HISTORIES_TEST = `${GATEWAY}/__tests__/crashHistories.test.ts`;
+const PAUSES_TEST = `${GATEWAY}/__tests__/pauses.test.ts`;
 const LIMITS_TEST = `${GATEWAY}/__tests__/limits.test.ts`;
 
 export const observationMutations = [
@@ -117,4 +118,18 @@
         to: "",
         check: LIMITS_TEST,
     },
+    {
+        invariant: "gateway, pauses: a target gets requests although it has asked for a pause",
+        file: `${GATEWAY}/calls/isUsable.ts`,
+        from: " && nowMs >= target.pausedUntilMs",
+        to: "",
+        check: PAUSES_TEST,
+    },
+    {
+        invariant: "gateway, pauses: the end of a pause isn't predicted, so that requests wait in vain",
+        file: `${GATEWAY}/calls/routeCalls.ts`,
+        from: "if (endMs === undefined) {",
+        to: "if (endMs !== -1) {",
+        check: PAUSES_TEST,
+    },
 ];
--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -12,6 +12,8 @@
     onLoad: (load: NonNullable<AnswerHeaders["load"]>) => void;
     /** Called with each answer that a target makes, also if it names no limit. */
     onLimit: (perSecond: number | undefined) => void;
+    /** Called when the target asks for a pause. */
+    onPause: (pauseMs: number) => void;
     onBegun: () => void;
     /** Called at most once in a while although bytes keep arriving. */
     onContact: () => void;
@@ -230,6 +232,9 @@
                 events.onLoad(answerHeaders.load);
             }
             events.onLimit(answerHeaders.requestLimit);
+            if (answerHeaders.pauseMs !== undefined) {
+                events.onPause(answerHeaders.pauseMs);
+            }
             mode = chooseMode();
         },
         onChunk: chunk => {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -52,6 +52,7 @@
     let sequence = 0;
 
     const completions: { atMs: number; content: string; inTouch: boolean }[] = [];
+    const pauses: { atMs: number; untilMs: number; instance: number; targetId: string }[] = [];
     const isInTouch = (instance: VirtualServiceInstance): boolean => now() - instance.disturbedAtMs > CONTACT_MS;
 
     const targets = Array.from({ length: options.targets }, (_, index) => createVirtualTarget({
@@ -142,7 +143,13 @@
             const run: VirtualRun = {
                 content,
                 onCut: () => reply({ kind: "failed", callId, attempt, ran: "unknown", cause: "cut", reason: "the connection ended" }),
-                onFull: () => reply(tellLimit(), { kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" }),
+                onRefused: pauseMs => {
+                    if (pauseMs !== undefined) {
+                        pauses.push({ atMs: now(), untilMs: now() + pauseMs, instance: from.index, targetId });
+                        reply({ kind: "pause", targetId, pauseMs });
+                    }
+                    reply(tellLimit(), { kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" });
+                },
                 onDone: () => {
                     // An answer to a call that was given up reaches nobody, so that no instance can know of it.
                     if (from.boot === boot && from.decisions.view().calls.has(callId)) {
@@ -242,6 +249,7 @@
         answers,
         ends,
         completions,
+        pauses,
         after,
         /** Sends a caller's request to an instance. Requests with equal content have equal fingerprints. */
         sendCall: (index: number, content: string, route: Partial<Route> = {}): void => {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualTarget.ts
@@ -27,6 +27,7 @@
     const waiting: VirtualRun[] = [];
     let starts = 0;
     let isUp = true;
+    let pausedUntilMs = 0;
     /** Requests per second that it says it takes from all instances together, and since when. */
     let limit: { perSecond: number; sinceMs: number } | undefined;
     /** Every second target keeps its id over a restart, which only the time of its start tells apart. */
@@ -92,6 +93,10 @@
         setLimit: (perSecond: number | undefined): void => {
             limit = perSecond === undefined ? undefined : { perSecond, sinceMs: now() };
         },
+        /** Has the target refuse all requests for a time, and ask for a pause of as long. */
+        pause: (durationMs: number): void => {
+            pausedUntilMs = now() + durationMs;
+        },
         /** Ends the target although no request made it. */
         crash: (): void => {
             if (isUp) {
@@ -106,7 +111,11 @@
         },
         run: (run: VirtualRun): void => {
             if (waiting.length >= MAX_WAITING) {
-                run.onFull();
+                run.onRefused(undefined);
+                return;
+            }
+            if (now() < pausedUntilMs) {
+                run.onRefused(pausedUntilMs - now());
                 return;
             }
             waiting.push(run);
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualRun.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualRun.ts
@@ -2,6 +2,7 @@
 export interface VirtualRun {
     content: string;
     onCut: () => void;
-    onFull: () => void;
+    /** Called when the target refuses it, with the pause that the target asks for, if any. */
+    onRefused: (pauseMs: number | undefined) => void;
     onDone: () => void;
 }
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -16,6 +16,7 @@
 import { applyFailed } from "./inputs/applyFailed.js";
 import { applyFinished } from "./inputs/applyFinished.js";
 import { applyPlacementUpdate } from "./inputs/applyPlacementUpdate.js";
+import { applyPause } from "./inputs/applyPause.js";
 import { applyStatus } from "./inputs/applyStatus.js";
 import { applyTarget } from "./inputs/applyTarget.js";
 import { removeTarget } from "./inputs/removeTarget.js";
@@ -62,6 +63,7 @@
             markTargetPools(context, target);
         }
     },
+    pause: applyPause,
     limit: applyLimit,
     permitWanted: (context, { targetId, from }) => applyPermitRequest(context, targetId, from),
     permit: (context, { answer }) => applyPermitAnswer(context, answer),
--- a/packages/medlarlb-decisions/src/gateway/calls/failCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/failCall.ts
@@ -1,11 +1,9 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { logEvent } from "./logEvent.js";
+import { MAX_RETRY_AFTER_RATIO } from "./maxRetryAfterRatio.js";
 import { removeCall } from "./removeCall.js";
 
-/** Longest delay before a retry that callers honour, as a share of the time that is left to them. */
-const MAX_RETRY_AFTER_RATIO = 1 / 3;
-
 /**
  * Ends a call with a final answer of this instance's own. A call that may have run gets 502 or 504, never 503, which
  * states that it has not run.
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -6,6 +6,8 @@
 import { countInFlight } from "./countInFlight.js";
 import { dequeueCall } from "./dequeueCall.js";
 import { failCall } from "./failCall.js";
+import { MAX_RETRY_AFTER_RATIO } from "./maxRetryAfterRatio.js";
+import { pauseEndMs } from "./pauseEndMs.js";
 import { peerQueueWaitMs } from "./peerQueueWaitMs.js";
 import { requestModelFromPlanner } from "./requestModelFromPlanner.js";
 import { sendCall } from "./sendCall.js";
@@ -58,6 +60,27 @@
     return true;
 };
 
+/**
+ * Leaves a call whose targets all want no requests now waiting for the end of a pause, or refuses it if that is too late.
+ * Returns whether it was such a call.
+ */
+const waitForPauseEnd = (context: GatewayContext, row: CallRow, pool: ModelPool): boolean => {
+    const endMs = pauseEndMs(context, row, pool);
+    if (endMs === undefined) {
+        return false;
+    }
+    requestModelFromPlanner(context, row, undefined);
+    if (endMs > row.nextEventDeadlineAtMs) {
+        // Callers may come back at once to an instance that the targets haven't asked, but not all at the same time.
+        const leftMs = row.metadata.deadlineAtMs - context.nowMs;
+        failCall(context, row, "its targets want no requests before its deadline", context.random() * leftMs * MAX_RETRY_AFTER_RATIO);
+    }
+    else {
+        checkAgainAfter(context, pool, endMs - context.nowMs);
+    }
+    return true;
+};
+
 /**
  * Sends or refuses one waiting call, or leaves it waiting. `queueMsByPool` holds the predicted work of the calls that were
  * left waiting before it.
@@ -74,7 +97,7 @@
     }
     const { metadata } = row;
     const choice = chooseTarget(context, row);
-    if (choice === undefined && waitForPermit(context, row, pool)) {
+    if (choice === undefined && (waitForPermit(context, row, pool) || waitForPauseEnd(context, row, pool))) {
         return;
     }
     if (choice === undefined) {
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -36,6 +36,8 @@
     | { kind: "callerLeft"; callId: RequestId }
     /** A target has reported its load in a response. */
     | { kind: "load"; targetId: TargetId; running: number; waiting: number; slots: number }
+    /** A target has refused a request and wants no more from this instance for a time. */
+    | { kind: "pause"; targetId: TargetId; pauseMs: number }
     /** A target has named a limit in a response, or none any more. */
     | { kind: "limit"; targetId: TargetId; perSecond: number | undefined }
     /** Another instance asks this planner for a permit to send a request to a limited target. */
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -25,6 +25,7 @@
     failureRateAtMs: nowMs,
     consecutiveNoResponse: 0,
     backoffUntilMs: 0,
+    pausedUntilMs: 0,
     lastSeenAtMs: nowMs,
     cutRequests: [],
     abandonedRequests: [],
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -59,6 +59,8 @@
     consecutiveNoResponse: number;
     /** Time until which the target gets no new work. */
     backoffUntilMs: number;
+    /** Time until which the target has asked this instance for no requests. */
+    pausedUntilMs: number;
     lastSeenAtMs: number;
     /** Requests that the target has cut and that no probe has explained yet. */
     cutRequests: { fingerprint: Fingerprint; atMs: number }[];
--- a/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
@@ -5,6 +5,7 @@
  * How the engine treats the next requests.
  * - `normal`: answers.
  * - `full`: refuses them as not run.
+ * - `pausing`: refuses them as not run, and asks for a pause.
  * - `cut`: resets the connection after the run has started.
  * - `cutStream`: resets each stream in the middle of its second event.
  * - `failing`: answers with status 500.
@@ -12,9 +13,10 @@
  * - `other`: answers with the id of another request.
  * - `ending`: ends, as a process that crashes does, when it has started a request whose path ends with `CRASHING_PATH_END`.
  */
-type EngineBehavior = "ending" | "normal" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
+type EngineBehavior = "ending" | "normal" | "pausing" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
 
 const CRASHING_PATH_END = "/crash";
+const PAUSE_SECONDS = 5;
 const EVENT_COUNT = 5;
 const EVENT_INTERVAL_MS = 20;
 
@@ -26,6 +28,7 @@
     /** Requests per second that its answers say it takes from all instances together. */
     let limitPerSecond: number | undefined;
     let orderCount = 0;
+    let refusals = 0;
 
     /** Sends the events of a stream from `firstEvent` on. */
     const sendEventStream = (res: ServerResponse, firstEvent: number): void => {
@@ -53,6 +56,11 @@
         if (limitPerSecond !== undefined) {
             res.setHeader("server-limit", String(limitPerSecond));
         }
+        if (behavior === "pausing") {
+            refusals += 1;
+            res.writeHead(503, { "x-not-run": "1", "x-request-id": requestId, "retry-after": String(PAUSE_SECONDS) }).end();
+            return;
+        }
         if (behavior === "full") {
             res.writeHead(503, { "x-not-run": "1", "x-request-id": requestId }).end();
             return;
@@ -110,6 +118,8 @@
         id,
         server,
         runs,
+        /** Returns the number of requests that were refused with a pause. */
+        refusals: (): number => refusals,
         setBehavior: (next: EngineBehavior): void => {
             behavior = next;
         },
