Believe a target that says in an answer that it leaves, whatever the list says

The header wasn't read, and what an instance learnt of a leaving target otherwise was overridden by its next entry in the store. leaving.test.ts failed first: 14 (6 instances) and 57 (63) requests after drain_ms. Now the answers to requests, orders and report requests are read, a target that has said so stays out until it starts anew, and the others are told over the channel of observations; the gossip key for it, which nothing wrote, is gone.

--- a/admin/observationMutations.mjs
+++ b/admin/observationMutations.mjs
@@ -1,7 +1,8 @@
-// Breaks of the guards on what instances observe of targets and tell each other: requests that end targets, limits and pauses.
+// Breaks of the guards on what instances observe of targets and tell each other: requests that end targets, limits, pauses and leaving.
 const GATEWAY = "packages/medlarlb-decisions/src/gateway";
 const CRASHES_TEST = `${GATEWAY}/__tests__/crashes.test.ts`;
 const CRASH_HISTORIES_TEST = `${GATEWAY}/__tests__/crashHistories.test.ts`;
+const LEAVING_TEST = `${GATEWAY}/__tests__/leaving.test.ts`;
 const PAUSES_TEST = `${GATEWAY}/__tests__/pauses.test.ts`;
 const LIMITS_TEST = `${GATEWAY}/__tests__/limits.test.ts`;
 
@@ -132,4 +133,18 @@
         to: "if (endMs !== -1) {",
         check: PAUSES_TEST,
     },
+    {
+        invariant: "gateway, leaving: the list's entry overrides what a target has said",
+        file: `${GATEWAY}/inputs/applyTarget.ts`,
+        from: "const leaving = entry.leaving || existing.saidLeaving;",
+        to: "const leaving = entry.leaving;",
+        check: LEAVING_TEST,
+    },
+    {
+        invariant: "gateway, leaving: an instance keeps to itself that a target leaves",
+        file: `${GATEWAY}/leaving/applyLeaving.ts`,
+        from: "shareObservation(context, {",
+        to: "void ({",
+        check: LEAVING_TEST,
+    },
 ];
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -108,6 +108,7 @@
             exchange: () => openCall.exchange,
             events: {
                 onLoad: load => push({ kind: "load", targetId, ...load }),
+                onLeaving: () => push({ kind: "targetLeaving", targetId, source: "answer" }),
                 onPause: pauseMs => push({ kind: "pause", targetId, pauseMs }),
                 onLimit: perSecond => readLimit(targetId, perSecond),
                 onBegun: () => {
--- a/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -103,9 +103,6 @@
                 }
                 break;
             }
-            case "shareLeaving":
-                peers.publish({ key: `leaving/${command.targetId}`, version: peers.nextVersion(`leaving/${command.targetId}`), value: true }, true);
-                break;
             case "log":
                 logEvent(command.event, command.fields);
                 break;
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -87,7 +87,7 @@
 
     const request = createTextRequest(createConnectionPool({ now, countConnection: () => undefined }));
     const store = createStoreClient({ address: settings.store.address, request, countCall: call => metrics.storeCalls.inc({ call }) });
-    const engines = createEngineControl(request, instanceId);
+    const engines = createEngineControl(request, instanceId, targetId => push({ kind: "targetLeaving", targetId, source: "control" }));
     const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc() });
     const adapter = { callerFirstEventTimeoutMs, readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
     const callProxy = createCallProxy({ adapter, pool, metrics, now, push, note: loop.note, isStopping: () => stopping });
@@ -136,10 +136,6 @@
         directoryItems: () => directory.items(),
         onConfig: ({ entries }) => entries.forEach(entry => applyConfig(entry.value ?? "", "peer")),
         onGossip: entry => {
-            const [kind, name] = entry.key.split("/");
-            if (kind === "leaving") {
-                push({ kind: "targetLeaving", targetId: brandAs(name ?? ""), source: "another instance" });
-            }
             observationGossip.receive(entry);
         },
         onMembers: () => pushInstances(),
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -13,18 +13,10 @@
 import { createVirtualClock } from "./createVirtualClock.js";
 import { createVirtualGossip } from "./createVirtualGossip.js";
 import { createVirtualTarget } from "./createVirtualTarget.js";
+import type { VirtualServiceOptions } from "./virtualServiceOptions.js";
 import type { VirtualServiceInstance } from "./virtualServiceInstance.js";
 import type { VirtualRun } from "./virtualRun.js";
 
-interface ServiceOptions {
-    seed: number;
-    instances: number;
-    zones: number;
-    targets: number;
-    /** Returns whether a request ends each target that begins to run it. */
-    isCrashing?: (content: string) => boolean;
-}
-
 /** One-way delay between instances, targets and callers, in ms. */
 const DELAY_MS = 2;
 /** Time in ms for which an instance has to be undisturbed to be in touch. */
@@ -39,7 +31,7 @@
  * Simulates instances before the targets of a plain service, over virtual time. Targets end under certain requests and start
  * again; instances restart, pause, and are cut off from each other. The same seed repeats a run exactly.
  */
-export const createVirtualService = (options: ServiceOptions) => {
+export const createVirtualService = (options: VirtualServiceOptions) => {
     const { seed, zones, isCrashing = () => false } = options;
     const generator = xoroshiro128plus(seed);
     const random = (): number => uniformFloat64(generator);
@@ -53,6 +45,7 @@
 
     const completions: { atMs: number; content: string; inTouch: boolean }[] = [];
     const pauses: { atMs: number; untilMs: number; instance: number; targetId: string }[] = [];
+    const leavingAnswers: { atMs: number; instance: number; targetId: string }[] = [];
     const isInTouch = (instance: VirtualServiceInstance): boolean => now() - instance.disturbedAtMs > CONTACT_MS;
 
     const targets = Array.from({ length: options.targets }, (_, index) => createVirtualTarget({
@@ -132,7 +125,8 @@
                 return;
             }
             const toldAtMs = from.toldAtMs.get(targetId);
-            arrivals.push({ atMs: now(), content, targetId, instance: from.index, inTouch: isInTouch(from), toldAtMs });
+            const sentAtMs = arrivedAtMs.get(callId) ?? 0;
+            arrivals.push({ atMs: now(), sentAtMs, content, targetId, instance: from.index, inTouch: isInTouch(from), toldAtMs });
             const tellLimit = (): GatewayInput => {
                 const limit = target.limit();
                 if (limit !== undefined && !from.toldAtMs.has(targetId)) {
@@ -140,10 +134,17 @@
                 }
                 return { kind: "limit", targetId, perSecond: limit?.perSecond };
             };
+            const tellLeaving = (): void => {
+                if (target.leavingSinceMs() !== undefined) {
+                    leavingAnswers.push({ atMs: now() + DELAY_MS, instance: from.index, targetId });
+                    reply({ kind: "targetLeaving", targetId, source: "answer" });
+                }
+            };
             const run: VirtualRun = {
                 content,
                 onCut: () => reply({ kind: "failed", callId, attempt, ran: "unknown", cause: "cut", reason: "the connection ended" }),
                 onRefused: pauseMs => {
+                    tellLeaving();
                     if (pauseMs !== undefined) {
                         pauses.push({ atMs: now(), untilMs: now() + pauseMs, instance: from.index, targetId });
                         reply({ kind: "pause", targetId, pauseMs });
@@ -151,6 +152,7 @@
                     reply(tellLimit(), { kind: "failed", callId, attempt, ran: "no", cause: "full", reason: "full" });
                 },
                 onDone: () => {
+                    tellLeaving();
                     // An answer to a call that was given up reaches nobody, so that no instance can know of it.
                     if (from.boot === boot && from.decisions.view().calls.has(callId)) {
                         completions.push({ atMs: now(), content, inTouch: isInTouch(from) });
@@ -250,7 +252,11 @@
         ends,
         completions,
         pauses,
+        leavingAnswers,
         after,
+        /** Has the list show all targets as ready, as their heartbeats do. */
+        listTargets: (): void => targets.filter(each => each.isUp())
+            .forEach(target => instances.forEach(each => give(each, { kind: "target", entry: target.entry() }))),
         /** Sends a caller's request to an instance. Requests with equal content have equal fingerprints. */
         sendCall: (index: number, content: string, route: Partial<Route> = {}): void => {
             const instance = instances[index % instances.length];
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualTarget.ts
@@ -28,6 +28,7 @@
     let starts = 0;
     let isUp = true;
     let pausedUntilMs = 0;
+    let leavingSinceMs: number | undefined;
     /** Requests per second that it says it takes from all instances together, and since when. */
     let limit: { perSecond: number; sinceMs: number } | undefined;
     /** Every second target keeps its id over a restart, which only the time of its start tells apart. */
@@ -53,6 +54,7 @@
         onEnded(id(), runs);
         after(DOWN_MS, () => {
             starts += 1;
+            leavingSinceMs = undefined;
             isUp = true;
             onStarted(entry());
         });
@@ -93,6 +95,12 @@
         setLimit: (perSecond: number | undefined): void => {
             limit = perSecond === undefined ? undefined : { perSecond, sinceMs: now() };
         },
+        /** Time since which its answers say that it leaves. */
+        leavingSinceMs: (): number | undefined => leavingSinceMs,
+        /** Has the target say in its answers that it leaves, although the list calls it ready. */
+        leave: (): void => {
+            leavingSinceMs = now();
+        },
         /** Has the target refuse all requests for a time, and ask for a pause of as long. */
         pause: (durationMs: number): void => {
             pausedUntilMs = now() + durationMs;
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualArrival.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualArrival.ts
@@ -2,6 +2,8 @@
 export interface VirtualArrival {
     atMs: number;
     content: string;
+    /** Time at which the caller sent it. */
+    sentAtMs: number;
     targetId: string;
     instance: number;
     /** Whether the instance had been undisturbed for a while. */
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -2,6 +2,7 @@
 import { recordContact } from "./calls/recordContact.js";
 import { logEvent } from "./calls/logEvent.js";
 import { removeCall } from "./calls/removeCall.js";
+import { applyLeaving } from "./leaving/applyLeaving.js";
 import { applyLimit } from "./limits/applyLimit.js";
 import { applyPermitAnswer } from "./limits/applyPermitAnswer.js";
 import { applyPermitRequest } from "./limits/applyPermitRequest.js";
@@ -39,14 +40,7 @@
     },
     target: (context, { entry }) => applyTarget(context, entry),
     targetGone: (context, { targetId }) => removeTarget(context, targetId),
-    targetLeaving: (context, { targetId, source }) => {
-        const target = context.targets.get(targetId);
-        if (target !== undefined && !target.leaving) {
-            target.leaving = true;
-            markTargetPools(context, target);
-            logEvent(context, "targetState", { target: targetId, leaving: true, source });
-        }
-    },
+    targetLeaving: applyLeaving,
     call: (context, { metadata }) => applyCall(context, metadata),
     callerLeft: (context, { callId }) => {
         const row = context.calls.get(callId);
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -42,11 +42,10 @@
     | { kind: "report"; targetId: TargetId; address: string }
     /** Finds out with a new connection whether a target that cut a request still runs. */
     | { kind: "probe"; targetId: TargetId; startedAtMs: number; address: string }
-    /** The `share` commands send this instance's status, a load digest, a placement update, or a leaving target to others. */
+    /** The `share` commands send this instance's status, a load digest, a placement update, or observations of targets to others. */
     | { kind: "shareStatus"; to: InstanceId[]; status: InstanceStatus }
     | { kind: "shareDigest"; to: InstanceId; digest: LoadDigest }
     | { kind: "shareNews"; to: InstanceId[]; news: PlacementUpdate }
     /** With `byGossip`, they also reach instances that start later. */
     | { kind: "shareObservations"; to: InstanceId[]; reporterZone: ZoneId; observations: TargetObservation[]; byGossip: boolean }
-    | { kind: "shareLeaving"; targetId: TargetId }
     | { kind: "log"; event: string; fields: Record<string, unknown> };
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -31,6 +31,7 @@
     | { kind: "config"; config: RoutingConfig }
     | { kind: "target"; entry: TargetEntry }
     | { kind: "targetGone"; targetId: TargetId }
+    /** A target has said in an answer that it leaves. */
     | { kind: "targetLeaving"; targetId: TargetId; source: string }
     | { kind: "call"; metadata: CallMetadata }
     | { kind: "callerLeft"; callId: RequestId }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -31,11 +31,6 @@
 
 const updateFailedTarget = (context: GatewayContext, row: CallRow, target: PoolTarget, input: Failed): void => {
     switch (input.cause) {
-        case "leaving":
-            target.leaving = true;
-            logEvent(context, "targetState", { target: target.entry.targetId, leaving: true, source: "answer" });
-            context.commands.push({ kind: "shareLeaving", targetId: target.entry.targetId });
-            break;
         case "otherTarget":
             target.leaving = true;
             logEvent(context, "targetState", { target: target.entry.targetId, leaving: true, source: "another target answers at its address" });
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -55,10 +55,11 @@
     if (context.nowMs - existing.placementUpdatedAtMs > PLACEMENT_UPDATE_VALID_MS) {
         updateModels(context, existing, entry);
     }
-    if (existing.leaving !== entry.leaving) {
-        logEvent(context, "targetState", { target: entry.targetId, leaving: entry.leaving, remainingMs: entry.remainingMs, source: "list" });
+    const leaving = entry.leaving || existing.saidLeaving;
+    if (existing.leaving !== leaving) {
+        logEvent(context, "targetState", { target: entry.targetId, leaving, remainingMs: entry.remainingMs, source: "list" });
     }
-    existing.leaving = entry.leaving;
+    existing.leaving = leaving;
     existing.entry = entry;
     markTargetPools(context, existing);
 };
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/leaving/applyLeaving.ts
@@ -0,0 +1,12 @@
+import type { GatewayContext } from "../gatewayContext.js";
+import type { GatewayInput } from "../gatewayInput.js";
+import { shareObservation } from "../observations/shareObservation.js";
+import { setLeaving } from "./setLeaving.js";
+
+/** Applies an answer in which a target says that it leaves, and tells the others. */
+export const applyLeaving = (context: GatewayContext, { targetId, source }: Extract<GatewayInput, { kind: "targetLeaving" }>): void => {
+    const target = context.targets.get(targetId);
+    if (target !== undefined && setLeaving(context, target, source)) {
+        shareObservation(context, { kind: "leaving", targetId, startedAtMs: target.entry.startedAtMs });
+    }
+};
--- a/packages/medlarlb-decisions/src/gateway/observations/applyObservations.ts
+++ b/packages/medlarlb-decisions/src/gateway/observations/applyObservations.ts
@@ -4,6 +4,7 @@
 import { mergeCrashEvidence } from "../crashes/mergeCrashEvidence.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { GatewayInput } from "../gatewayInput.js";
+import { mergeLeavingObservation } from "../leaving/mergeLeavingObservation.js";
 import { mergeLimitObservation } from "../limits/mergeLimitObservation.js";
 import { isLargeGroup } from "../status/isLargeGroup.js";
 
@@ -12,6 +13,9 @@
     if (observation.kind === "limit") {
         return mergeLimitObservation(context, observation);
     }
+    if (observation.kind === "leaving") {
+        return mergeLeavingObservation(context, observation);
+    }
     const isNews = mergeCrashEvidence(context.crashes, observation, context.nowMs - ageMs);
     if (isNews) {
         applyNewEvidence(context, observation);
--- a/packages/medlarlb-decisions/src/gateway/observations/shareObservation.ts
+++ b/packages/medlarlb-decisions/src/gateway/observations/shareObservation.ts
@@ -9,7 +9,7 @@
         to: listObservationRecipients(context),
         reporterZone: context.settings.zone,
         observations: [observation],
-        // A target names its limit to each instance in its first answer, but a crash is seen once.
-        byGossip: observation.kind !== "limit",
+        // A target tells each instance its limit, and that it leaves, in the first answer, but a crash is seen once.
+        byGossip: observation.kind !== "limit" && observation.kind !== "leaving",
     });
 };
--- a/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
@@ -6,6 +6,7 @@
  * - `normal`: answers.
  * - `full`: refuses them as not run.
  * - `pausing`: refuses them as not run, and asks for a pause.
+ * - `leaving`: answers, and says in all answers that it leaves.
  * - `cut`: resets the connection after the run has started.
  * - `cutStream`: resets each stream in the middle of its second event.
  * - `failing`: answers with status 500.
@@ -13,7 +14,7 @@
  * - `other`: answers with the id of another request.
  * - `ending`: ends, as a process that crashes does, when it has started a request whose path ends with `CRASHING_PATH_END`.
  */
-type EngineBehavior = "ending" | "normal" | "pausing" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
+type EngineBehavior = "ending" | "leaving" | "normal" | "pausing" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
 
 const CRASHING_PATH_END = "/crash";
 const PAUSE_SECONDS = 5;
@@ -95,6 +96,9 @@
     const server = createServer((req, res) => {
         const chunks: Buffer[] = [];
         req.on("data", chunk => chunks.push(chunk as Buffer));
+        if (behavior === "leaving") {
+            res.setHeader("server-leaving", "1");
+        }
         req.on("end", () => {
             if (req.url === "/api/report") {
                 res.end(JSON.stringify({ models: [], in_flight: false, seq: orderCount }));
--- a/packages/medlarlb-targets/src/createTextRequest.ts
+++ b/packages/medlarlb-targets/src/createTextRequest.ts
@@ -9,6 +9,7 @@
     (address, { method, path, headers, body, timeoutMs }) => new Promise<Outcome>(resolve => {
         const chunks: Buffer[] = [];
         let status = 0;
+        let received: Record<string, string | string[] | undefined> = {};
         const timer = setTimeout(() => {
             exchange.abort();
             resolve(Result.err(`no answer within ${timeoutMs} ms`));
@@ -24,11 +25,12 @@
             body: body === undefined ? undefined : Buffer.from(body, "utf8"),
         };
         const exchange = pool.send(address, message, {
-            onHead: head => {
+            onHead: (head, answerHeaders) => {
                 status = head;
+                received = answerHeaders;
             },
             onChunk: chunk => chunks.push(Buffer.from(chunk)) > 0,
-            onEnd: () => finish(Result.ok({ status, text: Buffer.concat(chunks).toString("utf8") })),
+            onEnd: () => finish(Result.ok({ status, headers: received, text: Buffer.concat(chunks).toString("utf8") })),
             onFailure: ({ reason }) => finish(Result.err(reason)),
         });
     });
--- a/packages/medlarlb-types/src/parsedAnswerHeaders.ts
+++ b/packages/medlarlb-types/src/parsedAnswerHeaders.ts
@@ -12,6 +12,8 @@
     load: { running: number; waiting: number; slots: number } | undefined;
     /** Requests per second that the target takes from all instances together; undefined if it names no limit. */
     requestLimit: number | undefined;
+    /** Whether the target says that it leaves. */
+    leaving: boolean;
     /** Time in ms for which the target wants no requests from this instance; undefined if it asks for no pause. */
     pauseMs: number | undefined;
     targetId: string | undefined;
--- a/packages/medlarlb-types/src/textRequest.ts
+++ b/packages/medlarlb-types/src/textRequest.ts
@@ -8,4 +8,4 @@
     headers: string[];
     body: string | undefined;
     timeoutMs: number;
-}) => Promise<Result<{ status: number; text: string }, string>>;
+}) => Promise<Result<{ status: number; headers: Record<string, string | string[] | undefined>; text: string }, string>>;
