Ignore what another target at the same address says of itself, and tidy the tests

Read as a newcomer: an answer of another target that has the address now (421) named its limit and its pause for the expected one; only leaving was guarded. The three are guarded in one place. Tests share one load and one choice of group sizes.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -171,6 +171,20 @@
 
     const isFromOtherTarget = (): boolean => answerHeaders?.targetId !== undefined && answerHeaders.targetId !== targetId;
 
+    /** Reports what the target says of itself. An answer of another target that has its address now says nothing of it. */
+    const reportTargetState = ({ requestLimit, leaving, pauseMs }: AnswerHeaders): void => {
+        if (isFromOtherTarget()) {
+            return;
+        }
+        events.onLimit(requestLimit);
+        if (leaving) {
+            events.onLeaving();
+        }
+        if (pauseMs !== undefined) {
+            events.onPause(pauseMs);
+        }
+    };
+
     const reportRefusal = (): void => {
         if (status === MISDIRECTED_REQUEST_STATUS) {
             fail("no", isFromOtherTarget() ? "otherTarget" : "notHeld", `the target answered ${status}`);
@@ -234,13 +248,7 @@
             if (answerHeaders.load !== undefined) {
                 events.onLoad(answerHeaders.load);
             }
-            events.onLimit(answerHeaders.requestLimit);
-            if (answerHeaders.leaving && !isFromOtherTarget()) {
-                events.onLeaving();
-            }
-            if (answerHeaders.pauseMs !== undefined) {
-                events.onPause(answerHeaders.pauseMs);
-            }
+            reportTargetState(answerHeaders);
             mode = chooseMode();
         },
         onChunk: chunk => {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashHistories.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashHistories.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { chooseHistoryGroup } from "./support/chooseHistoryGroup.js";
 import { createVirtualService } from "./support/createVirtualService.js";
 
 const HISTORIES = Number(process.env.MEDLARLB_HISTORIES ?? 40);
@@ -12,17 +13,9 @@
 const HISTORY_MS = 16_000;
 const CRASH_REFUSAL = /targets have ended while they ran this request/;
 
-/** Of ten histories, seven have 6 instances, two have 63 and one has 195. */
-const chooseGroup = (index: number): { instances: number; targets: number } => {
-    if (index % 10 === 9) {
-        return { instances: 195, targets: 24 };
-    }
-    return index % 5 === 3 ? { instances: 63, targets: 9 } : { instances: 6, targets: 3 };
-};
-
 /** Plays ordinary, popular and crashing requests beside resets, random ends, restarts, pauses and cuts, in series and overlapping. */
 const playHistory = (seed: number, index: number) => {
-    const { instances, targets } = chooseGroup(index);
+    const { instances, targets } = chooseHistoryGroup(index);
     const service = createVirtualService({ seed, instances, zones: 3, targets, isCrashing: content => content.startsWith("crashing") });
     const { random } = service;
     const pick = (count: number): number => Math.floor(random() * count);
--- a/packages/medlarlb-decisions/src/gateway/__tests__/leaving.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/leaving.test.ts
@@ -1,18 +1,12 @@
 import { expect } from "chai";
 import { createVirtualService } from "./support/createVirtualService.js";
+import { runLoad } from "./support/runLoad.js";
 
 /** Time in ms after an answer that says that a target leaves from which no request that a caller sends may reach it. */
 const DRAIN_MS = 2_000;
 
 type Service = ReturnType<typeof createVirtualService>;
 
-const runLoad = (service: Service, perSecond: number, durationMs: number): void => {
-    for (let count = 0; count < perSecond * durationMs / 1_000; count += 1) {
-        service.sendCall(Math.floor(service.random() * service.instances.length), `ordinary-${service.now()}-${count}`);
-        service.run(1_000 / perSecond);
-    }
-};
-
 /** Has the list call all targets ready again and again, as their heartbeats do. */
 const repeatEntries = (service: Service): void => {
     service.listTargets();
--- a/packages/medlarlb-decisions/src/gateway/__tests__/limitHistories.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/limitHistories.test.ts
@@ -1,22 +1,15 @@
 import { expect } from "chai";
 import { countBeyondLimit } from "./support/countBeyondLimit.js";
+import { chooseHistoryGroup } from "./support/chooseHistoryGroup.js";
 import { createVirtualService } from "./support/createVirtualService.js";
 
 const HISTORIES = Number(process.env.MEDLARLB_HISTORIES ?? 30);
 const FIRST_SEED = Number(process.env.MEDLARLB_SEED ?? 22_501);
 const HISTORY_MS = 16_000;
 
-/** Of ten histories, seven have 6 instances, two have 63 and one has 195. */
-const chooseGroup = (index: number): { instances: number; targets: number } => {
-    if (index % 10 === 9) {
-        return { instances: 195, targets: 24 };
-    }
-    return index % 5 === 3 ? { instances: 63, targets: 9 } : { instances: 6, targets: 3 };
-};
-
 /** Plays requests at a rate that varies, beside restarts, pauses, cuts, resets and new planners, while some or all targets name limits. */
 const playHistory = (seed: number, index: number) => {
-    const { instances, targets } = chooseGroup(index);
+    const { instances, targets } = chooseHistoryGroup(index);
     const service = createVirtualService({ seed, instances, zones: 3, targets });
     const { random } = service;
     const pick = (count: number): number => Math.floor(random() * count);
--- a/packages/medlarlb-decisions/src/gateway/__tests__/limits.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/limits.test.ts
@@ -7,18 +7,10 @@
 import { createSettings } from "./support/createSettings.js";
 import { createVirtualDeployment } from "./support/createVirtualDeployment.js";
 import { createVirtualService } from "./support/createVirtualService.js";
+import { runLoad } from "./support/runLoad.js";
 
 const LIMIT_PER_SECOND = 1.4;
 
-/** Sends ordinary requests to all instances at a rate, for some time. */
-const runLoad = (service: ReturnType<typeof createVirtualService>, perSecond: number, durationMs: number): void => {
-    const intervalMs = 1_000 / perSecond;
-    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += intervalMs) {
-        service.sendCall(Math.floor(service.random() * service.instances.length), `ordinary-${service.now()}-${elapsedMs}`);
-        service.run(intervalMs);
-    }
-};
-
 describe("a target that names a limit", () => {
     for (const [instances, targets, perSecond] of [[6, 3, 60], [63, 9, 180], [195, 24, 480]] as const) {
         it(`gets no more requests than it allows from ${instances} instances together`, () => {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/pauses.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/pauses.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { createVirtualService } from "./support/createVirtualService.js";
+import { runLoad } from "./support/runLoad.js";
 
 /** Time in ms after an answer that asks for a pause from which it holds, and requests that may still arrive in it. */
 const TOLD_MS = 500;
@@ -7,13 +8,6 @@
 
 type Service = ReturnType<typeof createVirtualService>;
 
-const runLoad = (service: Service, perSecond: number, durationMs: number): void => {
-    for (let count = 0; count < perSecond * durationMs / 1_000; count += 1) {
-        service.sendCall(Math.floor(service.random() * service.instances.length), `ordinary-${service.now()}-${count}`);
-        service.run(1_000 / perSecond);
-    }
-};
-
 /** Returns the largest number of requests from one instance within a pause that the target had asked it for. */
 const countInPauses = ({ pauses, arrivals }: Service): number => Math.max(0, ...pauses.map(pause =>
     arrivals.filter(each => each.targetId === pause.targetId && each.instance === pause.instance && each.inTouch
