Log whose answer ended an attempt, and what its connection had carried

Change: both lines have evidence: status, id that the answer names, age of the connection, number of requests that it carried before.

Conclusion: hypothesis 1 shows in the log as an answerId that isn't the request's, hypothesis 2 as the request's own.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -1,3 +1,4 @@
+import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
 import type { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
@@ -21,7 +22,7 @@
     onContact: () => void;
     /** `longestGapMs` is the longest pause between two parts of the answer. */
     onFinished: (status: number, longestGapMs: number) => void;
-    onFailed: (failure: { ran: "no" | "unknown"; cause: FailureCause; reason: string }) => void;
+    onFailed: (failure: { ran: "no" | "unknown"; cause: FailureCause; reason: string; evidence: AnswerEvidence | undefined }) => void;
 }
 
 interface RelayOptions {
@@ -56,6 +57,7 @@
     const { res, metadata } = call;
     const splitter = createSseSplitter();
     let answerHeaders: AnswerHeaders | undefined;
+    let evidence: AnswerEvidence | undefined;
     let status = 0;
     let mode: Mode = "undecided";
     let bufferedChunks: Buffer[] = [];
@@ -70,7 +72,7 @@
     const fail = (ran: "no" | "unknown", cause: FailureCause, reason: string): void => {
         if (!hasFailed) {
             hasFailed = true;
-            events.onFailed({ ran, cause, reason });
+            events.onFailed({ ran, cause, reason, evidence });
         }
     };
 
@@ -242,9 +244,10 @@
     };
 
     return {
-        onHead: (statusCode, headers) => {
+        onHead: (statusCode, headers, { ageMs, carriedRequests }) => {
             status = statusCode;
             answerHeaders = adapter.readAnswer(statusCode, headers);
+            evidence = { status, answerId: answerHeaders.callerRequestId, connectionAgeMs: Math.round(ageMs), carriedRequests };
             if (answerHeaders.load !== undefined) {
                 events.onLoad(answerHeaders.load);
             }
--- a/packages/medlarlb-decisions/src/gateway/calls/failCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/failCall.ts
@@ -1,3 +1,4 @@
+import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
 import type { CallRow } from "../rows/callRow.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { logEvent } from "./logEvent.js";
@@ -6,9 +7,9 @@
 
 /**
  * Ends a call with a final answer of this instance's own. A call that may have run gets 502 or 504, never 503, which
- * states that it has not run.
+ * states that it has not run. `evidence` is that of the answer because of which it ends, for the log.
  */
-export const failCall = (context: GatewayContext, row: CallRow, reason: string, retryInMs?: number): void => {
+export const failCall = (context: GatewayContext, row: CallRow, reason: string, retryInMs?: number, evidence?: AnswerEvidence): void => {
     const { metadata } = row;
     const isLate = context.nowMs >= metadata.deadlineAtMs;
     const possiblyRunStatus = isLate ? 504 : 502;
@@ -30,6 +31,7 @@
         retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
         target: row.currentAttempt?.targetId,
         configVersion: context.config?.version,
+        evidence,
     });
     context.commands.push({ kind: "answer", callId: metadata.callId, status, retryAfterMs, reason });
     removeCall(context, row);
--- a/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
@@ -1,3 +1,4 @@
+import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
 import type { FailureCause } from "../failureCause.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -11,6 +12,7 @@
     ran: "no" | "unknown";
     cause: FailureCause;
     reason: string;
+    evidence?: AnswerEvidence | undefined;
 }
 
 /**
@@ -50,7 +52,7 @@
     // An attempt whose connection never opened has not reached the target and takes no token of the retry budget.
     const isWithinBudget = failure.cause === "connect" || (mayRepeat(context, row, failure) && takeRetryToken(context, row.metadata.service));
     if (!mayRepeat(context, row, failure) || !isWithinBudget) {
-        failCall(context, row, failure.reason, DEFAULT_RETRY_AFTER_MS);
+        failCall(context, row, failure.reason, DEFAULT_RETRY_AFTER_MS, failure.evidence);
         return;
     }
     logEvent(context, "retried", {
@@ -60,6 +62,7 @@
         cause: failure.cause,
         ran: failure.ran,
         reason: failure.reason,
+        evidence: failure.evidence,
     });
     if (row.delivered) {
         // The caller has part of the stream, and waits for the next event as long as for the first.
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -1,3 +1,4 @@
+import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
 import type { CallMetadata } from "medlarlb-types/callMetadata";
 import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { EngineReport } from "medlarlb-types/engineReport";
@@ -51,7 +52,8 @@
     | { kind: "contact"; targetId: TargetId; atMs: number }
     /** An answer is complete. `longestGapMs` is the longest pause between its parts, in ms. */
     | { kind: "finished"; callId: RequestId; attempt: number; status: number; longestGapMs: number }
-    | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string }
+    /** An attempt has failed. `evidence` is missing if no answer had begun. */
+    | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string; evidence?: AnswerEvidence | undefined }
     /** A new connection to a target has shown whether it still runs. */
     | { kind: "probed"; targetId: TargetId; startedAtMs: number; state: ListeningState }
     /** Observations of other instances. `reporterZone` is undefined if they came by gossip, which spreads by itself. */
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -53,6 +53,7 @@
     const open = (address: string): IdleConnection["connection"] => {
         const connection = createTargetConnection({
             address,
+            now,
             onOpen: countConnection,
             onFree: idleMs => release(address, connection, idleMs),
             onClose: () => discard(address, connection),
--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -6,6 +6,7 @@
 
 interface ConnectionOptions {
     address: string;
+    now: () => number;
     /** Called when the connection is open. */
     onOpen: () => void;
     /** Called once when the connection is free for another request. It may then be idle for `idleMs` at most. */
@@ -49,11 +50,13 @@
  * Creates one connection to a target, which carries one request at a time. It reads without the machinery of streams: a stream
  * of events costs the processor time of its reads, and most of that was spent there.
  */
-export const createTargetConnection = ({ address, onOpen, onFree, onClose }: ConnectionOptions) => {
+export const createTargetConnection = ({ address, now, onOpen, onFree, onClose }: ConnectionOptions) => {
     const [host, port] = address.split(":");
     let exchange: Exchange | undefined;
     let request: Buffer | undefined;
     let isOpen = false;
+    let openedAtMs = now();
+    let carriedRequests = 0;
     let isClosed = false;
     /** Whether the handler of the present read has asked for more. */
     let mayRead = true;
@@ -91,6 +94,7 @@
             return;
         }
         exchange = undefined;
+        carriedRequests += 1;
         // A target may answer before it has read the whole request. The rest of the request must not be taken for another one.
         if (isReusable && socket.writableLength === 0) {
             onFree(completed.idleMs);
@@ -143,6 +147,7 @@
 
     socket.once("connect", () => {
         isOpen = true;
+        openedAtMs = now();
         clearTimeout(connectTimer);
         onOpen();
         writeRequest();
@@ -163,7 +168,7 @@
                     onHead: (status, headers) => {
                         current.reusable = !CLOSE_OPTION.test(headers.connection ?? "");
                         current.idleMs = keepAliveMs(headers["keep-alive"]);
-                        handlers.onHead(status, headers);
+                        handlers.onHead(status, headers, { ageMs: now() - openedAtMs, carriedRequests });
                     },
                     onBody: bytes => {
                         if (exchange === current) {
--- a/packages/medlarlb-targets/src/pooledResponseHandlers.ts
+++ b/packages/medlarlb-targets/src/pooledResponseHandlers.ts
@@ -1,6 +1,8 @@
+import type { ConnectionHistory } from "./connectionHistory.js";
+
 /** Callbacks of a request on a pooled connection. The last call is either `onEnd` or `onFailure`, unless the request is aborted. */
 export interface PooledResponseHandlers {
-    onHead: (status: number, headers: Record<string, string | string[] | undefined>) => void;
+    onHead: (status: number, headers: Record<string, string | string[] | undefined>, connection: ConnectionHistory) => void;
     /** Returns whether the next chunk may follow at once. Otherwise delivery pauses until `resume` of the request is called. */
     onChunk: (chunk: Buffer) => boolean;
     onEnd: () => void;
