--- /dev/null
+++ b/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
@@ -0,0 +1,166 @@
+import type { AddressInfo, Socket } from "node:net";
+import { expect } from "chai";
+import { request } from "undici";
+import { waitFor } from "../cluster/waitFor.js";
+import { listen } from "../shared/listen.js";
+import { createMetadataStoreServer } from "../site/createMetadataStoreServer.js";
+import { createScriptedEngineServer } from "../site/createScriptedEngineServer.js";
+import type { ScriptedRequest } from "../site/scriptedRequest.js";
+import { createOperatorConfig } from "./support/createOperatorConfig.js";
+import { listenOnFreePort } from "./support/listenOnFreePort.js";
+import { startGatewayProcess } from "./support/startGatewayProcess.js";
+
+const ROUTE_HOST = "site.example";
+const PROMISE_STATUSES = [408, 421, 429, 503];
+
+/** Writes a whole answer. Without an id it bears none. */
+const writeAnswer = (status: number, ids: readonly string[], headers: readonly string[] = [], body = ""): string =>
+    [`HTTP/1.1 ${status} Any`, ...ids.map(id => `X-Request-Id: ${id}`), ...headers, `Content-Length: ${body.length}`, "", body].join("\r\n");
+
+const writeOwnAnswer = (req: ScriptedRequest): string => (req.path.startsWith("/stream/")
+    ? writeAnswer(200, [req.id], ["X-Response-Stamp: s", "Content-Type: text/event-stream"], "id: 1\ndata: whole\n\n")
+    : writeAnswer(200, [req.id], ["X-Response-Stamp: s"], "whole"));
+
+/** A refusal, which also names a limit. */
+const writeRefusal = (status: number, ids: readonly string[]): string => writeAnswer(status, ids, ["X-Not-Run: 1", "Server-Limit: 1"]);
+
+const previousId = (req: ScriptedRequest): string => req.previousIds.at(-1) ?? "";
+
+/** Answers that an engine sends before that to the request, from the second request of a connection on. */
+const foreignAnswers: Record<string, (req: ScriptedRequest) => string> = {
+    "a refusal of the request before": req => writeRefusal(503, [previousId(req)]),
+    "a refusal with 429 of the request before": req => writeRefusal(429, [previousId(req)]),
+    "a refusal with 421 of the request before": req => writeRefusal(421, [previousId(req)]),
+    "a refusal that names no request": () => writeRefusal(503, []),
+    "a refusal with 421 that names no request": () => writeRefusal(421, []),
+    "a refusal that names two requests": req => writeRefusal(503, [previousId(req), req.id]),
+    "another answer to the request before": req => writeAnswer(200, [previousId(req)], ["X-Response-Stamp: s"], "other"),
+    "an answer that names no request": () => writeAnswer(200, [], ["X-Response-Stamp: s"], "other"),
+    "two answers to requests before": req => writeAnswer(500, [previousId(req)], [], "other") + writeRefusal(503, [previousId(req)]),
+};
+
+describe("A gateway process whose targets send answers that belong to other requests", () => {
+    const store = createMetadataStoreServer();
+    const engineIds = ["e1", "e2"];
+    const runs: string[] = [];
+    /** What an engine sends for a request that it runs. */
+    let script: (req: ScriptedRequest, socket: Socket) => void;
+    const engines = engineIds.map(() => createScriptedEngineServer((req, socket) => {
+        if (req.path === "/api/report") {
+            socket.write(writeAnswer(200, [], [], JSON.stringify({ models: [], in_flight: false, seq: 0 })));
+            return;
+        }
+        script(req, socket);
+    }));
+    let gateway: Awaited<ReturnType<typeof startGatewayProcess>>;
+    let sequence = 0;
+
+    const runWith = (answer: (req: ScriptedRequest) => string): typeof script => (req, socket) => {
+        runs.push(req.id);
+        socket.write(answer(req));
+    };
+
+    const sendRequest = async (path: string): Promise<{ id: string; status: number; text: string }> => {
+        sequence += 1;
+        const id = `r${sequence}`;
+        const res = await request(`http://${gateway.caller}${path}`, { method: "POST", headers: { "host": ROUTE_HOST, "x-request-id": id, "x-deadline-ms": "2000" }, body: "x" });
+        return { id, status: res.statusCode, text: await res.body.text().catch(() => "cut") };
+    };
+
+    /** Sends requests one after the other on kept connections. */
+    const sendSeries = async (path: string, answer: (req: ScriptedRequest) => string) => {
+        script = runWith(writeOwnAnswer);
+        await Promise.all(Array.from({ length: 8 }, () => sendRequest(path)));
+        runs.length = 0;
+        script = runWith(answer);
+        const answers: Awaited<ReturnType<typeof sendRequest>>[] = [];
+        for (let index = 0; index < 8; index += 1) {
+            answers.push(await sendRequest(path));
+        }
+        return {
+            statuses: [...new Set(answers.map(each => each.status))],
+            falseRefusals: answers.filter(each => PROMISE_STATUSES.includes(each.status) && runs.includes(each.id)).length,
+            repeatedRuns: answers.filter(each => runs.filter(id => id === each.id).length > 1).length,
+            otherBodies: answers.filter(each => each.text.includes("other")).length,
+        };
+    };
+
+    before(async () => {
+        await listenOnFreePort(store.server);
+        store.put("op/config", JSON.stringify(createOperatorConfig(3)));
+        for (const [index, engine] of engines.entries()) {
+            const address = `127.0.0.1:${await listen(engine.server, 0)}`;
+            store.put(`servers/${engineIds[index]}`, JSON.stringify({ service: "s", address, zone: "a", slots: 8, state: "ready", models: [], seq: 1 }));
+        }
+        gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
+        script = runWith(writeOwnAnswer);
+        await waitFor("the gateway forwards to its targets", async () => (await sendRequest("/unsafe/x")).status === 200);
+    });
+
+    after(() => {
+        gateway.stop();
+        engines.forEach(engine => engine.close());
+        store.close();
+    });
+
+    it("passes on the answer of each request, and believes no refusal that doesn't name it, when other answers precede it", async () => {
+        for (const [kind, writeForeign] of Object.entries(foreignAnswers)) {
+            for (const path of ["/unsafe/x", "/stream/x"]) {
+                const outcome = await sendSeries(path, req => (req.previousIds.length === 0 ? "" : writeForeign(req)) + writeOwnAnswer(req));
+                expect(outcome, `${kind} on ${path}`).to.deep.equal({ statuses: [200], falseRefusals: 0, repeatedRuns: 0, otherBodies: 0 });
+            }
+        }
+    }).timeout(240_000);
+
+    it("believes no second refusal of a request that it sends to the same target again", async () => {
+        const refused = new Set<string>();
+        script = (req, socket) => {
+            if (!refused.has(req.id)) {
+                refused.add(req.id);
+                socket.write(writeAnswer(503, [req.id], ["X-Not-Run: 1"]));
+                return;
+            }
+            runs.push(req.id);
+            socket.write((req.previousIds.includes(req.id) ? writeAnswer(503, [req.id], ["X-Not-Run: 1"]) : "") + writeOwnAnswer(req));
+        };
+        runs.length = 0;
+        const answers = [];
+        for (let index = 0; index < 8; index += 1) {
+            answers.push(await sendRequest("/unsafe/x"));
+        }
+        expect(answers.map(each => each.status)).to.deep.equal(Array.from(answers, () => 200));
+        expect(runs).to.deep.equal(answers.map(each => each.id));
+    }).timeout(30_000);
+
+    it("passes on no status that says that a request hasn't run if its target doesn't say so", async () => {
+        for (const status of PROMISE_STATUSES.filter(each => each !== 421)) {
+            for (const headers of [["X-Response-Stamp: s"], []]) {
+                for (const path of ["/unsafe/x", "/stream/x"]) {
+                    const outcome = await sendSeries(path, req => writeAnswer(status, [req.id], headers, "x"));
+                    expect(outcome, `${status} on ${path}`).to.deep.equal({ statuses: [502], falseRefusals: 0, repeatedRuns: 0, otherBodies: 0 });
+                }
+            }
+        }
+    }).timeout(60_000);
+
+    it("sends a request to another target after a refusal that names it", async () => {
+        const refusing = new Set(["e1"]);
+        script = (req, socket) => {
+            if (refusing.has(req.expectedTarget ?? "")) {
+                socket.write(writeAnswer(503, [req.id], ["X-Not-Run: 1"]));
+                return;
+            }
+            runs.push(req.id);
+            socket.write(writeOwnAnswer(req));
+        };
+        runs.length = 0;
+        const answers = await Promise.all(Array.from({ length: 8 }, () => sendRequest("/unsafe/x")));
+        expect(answers.map(each => each.status)).to.deep.equal(Array.from(answers, () => 200));
+        expect([...runs].sort()).to.deep.equal(answers.map(each => each.id).sort());
+    });
+
+    it("passes on the answers of targets that name no request in any of them", async () => {
+        const outcome = await sendSeries("/unsafe/x", () => writeAnswer(200, [], ["X-Response-Stamp: s"], "whole"));
+        expect(outcome).to.deep.equal({ statuses: [200], falseRefusals: 0, repeatedRuns: 0, otherBodies: 0 });
+    }).timeout(20_000);
+});
--- /dev/null
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -0,0 +1,42 @@
+import { spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import { request } from "undici";
+import { findFreePort } from "../../cluster/findFreePort.js";
+import { waitFor } from "../../cluster/waitFor.js";
+import { createGatewaySettings } from "./createGatewaySettings.js";
+
+const GATEWAY_SCRIPT = "packages/medlarlb-daemon/lib/gatewayMain.js";
+
+/** Starts a gateway process on free ports and waits until it is ready. Its log is kept as one record a line. */
+export const startGatewayProcess = async (storeAddress: string) => {
+    const folder = mkdtempSync(join(tmpdir(), "medlarlb-gateway-"));
+    const findAddress = async (): Promise<string> => `127.0.0.1:${await findFreePort()}`;
+    const addresses = {
+        caller: await findAddress(),
+        readiness: await findAddress(),
+        metrics: await findAddress(),
+        peer: await findAddress(),
+        store: storeAddress,
+    };
+    const path = join(folder, "settings.ini");
+    writeFileSync(path, createGatewaySettings(addresses));
+    const child = spawn(process.execPath, [GATEWAY_SCRIPT], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "pipe", "inherit"] });
+    const log: Record<string, unknown>[] = [];
+    createInterface({ input: child.stdout }).on("line", line => log.push(JSON.parse(line) as Record<string, unknown>));
+    await waitFor("the gateway is ready", async () => {
+        const res = await request(`http://${addresses.readiness}/`).catch(() => undefined);
+        await res?.body.dump();
+        return res?.statusCode === 200;
+    });
+    return {
+        ...addresses,
+        log,
+        stop: (): void => {
+            child.kill("SIGKILL");
+            rmSync(folder, { recursive: true, force: true });
+        },
+    };
+};
--- a/packages/medlarlb-fakes/src/shared/listen.ts
+++ b/packages/medlarlb-fakes/src/shared/listen.ts
@@ -1,5 +1,4 @@
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Server } from "node:net";
 
 /** Makes a server listen on loopback and returns its port. Port 0 chooses a free port. */
 export const listen = (server: Server, port: number): Promise<number> =>
