Read nothing from an answer before it is known to belong to the request

Cause: on a kept connection a late answer to an earlier request stands before the own one. The relay compared ids only for answers that aren't refusals, so that a refusal of another request was believed, with the limit, pause and leaving in its headers. An answer that named no request was delivered to whichever caller waited.

Ruled out: a second answer of the target with the request's own id; the evidence in the log shows the id of the request before, on connections that carried requests.

Change: the connection hands on only the answer that names the request. One that names no request counts only for the first request of a connection, and a refusal never. If the foreign answer names no request of the connection, the target may send no other: the attempt ends after 1 s. Each is logged, and counts as a failure in the choice of targets.

The test's nameless target has become one that never names a request; in its first form the targets named requests before, which none does.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -17,6 +17,8 @@
     onLeaving: () => void;
     /** Called when the target asks for a pause. */
     onPause: (pauseMs: number) => void;
+    /** Called for each answer to another request that precedes the own one. */
+    onForeignAnswer: (evidence: AnswerEvidence) => void;
     onBegun: () => void;
     /** Called at most once in a while although bytes keep arriving. */
     onContact: () => void;
@@ -197,11 +199,13 @@
     };
 
     const chooseMode = (): Mode => {
-        if (answerHeaders === undefined || answerHeaders.notRun) {
+        if (answerHeaders === undefined) {
             return "drop";
         }
-        if (answerHeaders.callerRequestId !== undefined && answerHeaders.callerRequestId !== metadata.callerRequestId) {
-            failAndClose("garbled", "the answer belongs to another request");
+        if (answerHeaders.notRun) {
+            if ((answerHeaders.callerRequestId ?? "") !== metadata.callerRequestId) {
+                failAndClose("garbled", `the target refused with ${status} and didn't name the request`);
+            }
             return "drop";
         }
         const success = status >= 200 && status < 300;
@@ -244,6 +248,8 @@
     };
 
     return {
+        onForeignAnswer: (foreignStatus, answerId, { ageMs, carriedRequests }) =>
+            events.onForeignAnswer({ status: foreignStatus, answerId, connectionAgeMs: Math.round(ageMs), carriedRequests }),
         onHead: (statusCode, headers, { ageMs, carriedRequests }) => {
             status = statusCode;
             answerHeaders = adapter.readAnswer(statusCode, headers);
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -111,6 +111,7 @@
                 onLeaving: () => push({ kind: "targetLeaving", targetId, source: "answer" }),
                 onPause: pauseMs => push({ kind: "pause", targetId, pauseMs }),
                 onLimit: perSecond => readLimit(targetId, perSecond),
+                onForeignAnswer: evidence => push({ kind: "foreignAnswer", callId, targetId, evidence }),
                 onBegun: () => {
                     observeFirstEvent(openCall, sentAtMs, command.predictedMs);
                     push({ kind: "begun", callId, attempt });
@@ -123,7 +124,7 @@
                 onFailed: failure => push({ kind: "failed", callId, attempt, ...failure }),
             },
         });
-        openCall.exchange = pool.send(command.address, { method: call.req.method ?? "GET", path: call.req.url ?? "/", headers, body: call.body }, relay);
+        openCall.exchange = pool.send(command.address, { method: call.req.method ?? "GET", path: call.req.url ?? "/", headers, body: call.body, requestId: call.metadata.callerRequestId }, relay);
     };
 
     const answer = ({ callId, status, retryAfterMs, reason }: AnswerCommand): void => {
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -21,6 +21,7 @@
 import { decodeRoutingConfig } from "medlarlb-site-adapter/decodeRoutingConfig";
 import { decodeTargetEntry } from "medlarlb-site-adapter/decodeTargetEntry";
 import { readAnswerHeaders } from "medlarlb-site-adapter/readAnswerHeaders";
+import { readAnswerId } from "medlarlb-site-adapter/readAnswerId";
 import { readCallHeaders } from "medlarlb-site-adapter/readCallHeaders";
 import { storeKeys } from "medlarlb-site-adapter/storeKeys";
 import { createConnectionPool } from "medlarlb-targets/createConnectionPool";
@@ -85,10 +86,10 @@
     const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => executeCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
-    const request = createTextRequest(createConnectionPool({ now, countConnection: () => undefined }));
+    const request = createTextRequest(createConnectionPool({ now, countConnection: () => undefined, readAnswerId }));
     const store = createStoreClient({ address: settings.store.address, request, countCall: call => metrics.storeCalls.inc({ call }) });
     const engines = createEngineControl(request, instanceId, targetId => push({ kind: "targetLeaving", targetId, source: "control" }));
-    const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc() });
+    const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc(), readAnswerId });
     const adapter = { callerFirstEventTimeoutMs, readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
     const callProxy = createCallProxy({ adapter, pool, metrics, now, push, note: loop.note, isStopping: () => stopping });
     const ingress = createIngressServer({
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -15,6 +15,7 @@
 import { applyCall } from "./inputs/applyCall.js";
 import { applyLoadDigest } from "./inputs/applyLoadDigest.js";
 import { applyFailed } from "./inputs/applyFailed.js";
+import { applyForeignAnswer } from "./inputs/applyForeignAnswer.js";
 import { applyFinished } from "./inputs/applyFinished.js";
 import { applyPlacementUpdate } from "./inputs/applyPlacementUpdate.js";
 import { applyPause } from "./inputs/applyPause.js";
@@ -69,6 +70,7 @@
         }
     },
     finished: applyFinished,
+    foreignAnswer: applyForeignAnswer,
     failed: applyFailed,
     instances: (context, { count, planners, members, zoneOrder }) => {
         context.instanceCount = count;
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -52,6 +52,8 @@
     | { kind: "contact"; targetId: TargetId; atMs: number }
     /** An answer is complete. `longestGapMs` is the longest pause between its parts, in ms. */
     | { kind: "finished"; callId: RequestId; attempt: number; status: number; longestGapMs: number }
+    /** A target has sent an answer to another request before that to the call. */
+    | { kind: "foreignAnswer"; callId: RequestId; targetId: TargetId; evidence: AnswerEvidence }
     /** An attempt has failed. `evidence` is missing if no answer had begun. */
     | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string; evidence?: AnswerEvidence | undefined }
     /** A new connection to a target has shown whether it still runs. */
--- a/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
@@ -1,4 +1,4 @@
-import type { AddressInfo, Socket } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
 import { expect } from "chai";
 import { request } from "undici";
 import { waitFor } from "../cluster/waitFor.js";
@@ -52,6 +52,9 @@
         }
         script(req, socket);
     }));
+    const namelessEngine = createScriptedEngineServer((_req, socket) => {
+        socket.write(writeAnswer(200, [], ["X-Response-Stamp: s"], "whole"));
+    });
     let gateway: Awaited<ReturnType<typeof startGatewayProcess>>;
     let sequence = 0;
 
@@ -88,10 +91,12 @@
     before(async () => {
         await listenOnFreePort(store.server);
         store.put("op/config", JSON.stringify(createOperatorConfig(3)));
-        for (const [index, engine] of engines.entries()) {
-            const address = `127.0.0.1:${await listen(engine.server, 0)}`;
-            store.put(`servers/${engineIds[index]}`, JSON.stringify({ service: "s", address, zone: "a", slots: 8, state: "ready", models: [], seq: 1 }));
-        }
+        const register = async (id: string, service: string, server: Server): Promise<void> => {
+            const address = `127.0.0.1:${await listen(server, 0)}`;
+            store.put(`servers/${id}`, JSON.stringify({ service, address, zone: "a", slots: 8, state: "ready", models: [], seq: 1 }));
+        };
+        await Promise.all(engines.map((engine, index) => register(engineIds[index] ?? "", "s", engine.server)));
+        await register("e3", "other", namelessEngine.server);
         gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
         script = runWith(writeOwnAnswer);
         await waitFor("the gateway forwards to its targets", async () => (await sendRequest("/unsafe/x")).status === 200);
@@ -99,7 +104,7 @@
 
     after(() => {
         gateway.stop();
-        engines.forEach(engine => engine.close());
+        [...engines, namelessEngine].forEach(engine => engine.close());
         store.close();
     });
 
@@ -159,8 +164,10 @@
         expect([...runs].sort()).to.deep.equal(answers.map(each => each.id).sort());
     });
 
-    it("passes on the answers of targets that name no request in any of them", async () => {
-        const outcome = await sendSeries("/unsafe/x", () => writeAnswer(200, [], ["X-Response-Stamp: s"], "whole"));
-        expect(outcome).to.deep.equal({ statuses: [200], falseRefusals: 0, repeatedRuns: 0, otherBodies: 0 });
+    it("passes on the answers of a target that names no request in any of them", async () => {
+        await waitFor("the target is known", async () => (await sendRequest("/other/x")).status === 200);
+        for (let index = 0; index < 8; index += 1) {
+            expect(await sendRequest("/other/x")).to.deep.include({ status: 200, text: "whole" });
+        }
     }).timeout(20_000);
 });
--- a/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
@@ -4,6 +4,7 @@
 import { createConnectionPool } from "../createConnectionPool.js";
 
 interface Result {
+    foreignIds: (string | undefined)[];
     status: number | undefined;
     body: string;
     failure: { sent: boolean; malformed: boolean } | undefined;
@@ -21,7 +22,7 @@
         connectionCount = 0;
         sockets = [];
         passedMs = 0;
-        pool = createConnectionPool({ now: () => performance.now() + passedMs, countConnection: () => undefined });
+        pool = createConnectionPool({ now: () => performance.now() + passedMs, countConnection: () => undefined, readAnswerId: headers => headers["x-id"] });
         server = createServer(socket => {
             connectionCount += 1;
             sockets.push(socket);
@@ -37,10 +38,13 @@
         server.close();
     });
 
-    const sendRequest = (address?: string, body = Buffer.from("x")): Promise<Result> =>
+    const sendRequest = (address?: string, body = Buffer.from("x"), requestId?: string): Promise<Result> =>
         new Promise(resolve => {
-            const result: Result = { status: undefined, body: "", failure: undefined };
-            pool.send(address ?? `127.0.0.1:${(server.address() as AddressInfo).port}`, { method: "POST", path: "/", headers: ["Host", "h"], body }, {
+            const result: Result = { foreignIds: [], status: undefined, body: "", failure: undefined };
+            pool.send(address ?? `127.0.0.1:${(server.address() as AddressInfo).port}`, { method: "POST", path: "/", headers: ["Host", "h"], body, requestId }, {
+                onForeignAnswer: (_status, answerId) => {
+                    result.foreignIds.push(answerId);
+                },
                 onHead: status => {
                     result.status = status;
                 },
@@ -123,8 +127,8 @@
         });
         const unexpected = (): never => expect.fail("an aborted request reported something");
         const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-        const handlers = { onHead: unexpected, onChunk: unexpected, onEnd: unexpected, onFailure: unexpected };
-        const request = pool.send(address, { method: "GET", path: "/", headers: ["Host", "h"], body: undefined }, handlers);
+        const handlers = { onForeignAnswer: unexpected, onHead: unexpected, onChunk: unexpected, onEnd: unexpected, onFailure: unexpected };
+        const request = pool.send(address, { method: "GET", path: "/", headers: ["Host", "h"], body: undefined, requestId: undefined }, handlers);
         await received;
         request.abort();
         await closed;
@@ -136,7 +140,8 @@
         let received = 0;
         let pauses = 0;
         await new Promise<void>((resolve, reject) => {
-            const request = pool.send(`127.0.0.1:${(server.address() as AddressInfo).port}`, { method: "GET", path: "/", headers: ["Host", "h"], body: undefined }, {
+            const request = pool.send(`127.0.0.1:${(server.address() as AddressInfo).port}`, { method: "GET", path: "/", headers: ["Host", "h"], body: undefined, requestId: undefined }, {
+                onForeignAnswer: () => undefined,
                 onHead: () => undefined,
                 onChunk: chunk => {
                     received += chunk.length;
@@ -157,4 +162,64 @@
         server.close();
         expect((await sendRequest(`127.0.0.1:${port}`)).failure).to.deep.include({ sent: false });
     });
+
+    describe("with ids", () => {
+        const write = (id: string | undefined, body: string): string =>
+            `HTTP/1.1 200 OK\r\n${id === undefined ? "" : `X-Id: ${id}\r\n`}Content-Length: ${body.length}\r\n\r\n${body}`;
+        const send = (id: string): Promise<Result> => sendRequest(undefined, undefined, id);
+
+        it("drops late answers to earlier requests, however they are split, and waits for the own one", async () => {
+            respond = socket => socket.write(write("1", "one"));
+            await send("1");
+            respond = async socket => {
+                for (const byte of write("1", "late") + write("1", "later")) {
+                    socket.write(byte);
+                    await new Promise(resolve => setImmediate(resolve));
+                }
+                // The own answer may take longer than answers that name no request of this connection are given.
+                setTimeout(() => socket.write(write("2", "two")), 1_100);
+            };
+            expect(await send("2")).to.deep.equal({ foreignIds: ["1", "1"], status: 200, body: "two", failure: undefined });
+            respond = socket => socket.write(write("3", "three"));
+            expect(await send("3")).to.deep.include({ foreignIds: [], body: "three" });
+            expect(connectionCount).to.equal(2);
+        }).timeout(5_000);
+
+        it("takes an answer without an id only for that to the first request of a connection, which then carries no other", async () => {
+            respond = socket => socket.write(write(undefined, "one"));
+            expect(await send("1")).to.deep.include({ foreignIds: [], body: "one" });
+            respond = socket => socket.write(write("2", "two"));
+            await send("2");
+            expect(connectionCount).to.equal(2);
+            respond = socket => socket.write(write(undefined, "other") + write("3", "three"));
+            expect(await send("3")).to.deep.include({ foreignIds: [undefined], body: "three" });
+            expect(connectionCount).to.equal(2);
+        });
+
+        it("reports a failure if only an answer to another request arrives, or if answers to others have no end", async () => {
+            respond = socket => socket.write(write("another", "x"));
+            expect(await send("1")).to.deep.include({ foreignIds: ["another"], failure: { sent: true, malformed: true } });
+            respond = socket => socket.write(write("another", "x").repeat(100));
+            expect(await send("2")).to.deep.include({ failure: { sent: true, malformed: true } });
+            const sendEndless = (socket: Socket): void => void socket.write("y".repeat(65_536), () => !socket.destroyed && sendEndless(socket));
+            respond = socket => {
+                socket.write("HTTP/1.1 200 OK\r\nX-Id: another\r\nContent-Length: 9000000000\r\n\r\n");
+                sendEndless(socket);
+            };
+            expect(await send("3")).to.deep.include({ foreignIds: ["another"], failure: { sent: true, malformed: true } });
+        }).timeout(5_000);
+
+        it("doesn't take the end of a connection inside an answer to another request for the end of the own one", async () => {
+            respond = socket => socket.end("HTTP/1.1 200 OK\r\nX-Id: another\r\n\r\nwhole");
+            expect((await send("1")).failure).to.deep.include({ sent: true });
+        });
+
+        it("sends a request without an id on a connection of its own", async () => {
+            respond = socket => socket.write(write("1", "one"));
+            await send("1");
+            respond = socket => socket.write(write(undefined, "none"));
+            expect(await send("")).to.deep.include({ body: "none" });
+            expect(connectionCount).to.equal(2);
+        });
+    });
 });
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -11,6 +11,8 @@
 interface PoolOptions {
     now: () => number;
     countConnection: () => void;
+    /** Returns the id of the request that an answer names. */
+    readAnswerId: (headers: Record<string, string>) => string | undefined;
 }
 
 /** Longest idle time in ms of a connection, shorter than targets and middleboxes keep one. A target may state a shorter time. */
@@ -26,7 +28,7 @@
  * Creates the pool of connections to targets. Each connection carries one request at a time, so that an incomplete
  * response, or bytes after a response, affect only that connection.
  */
-export const createConnectionPool = ({ now, countConnection }: PoolOptions) => {
+export const createConnectionPool = ({ now, countConnection, readAnswerId }: PoolOptions) => {
     const idleByAddress = new Map<string, IdleConnection[]>();
 
     const discard = (address: string, connection: IdleConnection["connection"]): void => {
@@ -54,6 +56,7 @@
         const connection = createTargetConnection({
             address,
             now,
+            readAnswerId,
             onOpen: countConnection,
             onFree: idleMs => release(address, connection, idleMs),
             onClose: () => discard(address, connection),
@@ -62,7 +65,11 @@
     };
 
     /** Returns the idle connection that was used last, or a new one. */
-    const acquire = (address: string): IdleConnection["connection"] => {
+    const acquire = (address: string, { requestId }: TargetRequestMessage): IdleConnection["connection"] => {
+        if (requestId === "") {
+            // Only the first answer of a connection can be told to be that of a request without an id.
+            return open(address);
+        }
         const idle = idleByAddress.get(address);
         for (let latest = idle?.pop(); latest !== undefined; latest = idle?.pop()) {
             if (!latest.connection.isClosed() && now() < latest.untilMs) {
@@ -85,7 +92,7 @@
 
     return {
         send: (address: string, message: TargetRequestMessage, handlers: PooledResponseHandlers): PooledRequest => {
-            const connection = acquire(address);
+            const connection = acquire(address, message);
             let ended = false;
             connection.send(message, {
                 ...handlers,
--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -1,12 +1,15 @@
 import { createConnection } from "node:net";
 import type { PooledResponseHandlers } from "./pooledResponseHandlers.js";
 import type { TargetRequestMessage } from "./targetRequestMessage.js";
-import { createResponseParser } from "./createResponseParser.js";
+import type { ConnectionHistory } from "./connectionHistory.js";
+import { createAnswerReader } from "./createAnswerReader.js";
 import { keepAliveMs } from "./keepAliveMs.js";
 
 interface ConnectionOptions {
     address: string;
     now: () => number;
+    /** Returns the id of the request that an answer names. */
+    readAnswerId: (headers: Record<string, string>) => string | undefined;
     /** Called when the connection is open. */
     onOpen: () => void;
     /** Called once when the connection is free for another request. It may then be idle for `idleMs` at most. */
@@ -17,20 +20,27 @@
 
 interface Exchange {
     handlers: PooledResponseHandlers;
-    parser: ReturnType<typeof createResponseParser>;
+    reader: ReturnType<typeof createAnswerReader>;
     /** Whether any byte of the request may have reached the target. */
     sent: boolean;
     /** Whether the connection may carry another request after the response, and for how long it may be idle before. */
     reusable: boolean;
     idleMs: number;
+    hasOwnHead: boolean;
 }
 
 /** Longest time in ms until a connection is open. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
+/**
+ * Longest time in ms to wait for the answer after one that names no request of this connection. A target that confuses its
+ * requests may send no other.
+ */
+const CONFUSED_TARGET_TIMEOUT_MS = 1_000;
+/** Ids of the latest requests of a connection that are remembered. */
+const MAX_CARRIED_IDS = 64;
 const READ_BUFFER_BYTES = 65_536;
 const CLOSE_OPTION = /(?:^|[\s,])close(?:$|[\s,])/i;
-const NO_BODY_METHOD = "HEAD";
 
 /** All connections read into the same memory: their handlers are done with the bytes, or have copied them, when they return. */
 const readBuffer = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
@@ -50,13 +60,14 @@
  * Creates one connection to a target, which carries one request at a time. It reads without the machinery of streams: a stream
  * of events costs the processor time of its reads, and most of that was spent there.
  */
-export const createTargetConnection = ({ address, now, onOpen, onFree, onClose }: ConnectionOptions) => {
+export const createTargetConnection = ({ address, now, readAnswerId, onOpen, onFree, onClose }: ConnectionOptions) => {
     const [host, port] = address.split(":");
     let exchange: Exchange | undefined;
     let request: Buffer | undefined;
     let isOpen = false;
     let openedAtMs = now();
     let carriedRequests = 0;
+    const carriedIds = new Set<string>();
     let isClosed = false;
     /** Whether the handler of the present read has asked for more. */
     let mayRead = true;
@@ -105,6 +116,28 @@
         completed.handlers.onEnd();
     };
 
+    const history = (): ConnectionHistory => ({ ageMs: now() - openedAtMs, carriedRequests });
+
+    const handleForeignAnswer = (current: Exchange, status: number, answerId: string | undefined): void => {
+        current.handlers.onForeignAnswer(status, answerId, history());
+        if (answerId !== undefined && carriedIds.has(answerId)) {
+            return;
+        }
+        setTimeout(() => {
+            if (exchange === current && !current.hasOwnHead) {
+                fail("only answers to other requests arrived", true);
+            }
+        }, CONFUSED_TARGET_TIMEOUT_MS).unref();
+    };
+
+    const rememberId = (id: string): void => {
+        carriedIds.add(id);
+        const [oldest] = carriedIds;
+        if (carriedIds.size > MAX_CARRIED_IDS && oldest !== undefined) {
+            carriedIds.delete(oldest);
+        }
+    };
+
     const handleRead = (bytesRead: number): boolean => {
         if (exchange === undefined) {
             // Bytes that belong to no request spoil the connection.
@@ -113,7 +146,7 @@
         }
         mayRead = true;
         try {
-            exchange.parser.push(readBuffer.subarray(0, bytesRead));
+            exchange.reader.push(readBuffer.subarray(0, bytesRead));
         }
         catch (err) {
             fail((err as Error).message, true);
@@ -134,7 +167,7 @@
             close();
             return;
         }
-        if (!exchange.parser.isCloseDelimited()) {
+        if (!exchange.reader.isCloseDelimited()) {
             fail("the connection ended inside the answer");
             return;
         }
@@ -164,21 +197,30 @@
                 sent: false,
                 reusable: false,
                 idleMs: 0,
-                parser: createResponseParser({
+                hasOwnHead: false,
+                reader: createAnswerReader({
+                    message,
+                    history,
+                    readAnswerId,
+                    onForeignAnswer: (status, answerId) => handleForeignAnswer(current, status, answerId),
                     onHead: (status, headers) => {
+                        current.hasOwnHead = true;
                         current.reusable = !CLOSE_OPTION.test(headers.connection ?? "");
                         current.idleMs = keepAliveMs(headers["keep-alive"]);
-                        handlers.onHead(status, headers, { ageMs: now() - openedAtMs, carriedRequests });
+                        handlers.onHead(status, headers, history());
                     },
                     onBody: bytes => {
                         if (exchange === current) {
                             mayRead = handlers.onChunk(bytes) && mayRead;
                         }
                     },
-                    onComplete: surplus => complete(current, current.reusable && surplus === 0),
-                }, message.method !== NO_BODY_METHOD),
+                    onComplete: surplus => complete(current, current.reusable && surplus === 0 && !current.reader.mayConfuseNextRequest()),
+                }),
             };
             exchange = current;
+            if (message.requestId !== undefined) {
+                rememberId(message.requestId);
+            }
             request = encodeRequest(message);
             if (isOpen) {
                 writeRequest();
--- a/packages/medlarlb-targets/src/createTextRequest.ts
+++ b/packages/medlarlb-targets/src/createTextRequest.ts
@@ -23,8 +23,10 @@
             path,
             headers: ["host", address, ...headers],
             body: body === undefined ? undefined : Buffer.from(body, "utf8"),
+            requestId: undefined,
         };
         const exchange = pool.send(address, message, {
+            onForeignAnswer: () => undefined,
             onHead: (head, answerHeaders) => {
                 status = head;
                 received = answerHeaders;
--- a/packages/medlarlb-targets/src/targetRequestMessage.ts
+++ b/packages/medlarlb-targets/src/targetRequestMessage.ts
@@ -5,4 +5,6 @@
     /** Names and values in turn. */
     headers: string[];
     body: Buffer | undefined;
+    /** Id that the answer has to name, empty if the request bears none; undefined if its target names none in its answers. */
+    requestId: string | undefined;
 }
