Give an idle connection to one request only

Callers would see: a request that gets no answer until its deadline while another takes its place on the connection, and, before answers were compared by id, its answer as that of the other.

Cause: closing an expired idle connection replaced the list of the target's idle connections while it was being emptied. The connection taken next stayed in the new list, and the next request got it, too. It takes two idle connections to a target of which the later has the shorter idle time.

Ruled out: closed connections; they leave the list by themselves.

Change: connections leave the list in place.

Before: the new test opened 2 connections for 2 answered requests and 2 further ones at the same time, one of which got no answer. After: 3, both answered.

Conclusion: of the same class as the late answers (an answer is taken for that of whoever waits); whether it acted in the users' record is open.

--- a/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
@@ -108,6 +108,24 @@
         }
     });
 
+    it("gives no connection to two requests at once when one with a shorter idle time has expired", async () => {
+        const answers: (() => void)[] = [];
+        respond = socket => void answers.push(() => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+        const first = sendRequest();
+        const second = sendRequest();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        answers[0]?.();
+        await first;
+        sockets[1]?.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok");
+        await second;
+        passedMs += 600;
+        const sent = [sendRequest(), sendRequest()];
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(connectionCount).to.equal(3);
+        answers.slice(2).forEach(answer => answer());
+        expect((await Promise.all(sent)).map(each => each.body)).to.deep.equal(["ok", "ok"]);
+    });
+
     it("doesn't use a connection again whose target answered before it had read the whole request", async function () {
         this.timeout(5_000);
         respond = socket => {
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -32,12 +32,14 @@
     const idleByAddress = new Map<string, IdleConnection[]>();
 
     const discard = (address: string, connection: IdleConnection["connection"]): void => {
-        const remaining = (idleByAddress.get(address) ?? []).filter(each => each.connection !== connection);
-        if (remaining.length === 0) {
-            idleByAddress.delete(address);
+        const idle = idleByAddress.get(address) ?? [];
+        const position = idle.findIndex(each => each.connection === connection);
+        if (position >= 0) {
+            // In place, because `acquire` may be going through the list.
+            idle.splice(position, 1);
         }
-        else {
-            idleByAddress.set(address, remaining);
+        if (idle.length === 0) {
+            idleByAddress.delete(address);
         }
     };
 
