Send a request on no connection again on which an attempt of it has failed

Callers saw: as before, a request refused though it ran, or run twice.

Cause: a request that its target refused is sent again after 30 ms, often on the same connection and always with the same id. A late copy of the refusal then names the very request that waits.

Ruled out: comparing ids alone; both attempts have the same one.

Change: a connection remembers the requests whose answers were failures, carries no other attempt of them, and is closed after 64 of them.

Conclusion: an answer is proved by its id and its connection together.

--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -66,20 +66,17 @@
         return connection;
     };
 
-    /** Returns the idle connection that was used last, or a new one. */
+    /** Returns the idle connection that was used last and on which no attempt of the request has failed, or a new one. */
     const acquire = (address: string, { requestId }: TargetRequestMessage): IdleConnection["connection"] => {
         if (requestId === "") {
             // Only the first answer of a connection can be told to be that of a request without an id.
             return open(address);
         }
-        const idle = idleByAddress.get(address);
-        for (let latest = idle?.pop(); latest !== undefined; latest = idle?.pop()) {
-            if (!latest.connection.isClosed() && now() < latest.untilMs) {
-                return latest.connection;
-            }
-            latest.connection.close();
-        }
-        return open(address);
+        const idle = idleByAddress.get(address) ?? [];
+        idle.filter(each => now() >= each.untilMs).forEach(each => each.connection.close());
+        const position = idle.findLastIndex(each => !each.connection.hasFailed(requestId));
+        const [latest] = position < 0 ? [] : idle.splice(position, 1);
+        return latest?.connection ?? open(address);
     };
 
     const closeExpired = (): void => {
--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -37,8 +37,10 @@
  * requests may send no other.
  */
 const CONFUSED_TARGET_TIMEOUT_MS = 1_000;
-/** Ids of the latest requests of a connection that are remembered. */
+/** Ids of the latest requests of a connection that are remembered, and of its failed requests, after which it is closed. */
 const MAX_CARRIED_IDS = 64;
+const MAX_FAILED_IDS = 64;
+const MIN_FAILURE_STATUS = 400;
 const READ_BUFFER_BYTES = 65_536;
 const CLOSE_OPTION = /(?:^|[\s,])close(?:$|[\s,])/i;
 
@@ -68,6 +70,8 @@
     let openedAtMs = now();
     let carriedRequests = 0;
     const carriedIds = new Set<string>();
+    /** Ids of requests that may come again because the target refused them or failed. */
+    const failedIds = new Set<string>();
     let isClosed = false;
     /** Whether the handler of the present read has asked for more. */
     let mayRead = true;
@@ -205,7 +209,10 @@
                     onForeignAnswer: (status, answerId) => handleForeignAnswer(current, status, answerId),
                     onHead: (status, headers) => {
                         current.hasOwnHead = true;
-                        current.reusable = !CLOSE_OPTION.test(headers.connection ?? "");
+                        if (status >= MIN_FAILURE_STATUS && message.requestId !== undefined) {
+                            failedIds.add(message.requestId);
+                        }
+                        current.reusable = failedIds.size < MAX_FAILED_IDS && !CLOSE_OPTION.test(headers.connection ?? "");
                         current.idleMs = keepAliveMs(headers["keep-alive"]);
                         handlers.onHead(status, headers, history());
                     },
@@ -226,7 +233,8 @@
                 writeRequest();
             }
         },
-        isClosed: (): boolean => isClosed,
+        /** Whether a late copy of an answer could be taken for that to another attempt of the request. */
+        hasFailed: (requestId: string | undefined): boolean => requestId !== undefined && failedIds.has(requestId),
         resume: (): void => void socket.resume(),
         /** Closes the connection. The request on it gets no further callback. */
         close: (): void => {
