Don't pass on a status that says "not run" unless the target says so itself

Callers saw: 408, 429 or 503 for requests that had run (REFUSED).

Cause: these statuses of a target were passed on as they came. Callers read them as a promise, while a target makes it only by a header of its own.

Ruled out: turning them into a retry; whether the request has run is not known.

Change: on routes that aren't safe such an answer counts as a failure that may have run, which gives 502. Safe requests may run again, so that their answers are passed on unchanged as before.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -43,6 +43,8 @@
 /** Length up to which an answer is buffered whole before the caller receives any of it, so that a failed attempt can be retried. */
 const MAX_BUFFERED_BYTES = 262_144;
 const MISDIRECTED_REQUEST_STATUS = 421;
+/** Statuses by which a caller is told that its request has not run and won't. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Shortest time in ms between two reports that a target is sending. */
 const CONTACT_INTERVAL_MS = 100;
@@ -208,6 +210,10 @@
             }
             return "drop";
         }
+        if (NOT_RUN_STATUSES.has(status) && metadata.route.kind !== "safe") {
+            failAndClose("error", `the target answered ${status} and didn't say that it hasn't run the request`);
+            return "drop";
+        }
         const success = status >= 200 && status < 300;
         if (answerHeaders.encoded || (success && !answerHeaders.stamped)) {
             failAndClose("garbled", "the answer is encoded or lacks the target's signature");
