Break each guard on whose answer an answer is, and see a test fail

The test's endless answer names an earlier request now. One more test: a refusal that names no request, as the first answer of a connection.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -1,6 +1,7 @@
 // Mutation tests: breaks one guard in the source at a time and runs the test file that has to fail. Exits with 1 if one passes.
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
+import { answerMutations } from "./answerMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
 
 const DECISIONS = "packages/medlarlb-decisions/src";
@@ -229,11 +230,15 @@
         check: ATTEMPTS_TEST,
     },
     ...observationMutations,
+    ...answerMutations,
 ];
 
 const only = process.argv[2];
 let problems = 0;
-for (const { invariant, file, from, to, check } of mutations.filter(each => only === undefined || each.invariant.includes(only))) {
+/** Tests that start processes run what is built. */
+const buildAll = () => spawnSync("npx", ["tsc", "-b"]);
+
+for (const { invariant, file, from, to, check, build = false } of mutations.filter(each => only === undefined || each.invariant.includes(only))) {
     const source = readFileSync(file, "utf8");
     if (!source.includes(from)) {
         console.log(`outdated   ${invariant}: ${file} doesn't contain the text of the guard`);
@@ -242,6 +247,9 @@
     }
     writeFileSync(file, source.replace(from, to));
     try {
+        if (build) {
+            buildAll();
+        }
         const run = spawnSync("npx", ["mocha", check], {
             encoding: "utf8",
             env: { MEDLARLB_HISTORIES: "250", ...process.env },
@@ -253,6 +261,9 @@
     }
     finally {
         writeFileSync(file, source);
+        if (build) {
+            buildAll();
+        }
     }
 }
 process.exitCode = problems === 0 ? 0 : 1;
--- a/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
@@ -148,6 +148,17 @@
         }
     }).timeout(60_000);
 
+    it("doesn't believe a refusal that names no request, on a new connection neither", async () => {
+        script = runWith(() => writeAnswer(503, [], ["X-Not-Run: 1"]));
+        runs.length = 0;
+        const answers = [];
+        for (let index = 0; index < 4; index += 1) {
+            answers.push(await sendRequest("/unsafe/x"));
+        }
+        expect(answers.map(each => each.status)).to.deep.equal([502, 502, 502, 502]);
+        expect(runs).to.deep.equal(answers.map(each => each.id));
+    }).timeout(20_000);
+
     it("sends a request to another target after a refusal that names it", async () => {
         const refusing = new Set(["e1"]);
         script = (req, socket) => {
--- a/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
@@ -219,12 +219,14 @@
             expect(await send("1")).to.deep.include({ foreignIds: ["another"], failure: { sent: true, malformed: true } });
             respond = socket => socket.write(write("another", "x").repeat(100));
             expect(await send("2")).to.deep.include({ failure: { sent: true, malformed: true } });
+            respond = socket => socket.write(write("3", "three"));
+            await send("3");
             const sendEndless = (socket: Socket): void => void socket.write("y".repeat(65_536), () => !socket.destroyed && sendEndless(socket));
             respond = socket => {
-                socket.write("HTTP/1.1 200 OK\r\nX-Id: another\r\nContent-Length: 9000000000\r\n\r\n");
+                socket.write("HTTP/1.1 200 OK\r\nX-Id: 3\r\nContent-Length: 9000000000\r\n\r\n");
                 sendEndless(socket);
             };
-            expect(await send("3")).to.deep.include({ foreignIds: ["another"], failure: { sent: true, malformed: true } });
+            expect(await send("4")).to.deep.include({ foreignIds: ["3"], failure: { sent: true, malformed: true } });
         }).timeout(5_000);
 
         it("doesn't take the end of a connection inside an answer to another request for the end of the own one", async () => {
