--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -238,7 +238,8 @@
 /** Tests that start processes run what is built. */
 const buildAll = () => spawnSync("npx", ["tsc", "-b"]);
 
-for (const { invariant, file, from, to, check, build = false } of mutations.filter(each => only === undefined || each.invariant.includes(only))) {
+const selected = mutations.filter(each => only === undefined || each.invariant.includes(only));
+for (const { invariant, file, from, to, check, build = false } of selected) {
     const source = readFileSync(file, "utf8");
     if (!source.includes(from)) {
         console.log(`outdated   ${invariant}: ${file} doesn't contain the text of the guard`);
