Reject bytes that can't begin a status line when they arrive

Callers saw nothing until their deadline if a target wrote a few bytes that are no response and then paused, and 64 KiB of white space or line feeds were read before they counted as malformed.

Cause: the parser looked at the status line only once it had the end of the whole header section.

Change: the first 13 bytes have to fit a status line as far as they go. A status below 100 is no status.

--- a/packages/medlarlb-targets/src/createResponseParser.ts
+++ b/packages/medlarlb-targets/src/createResponseParser.ts
@@ -12,7 +12,10 @@
 /** Longest header section, and longest line inside a chunked body, in bytes. */
 const MAX_HEAD_BYTES = 65_536;
 const MAX_LINE_BYTES = 4_096;
-const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})(?: [^\r\n]*)?$/;
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d{2})(?: [^\r\n]*)?$/;
+const STATUS_LINE_START = /^HTTP\/1\.[01] [1-9]\d{2}[ \r]/;
+const SAMPLE_STATUS_LINE_START = "HTTP/1.1 200 ";
+const NO_STATUS_LINE = "the first line isn't the status line of an HTTP/1.1 response";
 const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*$/;
 const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]*)?$/;
 const DECIMAL = /^\d{1,15}$/;
@@ -38,6 +41,12 @@
     return headers;
 };
 
+/** Returns whether bytes may be the beginning of a status line. */
+const mayBeginStatusLine = (bytes: Buffer): boolean => {
+    const start = bytes.toString("latin1", 0, SAMPLE_STATUS_LINE_START.length);
+    return STATUS_LINE_START.test(start + SAMPLE_STATUS_LINE_START.slice(start.length));
+};
+
 /**
  * Creates the parser of one HTTP/1.1 response. `push` takes bytes as they arrive and throws if they aren't a response. `end`
  * returns whether a response is complete when its connection ends. Interim responses (1xx) are skipped.
@@ -93,13 +102,16 @@
 
     const readHead = (bytes: Buffer): Buffer => {
         const taken = takeUntil(bytes, HEAD_END, MAX_HEAD_BYTES);
+        if (pending !== undefined && !mayBeginStatusLine(pending)) {
+            throw new Error(NO_STATUS_LINE);
+        }
         if (taken === undefined) {
             return bytes.subarray(bytes.length);
         }
         const [statusLine = "", ...lines] = taken.text.split("\r\n");
         const status = Number(STATUS_LINE.exec(statusLine)?.[1]);
         if (Number.isNaN(status)) {
-            throw new Error("the first line isn't the status line of an HTTP/1.1 response");
+            throw new Error(NO_STATUS_LINE);
         }
         if (status >= MIN_FINAL_STATUS) {
             const headers = parseHeaders(lines);
