Bound the interim responses before a response

Callers waited until their deadline (504) if a target sent interim responses (1xx) without end.

Cause: each interim header section was read within its own bound, and nothing bounded their sum or number.

Ruled out: refusing interim responses altogether; a target may send some, and a test keeps eight of them accepted.

Change: a header section has 64 KiB together with those of the interim responses before it, and 100 of these may come.

Before (npx mocha packages/medlarlb-targets/src/__tests__/endlessResponses.test.ts): 2 of 13 failed: "rejects interim responses without end ...", "... with headers ...": "expected undefined to be a number" (2 MiB read without a fault) After: 13 of 13 passed.

--- a/packages/medlarlb-targets/src/__tests__/endlessResponses.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/endlessResponses.test.ts
@@ -41,6 +41,8 @@
     "line feeds before the status line": { part: "\n", maxBytes: KIB },
     "bytes other than a status line": { part: "?", maxBytes: KIB },
     "a status line": { start: "HTTP/1.1 200 ", part: "a", maxBytes: 64 * KIB },
+    "interim responses": { part: "HTTP/1.1 100 Continue\r\n\r\n", maxBytes: 4 * KIB },
+    "interim responses with headers": { part: `HTTP/1.1 103 Early Hints\r\nX-A: ${"a".repeat(KIB)}\r\n\r\n`, maxBytes: 64 * KIB },
     "the line of a chunk size": { start: CHUNKED_HEAD, part: "0", maxBytes: 4 * KIB },
     "the line of a chunk extension": { start: `${CHUNKED_HEAD}1;a=`, part: "a", maxBytes: 4 * KIB },
 };
@@ -53,6 +55,11 @@
         });
     }
 
+    it("accepts a final response after some interim ones", () => {
+        const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(8);
+        expect(countReadBytes({ start: `${interim}${CHUNKED_HEAD}`, part: "4\r\nbody\r\n", maxBytes: 0 })).to.equal(undefined);
+    });
+
     it("rejects bytes that can't begin a status line as soon as they arrive", () => {
         for (const bytes of ["?", "\r\n", " HTTP/1.1", "HTTP/2", "HTTP/1.1 2x", "HTTP/1.1 99 ", "HTTP/1.1 099 ", "HTTP/1.1 200OK"]) {
             expect(countReadBytes({ start: bytes, part: " ", maxBytes: 0 }), bytes).to.equal(bytes.length);
--- a/packages/medlarlb-targets/src/createResponseParser.ts
+++ b/packages/medlarlb-targets/src/createResponseParser.ts
@@ -9,12 +9,16 @@
 /** Where the parser is inside a response. */
 type State = "head" | "length" | "chunkSize" | "chunk" | "chunkEnd" | "trailer" | "untilClose" | "complete";
 
-/** Longest header section, and longest line inside a chunked body, in bytes. */
+/** Longest header section in bytes, together with those of the interim responses before it, and largest number of these. */
 const MAX_HEAD_BYTES = 65_536;
+const MAX_INTERIM_RESPONSE_COUNT = 100;
+/** Longest line inside a chunked body, in bytes. */
 const MAX_LINE_BYTES = 4_096;
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d{2})(?: [^\r\n]*)?$/;
 const STATUS_LINE_START = /^HTTP\/1\.[01] [1-9]\d{2}[ \r]/;
 const SAMPLE_STATUS_LINE_START = "HTTP/1.1 200 ";
+const TOO_LONG_HEAD = `the header section of the response is longer than ${MAX_HEAD_BYTES} bytes`;
+const TOO_LONG_LINE = `a line of the response is longer than ${MAX_LINE_BYTES} bytes`;
 const NO_STATUS_LINE = "the first line isn't the status line of an HTTP/1.1 response";
 const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*$/;
 const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]*)?$/;
@@ -55,6 +59,9 @@
     let state: State = "head";
     /** Bytes of an incomplete header section or line, which are waiting for the rest. */
     let pending: Buffer | undefined;
+    /** Bytes that the header section may still have, after interim responses. */
+    let remainingHeadBytes = MAX_HEAD_BYTES;
+    let interimResponseCount = 0;
     /** Bytes that are left of the body or of the present chunk. */
     let remaining = 0;
 
@@ -86,11 +93,11 @@
     };
 
     /** Joins bytes that were kept with new ones, and keeps them again if `end` doesn't occur in them. */
-    const takeUntil = (bytes: Buffer, end: Buffer, maxBytes: number): { text: string; rest: Buffer } | undefined => {
+    const takeUntil = (bytes: Buffer, end: Buffer, maxBytes: number, tooLong: string): { text: string; rest: Buffer } | undefined => {
         const joined = pending === undefined ? bytes : Buffer.concat([pending, bytes]);
         const position = joined.indexOf(end);
         if (position > maxBytes || (position < 0 && joined.length > maxBytes)) {
-            throw new Error(`a header section or line of the response is longer than ${maxBytes} bytes`);
+            throw new Error(tooLong);
         }
         if (position < 0) {
             pending = Buffer.from(joined);
@@ -100,8 +107,16 @@
         return { text: joined.toString("latin1", 0, position), rest: joined.subarray(position + end.length) };
     };
 
+    const countInterimResponse = (headBytes: number): void => {
+        remainingHeadBytes -= headBytes;
+        interimResponseCount += 1;
+        if (interimResponseCount > MAX_INTERIM_RESPONSE_COUNT) {
+            throw new Error(`more than ${MAX_INTERIM_RESPONSE_COUNT} interim responses came before the response`);
+        }
+    };
+
     const readHead = (bytes: Buffer): Buffer => {
-        const taken = takeUntil(bytes, HEAD_END, MAX_HEAD_BYTES);
+        const taken = takeUntil(bytes, HEAD_END, remainingHeadBytes, TOO_LONG_HEAD);
         if (pending !== undefined && !mayBeginStatusLine(pending)) {
             throw new Error(NO_STATUS_LINE);
         }
@@ -118,11 +133,14 @@
             startBody(status, headers);
             handlers.onHead(status, headers);
         }
+        else {
+            countInterimResponse(taken.text.length + HEAD_END.length);
+        }
         return taken.rest;
     };
 
     const readChunkSize = (bytes: Buffer): Buffer => {
-        const taken = takeUntil(bytes, LINE_END, MAX_LINE_BYTES);
+        const taken = takeUntil(bytes, LINE_END, MAX_LINE_BYTES, TOO_LONG_LINE);
         if (taken === undefined) {
             return bytes.subarray(bytes.length);
         }
@@ -137,7 +155,7 @@
 
     /** Reads the line end after a chunk, or the lines after the last chunk, which end with an empty one. */
     const readLine = (bytes: Buffer): Buffer => {
-        const taken = takeUntil(bytes, LINE_END, MAX_LINE_BYTES);
+        const taken = takeUntil(bytes, LINE_END, MAX_LINE_BYTES, TOO_LONG_LINE);
         if (taken === undefined) {
             return bytes.subarray(bytes.length);
         }
