Bound chunk extensions and the lines after the last chunk

Callers waited until their deadline (504) if a target wrote trailer lines, or chunks of one byte with long extensions, without end.

Cause: each line was read within its own bound of 4 KiB, and nothing bounded their sum.

Ruled out: a fixed bound on the sum of extensions. It would break off a long honest stream whose chunks each have a short one, so that each byte of the body allows another byte of metadata.

Change: extensions and trailers may exceed the body by 16 KiB at most.

Before (npx mocha packages/medlarlb-targets/src/__tests__/endlessResponses.test.ts): 4 of 18 failed, lines after the last chunk (short and long), chunks with extensions, chunks with white space: "expected undefined to be a number" (2 MiB read without a fault) After: 18 of 18 passed, and the 18 tests of createResponseParser.

--- a/packages/medlarlb-targets/src/__tests__/endlessResponses.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/endlessResponses.test.ts
@@ -44,6 +44,10 @@
     "interim responses": { part: "HTTP/1.1 100 Continue\r\n\r\n", maxBytes: 4 * KIB },
     "interim responses with headers": { part: `HTTP/1.1 103 Early Hints\r\nX-A: ${"a".repeat(KIB)}\r\n\r\n`, maxBytes: 64 * KIB },
     "the line of a chunk size": { start: CHUNKED_HEAD, part: "0", maxBytes: 4 * KIB },
+    "lines after the last chunk": { start: `${CHUNKED_HEAD}0\r\n`, part: "X-A: 1\r\n", maxBytes: 16 * KIB },
+    "long lines after the last chunk": { start: `${CHUNKED_HEAD}0\r\n`, part: `X-A: ${"a".repeat(2 * KIB)}\r\n`, maxBytes: 16 * KIB },
+    "chunks with extensions": { start: CHUNKED_HEAD, part: `1;a=${"a".repeat(100)}\r\nb\r\n`, maxBytes: 18 * KIB },
+    "chunks with white space": { start: CHUNKED_HEAD, part: `1${" ".repeat(KIB)}\r\nb\r\n`, maxBytes: 18 * KIB },
     "the line of a chunk extension": { start: `${CHUNKED_HEAD}1;a=`, part: "a", maxBytes: 4 * KIB },
 };
 
@@ -60,6 +64,11 @@
         expect(countReadBytes({ start: `${interim}${CHUNKED_HEAD}`, part: "4\r\nbody\r\n", maxBytes: 0 })).to.equal(undefined);
     });
 
+    it("accepts chunks of one byte, and chunks with extensions that are shorter than they", () => {
+        expect(countReadBytes({ start: CHUNKED_HEAD, part: "1\r\nb\r\n", maxBytes: 0 })).to.equal(undefined);
+        expect(countReadBytes({ start: CHUNKED_HEAD, part: "8;a=1234\r\n12345678\r\n", maxBytes: 0 })).to.equal(undefined);
+    });
+
     it("rejects bytes that can't begin a status line as soon as they arrive", () => {
         for (const bytes of ["?", "\r\n", " HTTP/1.1", "HTTP/2", "HTTP/1.1 2x", "HTTP/1.1 99 ", "HTTP/1.1 099 ", "HTTP/1.1 200OK"]) {
             expect(countReadBytes({ start: bytes, part: " ", maxBytes: 0 }), bytes).to.equal(bytes.length);
--- a/packages/medlarlb-targets/src/createResponseParser.ts
+++ b/packages/medlarlb-targets/src/createResponseParser.ts
@@ -14,6 +14,8 @@
 const MAX_INTERIM_RESPONSE_COUNT = 100;
 /** Longest line inside a chunked body, in bytes. */
 const MAX_LINE_BYTES = 4_096;
+/** Number of bytes by which the chunk extensions of a response, and the lines after its last chunk, may exceed its body. */
+const MAX_CHUNK_METADATA_EXCESS_BYTES = 16_384;
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d{2})(?: [^\r\n]*)?$/;
 const STATUS_LINE_START = /^HTTP\/1\.[01] [1-9]\d{2}[ \r]/;
 const SAMPLE_STATUS_LINE_START = "HTTP/1.1 200 ";
@@ -21,7 +23,7 @@
 const TOO_LONG_LINE = `a line of the response is longer than ${MAX_LINE_BYTES} bytes`;
 const NO_STATUS_LINE = "the first line isn't the status line of an HTTP/1.1 response";
 const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*$/;
-const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]*)?$/;
+const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})([ \t]*(?:;[^\r\n]*)?)$/;
 const DECIMAL = /^\d{1,15}$/;
 const HEX_RADIX = 16;
 const LINE_END = Buffer.from("\r\n");
@@ -62,6 +64,8 @@
     /** Bytes that the header section may still have, after interim responses. */
     let remainingHeadBytes = MAX_HEAD_BYTES;
     let interimResponseCount = 0;
+    /** Bytes that chunk extensions and trailers may still have. Each byte of the body allows another one. */
+    let remainingChunkMetadataBytes = MAX_CHUNK_METADATA_EXCESS_BYTES;
     /** Bytes that are left of the body or of the present chunk. */
     let remaining = 0;
 
@@ -139,15 +143,23 @@
         return taken.rest;
     };
 
+    const countChunkMetadata = (length: number): void => {
+        remainingChunkMetadataBytes -= length;
+        if (remainingChunkMetadataBytes < 0) {
+            throw new Error(`the chunk extensions and trailers exceed the response's body by more than ${MAX_CHUNK_METADATA_EXCESS_BYTES} bytes`);
+        }
+    };
+
     const readChunkSize = (bytes: Buffer): Buffer => {
         const taken = takeUntil(bytes, LINE_END, MAX_LINE_BYTES, TOO_LONG_LINE);
         if (taken === undefined) {
             return bytes.subarray(bytes.length);
         }
-        const size = CHUNK_SIZE_LINE.exec(taken.text)?.[1];
-        if (size === undefined) {
+        const [, size, extensions] = CHUNK_SIZE_LINE.exec(taken.text) ?? [];
+        if (size === undefined || extensions === undefined) {
             throw new Error("a chunk size of the response is malformed");
         }
+        countChunkMetadata(extensions.length);
         remaining = Number.parseInt(size, HEX_RADIX);
         state = remaining === 0 ? "trailer" : "chunk";
         return taken.rest;
@@ -168,12 +180,16 @@
         else if (taken.text === "") {
             state = "complete";
         }
+        else {
+            countChunkMetadata(taken.text.length + LINE_END.length);
+        }
         return taken.rest;
     };
 
     const readBody = (bytes: Buffer): Buffer => {
         const length = Math.min(remaining, bytes.length);
         remaining -= length;
+        remainingChunkMetadataBytes += length;
         handlers.onBody(length === bytes.length ? bytes : bytes.subarray(0, length));
         if (remaining === 0) {
             state = state === "chunk" ? "chunkEnd" : "complete";
