Collect an incomplete event without copying it with each part

All callers of an instance would have waited if a target sent an event that doesn't end in chunks of a few bytes.

Cause: the splitter joined what it had with each further part and copied the result, so that the longest event of 1 MiB cost hundreds of gigabytes of copies if it arrived byte by byte, on the thread that serves all requests.

Ruled out: a list of parts that are joined at the end. A buffer object of one byte takes a hundred times its memory.

Change: a collector whose memory doubles; only the new part is searched for a blank line.

--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -1,5 +1,8 @@
+import { createByteCollector } from "medlarlb-targets/createByteCollector";
+
 /** Longest event of a stream, in bytes. */
 const MAX_EVENT_BYTES = 1_048_576;
+const LINE_FEED = 10;
 const BLANK_LINE = Buffer.from("\n\n");
 const ID_FIELD = /^id: ?(.*)$/m;
 
@@ -15,23 +18,31 @@
  * event can resume after the last whole one.
  */
 export const createSseSplitter = () => {
-    let incomplete: Buffer | undefined;
+    const incomplete = createByteCollector(MAX_EVENT_BYTES, "an event of the stream");
+    let endsWithLineFeed = false;
+
+    /** Returns where in a part the last blank line ends, which may begin in the part before it; 0 if there is none. */
+    const findEnd = (part: Buffer): number => {
+        const position = part.lastIndexOf(BLANK_LINE);
+        if (position >= 0) {
+            return position + BLANK_LINE.length;
+        }
+        return endsWithLineFeed && part[0] === LINE_FEED ? 1 : 0;
+    };
+
     return {
         /** Returns the whole events that are known with a further part of the stream, as one block; undefined if there are none. */
         push: (part: Buffer): Buffer | undefined => {
-            const bytes = incomplete === undefined ? part : Buffer.concat([incomplete, part]);
-            const end = bytes.lastIndexOf(BLANK_LINE) + BLANK_LINE.length;
-            const hasEvents = end >= BLANK_LINE.length;
-            const rest = hasEvents ? bytes.subarray(end) : bytes;
-            if (rest.length > MAX_EVENT_BYTES) {
-                throw new Error(`an event of the stream is longer than ${MAX_EVENT_BYTES} bytes`);
-            }
-            // The caller may use the memory of a part again.
-            incomplete = rest.length === 0 ? undefined : Buffer.from(rest);
-            return hasEvents ? bytes.subarray(0, end) : undefined;
+            const end = findEnd(part);
+            const whole = part.subarray(0, end);
+            const block = incomplete.length() === 0 || end === 0 ? whole : Buffer.concat([incomplete.take(), whole]);
+            const rest = part.subarray(end);
+            incomplete.add(rest);
+            endsWithLineFeed = rest.at(-1) === LINE_FEED;
+            return end === 0 ? undefined : block;
         },
         /** Returns the number of bytes received after the last whole event. */
-        bufferedBytes: (): number => incomplete?.length ?? 0,
+        bufferedBytes: (): number => incomplete.length(),
         /** Splits a block into its events. */
         list: (block: Buffer): StreamEvent[] => {
             const events: StreamEvent[] = [];
