Bound the responses to orders, report requests and calls to the store

An engine or a store that wrote a body without end had it collected in memory until the time-out of the call (0.7 to 1.4 s), and the call counted as silent.

Cause: the client of small requests read each response whole.

Ruled out: one bound for all. A page of the store holds about 1 MB of values in base64 and may hold one of 1 MiB more, while the response to an order is a status; and a watch has no natural bound.

Change: each caller states the longest body that it reads: 8 MiB from the store, 1 MiB for a report, 64 KiB after an order. A stated length beyond it ends the call with the headers. A watch that exceeds it is followed by a listing, which comes in pages. The lease treats such a response as no response.

Without the change of the directory sync its new test failed: "expected [ 'list', 'watch 5', 'watch 5' ] to deeply equal [ 'list', 'watch 5', 'list' ]".

--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -9,6 +9,7 @@
 import type { StoreError } from "medlarlb-types/storeError";
 import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDirectorySync } from "../gateway/createDirectorySync.js";
+import { waitUntil } from "../shared/waitUntil.js";
 
 const watcher = brandAs<InstanceId>("a:1");
 const self = brandAs<InstanceId>("b:1");
@@ -29,6 +30,7 @@
         const relays: DirectoryRelay[] = [];
         let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
         let reachable = true;
+        let hasLongHistory = false;
         const revision = (): number => Math.max(...items.map(item => item.revision));
         const answer = <Value>(value: Value): Result<Value, StoreError> =>
             (reachable ? Result.ok<Value, StoreError>(value) : Result.err<Value, StoreError>({ kind: "unknown", message: "no answer" }));
@@ -39,6 +41,9 @@
             },
             watch: async (_prefix: string, after: number, waitMs: number) => {
                 calls.push(`watch ${after}`);
+                if (hasLongHistory) {
+                    return Result.err<never, StoreError>({ kind: "tooLong", message: "too many changes" });
+                }
                 const changed = () => items.filter(item => item.revision > after);
                 await sleep(changed().length > 0 ? 0 : waitMs);
                 return answer({ items: changed(), revision: revision() });
@@ -81,6 +86,9 @@
             change: (entry: StoreEntry): void => {
                 items = [...items.filter(item => item.key !== entry.key), entry];
             },
+            setLongHistory: (value: boolean): void => {
+                hasLongHistory = value;
+            },
             setReachable: (value: boolean): void => {
                 reachable = value;
             },
@@ -118,6 +126,17 @@
         expect(events).to.include("config 2");
     });
 
+    it("lists the store anew if the changes that it missed are too many for one response", async () => {
+        const { calls, events, change, setLongHistory } = createFixture();
+        setLongHistory(true);
+        sync.start();
+        await waitUntil(() => calls.length >= 2, 1_000);
+        change({ key: "op/config", value: "config 2", revision: 9 });
+        await waitUntil(() => events.includes("config 2"), 3_000);
+        expect(calls.slice(0, 3)).to.deep.equal(["list", "watch 5", "list"]);
+        expect(events).to.deep.equal(["config 1", "config 2"]);
+    });
+
     it("watches the store itself within 1.5 s when the watcher is silent, and passes changes on", async () => {
         const { calls, events, relays, startHeartbeat, change } = createFixture();
         sync.start();
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -159,6 +159,10 @@
                 revision = undefined;
                 return true;
             }
+            if (changes.error.kind === "tooLong") {
+                // A listing comes in pages, and so has a bound that a long history lacks.
+                revision = undefined;
+            }
             return recordFailure(changes.error.message);
         }
         recordSuccess();
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -134,7 +134,7 @@
         const sentAtMs = now();
         const pauseCountAtSend = pauseCount;
         const renewed = await store.renewLease(current.lease);
-        reachable = renewed.isOk || renewed.error.kind !== "unknown";
+        reachable = renewed.isOk || !["unknown", "tooLong"].includes(renewed.error.kind);
         if (heldLease !== current) {
             return;
         }
--- a/packages/medlarlb-targets/src/createTextRequest.ts
+++ b/packages/medlarlb-targets/src/createTextRequest.ts
@@ -1,23 +1,28 @@
 import type { TextRequest } from "medlarlb-types/textRequest";
 import { Result } from "true-myth";
+import { createByteCollector } from "./createByteCollector.js";
 import type { createConnectionPool } from "./createConnectionPool.js";
 
 type Outcome = Awaited<ReturnType<TextRequest>>;
 
-/** Creates a client for small requests whose responses are read whole. The time-out covers the whole exchange. */
+/**
+ * Creates a client for small requests whose responses are read whole, up to a bound. The time-out covers the whole exchange.
+ */
 export const createTextRequest = (pool: ReturnType<typeof createConnectionPool>): TextRequest =>
-    (address, { method, path, headers, body, timeoutMs }) => new Promise<Outcome>(resolve => {
-        const chunks: Buffer[] = [];
+    (address, { method, path, headers, body, timeoutMs, maxResponseBytes }) => new Promise<Outcome>(resolve => {
+        const tooLongReason = `the body of the response is longer than ${maxResponseBytes} bytes`;
+        const text = createByteCollector(maxResponseBytes, "the body of the response");
         let status = 0;
         let received: Record<string, string | string[] | undefined> = {};
-        const timer = setTimeout(() => {
-            exchange.abort();
-            resolve(Result.err(`no answer within ${timeoutMs} ms`));
-        }, timeoutMs);
         const finish = (outcome: Outcome): void => {
             clearTimeout(timer);
             resolve(outcome);
         };
+        const abort = (reason: string, tooLong: boolean): void => {
+            exchange.abort();
+            finish(Result.err({ reason, tooLong }));
+        };
+        const timer = setTimeout(() => abort(`no answer within ${timeoutMs} ms`, false), timeoutMs);
         const message = {
             method,
             path,
@@ -28,9 +33,20 @@
             onHead: (head, answerHeaders) => {
                 status = head;
                 received = answerHeaders;
+                if (Number(answerHeaders["content-length"] ?? 0) > maxResponseBytes) {
+                    abort(tooLongReason, true);
+                }
+            },
+            onChunk: chunk => {
+                if (text.length() + chunk.length > maxResponseBytes) {
+                    abort(tooLongReason, true);
+                }
+                else {
+                    text.add(chunk);
+                }
+                return true;
             },
-            onChunk: chunk => chunks.push(Buffer.from(chunk)) > 0,
-            onEnd: () => finish(Result.ok({ status, headers: received, text: Buffer.concat(chunks).toString("utf8") })),
-            onFailure: ({ reason }) => finish(Result.err(reason)),
+            onEnd: () => finish(Result.ok({ status, headers: received, text: text.take().toString("utf8") })),
+            onFailure: ({ reason }) => finish(Result.err({ reason, tooLong: false })),
         });
     });
