Test a gateway process with targets that send bytes without end

Stand-ins write header lines, interim responses, white space, other bytes, trailers, chunk extensions, an event, unsigned and encoded bodies, and answers to other requests, until the connection closes. Checked for routes of each kind: the final answer within 1 s (the deadline is 4 s), a safe request and a resumable stream answered by the other target, 502 for the others, never 503, one log line for each attempt, the connection closed after at most 8 MiB.

The test of the client for small requests reads no ids, as its peers name none.

--- /dev/null
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -0,0 +1,173 @@
+import type { AddressInfo } from "node:net";
+import { expect } from "chai";
+import { request } from "undici";
+import { waitFor } from "../cluster/waitFor.js";
+import { listen } from "../shared/listen.js";
+import { createEndlessEngineServer } from "../site/createEndlessEngineServer.js";
+import { createMetadataStoreServer } from "../site/createMetadataStoreServer.js";
+import { createScriptedEngineServer } from "../site/createScriptedEngineServer.js";
+import type { EndlessAnswer } from "../site/endlessAnswer.js";
+import type { ScriptedRequest } from "../site/scriptedRequest.js";
+import { listenOnFreePort } from "./support/listenOnFreePort.js";
+import { startGatewayProcess } from "./support/startGatewayProcess.js";
+
+interface EndlessKind {
+    answer: (req: ScriptedRequest) => EndlessAnswer;
+    /** Whether the target states that it hasn't run the request, which then goes to another one whatever its route. */
+    refuses?: boolean;
+    /** Headers of the request, none if they aren't given. */
+    headers?: Record<string, string>;
+    /** Route kinds on which this is no answer; all if it isn't given. */
+    routes?: readonly string[];
+}
+
+const ROUTE_HOST = "site.example";
+const DEADLINE_MS = 4_000;
+/** Longest time in ms to a final answer. */
+const MAX_ANSWER_MS = 1_000;
+/** Largest number of bytes that an engine can write to a connection, with what the systems on both sides buffer. */
+const MAX_BYTES = 8_388_608;
+/** Time in ms that the other target of a service takes, which has one slot, so that some of several requests don't go there. */
+const HONEST_ANSWER_MS = 40;
+const ROUTE_KINDS = ["safe", "unsafe", "stream", "resumable"];
+
+const head = (status: number, headers: readonly string[]): string => [`HTTP/1.1 ${status} Any`, ...headers, "", ""].join("\r\n");
+const ownHead = (req: ScriptedRequest, headers: readonly string[]): string =>
+    head(200, [`X-Request-Id: ${req.id}`, "X-Response-Stamp: s", ...headers]);
+
+const ownBody = (path: string): string => (/\/(?:stream|resumable)\//.test(path) ? "id: 9\ndata: whole\n\n" : "whole");
+
+const writeOwnAnswer = (req: ScriptedRequest): string => {
+    const body = ownBody(req.path);
+    return ownHead(req, ["Content-Type: text/event-stream", `Content-Length: ${body.length}`]) + body;
+};
+
+const chunked = "Transfer-Encoding: chunked";
+const endlessKinds: Record<string, EndlessKind> = {
+    "header lines": { answer: () => ({ start: "HTTP/1.1 200 OK\r\n", part: "X-A: 1\r\n" }) },
+    "a header line": { answer: () => ({ start: "HTTP/1.1 200 OK\r\nX-A: ", part: "a" }) },
+    "interim responses": { answer: () => ({ start: "", part: "HTTP/1.1 100 Continue\r\n\r\n" }) },
+    "long interim responses": { answer: () => ({ start: "", part: `HTTP/1.1 103 Hints\r\nX-A: ${"a".repeat(500)}\r\n\r\n` }) },
+    "empty lines before the status line": { answer: () => ({ start: "", part: "\r\n" }) },
+    "white space before the status line": { answer: () => ({ start: "", part: " " }) },
+    "bytes that are no response": { answer: () => ({ start: "", part: "?" }) },
+    "bytes that are no response, after a pause,": { answer: () => ({ start: "?", part: "?", pauseMs: 3_000 }) },
+    "lines after the last chunk": {
+        answer: req => ({ start: `${ownHead(req, [chunked])}13\r\nid: 1\ndata: whole\n\n\r\n0\r\n`, part: "X-A: 1\r\n" }),
+        routes: ["safe", "unsafe"],
+    },
+    "chunk extensions": { answer: req => ({ start: ownHead(req, [chunked]), part: `1;a=${"a".repeat(900)}\r\nb\r\n` }) },
+    "an event": { answer: req => ({ start: ownHead(req, [chunked]), part: `400\r\n${"a".repeat(1_024)}\r\n` }), routes: ["stream", "resumable"] },
+    "an unsigned body": { answer: req => ({ start: head(200, [`X-Request-Id: ${req.id}`]), part: "a" }) },
+    "an encoded body": { answer: req => ({ start: ownHead(req, ["Content-Encoding: gzip"]), part: "a" }) },
+    "answers to other requests": { answer: () => ({ start: "", part: `${head(503, ["X-Request-Id: other", "X-Not-Run: 1", "Content-Length: 1"])}x` }) },
+};
+
+describe("A gateway process whose targets send bytes without end", () => {
+    const store = createMetadataStoreServer();
+    const honest = createScriptedEngineServer((req, socket) => void setTimeout(() => socket.write(writeOwnAnswer(req)), HONEST_ANSWER_MS));
+    const engines = new Map<string, ReturnType<typeof createEndlessEngineServer>>();
+    let gateway: Awaited<ReturnType<typeof startGatewayProcess>>;
+    let sequence = 0;
+
+    const send = async (path: string, headers: Record<string, string> = {}) => {
+        sequence += 1;
+        const id = `r${sequence}`;
+        const startedAtMs = performance.now();
+        const res = await request(`http://${gateway.caller}${path}`, {
+            method: "POST",
+            headers: { "host": ROUTE_HOST, "x-request-id": id, "x-deadline-ms": String(DEADLINE_MS), ...headers },
+            body: "x",
+        });
+        const text = await res.body.text().catch(() => "cut");
+        return { id, status: res.statusCode, text, tookMs: performance.now() - startedAtMs };
+    };
+
+    const servicesOf = (name: string): string[] => ROUTE_KINDS.map(kind => `${Object.keys(endlessKinds).indexOf(name)}/${kind}`);
+    const services = Object.keys(endlessKinds).flatMap(servicesOf);
+
+    const createConfig = () => ({
+        version: 3,
+        routes: services.map(service => ({
+            name: service,
+            host: ROUTE_HOST,
+            prefix: `/${service}/`,
+            kind: service.endsWith("safe") ? service.split("/")[1] : "streaming",
+            timeout_ms: DEADLINE_MS,
+            service,
+            max_attempts: 2,
+            resumable: service.endsWith("resumable"),
+        })),
+        services: services.map(name => ({ name, health_path: "/health", max_conns: 50 })),
+        limits: { max_header_bytes: 4_096, max_body_bytes: 10_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+    });
+
+    const register = (id: string, service: string, port: number, slots: number): void => store.put(`servers/${id}`, JSON.stringify({
+        service,
+        address: `127.0.0.1:${port}`,
+        zone: "a",
+        slots,
+        state: "ready",
+        models: [],
+        seq: 1,
+    }));
+
+    before(async () => {
+        await listenOnFreePort(store.server);
+        store.put("op/config", JSON.stringify(createConfig()));
+        const honestPort = await listen(honest.server, 0);
+        for (const [name, { answer }] of Object.entries(endlessKinds)) {
+            for (const service of servicesOf(name)) {
+                const engine = createEndlessEngineServer(answer);
+                engines.set(service, engine);
+                register(`bad-${service.replace("/", "-")}`, service, await listen(engine.server, 0), 8);
+                register(`good-${service.replace("/", "-")}`, service, honestPort, 1);
+            }
+        }
+        gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
+        await waitFor("all targets are known", () => gateway.log.filter(line => line.event === "targetFound").length === 2 * services.length);
+    });
+
+    after(() => {
+        gateway.stop();
+        honest.close();
+        engines.forEach(engine => engine.close());
+        store.close();
+    });
+
+    /** Sends requests, several at once, until the target that never ends has got some, and returns the answers to these. */
+    const sendUntilEndless = async (service: string, headers: Record<string, string>): Promise<Awaited<ReturnType<typeof send>>[]> => {
+        for (let round = 0; round < 10; round += 1) {
+            const answers = await Promise.all(Array.from({ length: 4 }, () => send(`/${service}/x`, headers)));
+            const affected = answers.filter(each => engines.get(service)?.requestIds.includes(each.id) === true);
+            if (affected.length > 0) {
+                return affected;
+            }
+        }
+        throw new Error("no request went to the target that never ends");
+    };
+
+    const logOf = (id: string): string[] =>
+        gateway.log.filter(line => line.request === id && ["retried", "answered"].includes(String(line.event))).map(line => String(line.event));
+
+    for (const [name, { refuses = false, routes = ROUTE_KINDS, headers = {} }] of Object.entries(endlessKinds)) {
+        it(`ends or repeats a request at once, as its kind allows, after ${name} without end`, async () => {
+            for (const service of servicesOf(name).filter(each => routes.some(route => each.endsWith(`/${route}`)))) {
+                const mayRepeat = refuses || service.endsWith("/safe") || service.endsWith("resumable");
+                for (const { id, status, text, tookMs } of await sendUntilEndless(service, headers)) {
+                    expect({ status, text: status === 200 ? text : "" }, service).to.deep.equal({
+                        status: mayRepeat ? 200 : 502,
+                        text: mayRepeat ? ownBody(`/${service}/x`) : "",
+                    });
+                    expect(tookMs, service).to.be.below(MAX_ANSWER_MS);
+                    const attempts = engines.get(service)?.requestIds.filter(each => each === id) ?? [];
+                    await waitFor("the log names each attempt", () => logOf(id).length >= attempts.length);
+                    expect(logOf(id), service).to.deep.equal(attempts.map(() => (mayRepeat ? "retried" : "answered")));
+                }
+                const engine = engines.get(service);
+                await waitFor("the connections are closed", () => engine?.openCount() === 0, MAX_ANSWER_MS);
+                expect(engine?.mostBytes(), service).to.be.below(MAX_BYTES);
+            }
+        }).timeout(60_000);
+    }
+});
--- a/packages/medlarlb-targets/src/__tests__/createTextRequest.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createTextRequest.test.ts
@@ -16,7 +16,7 @@
     let sockets: Socket[];
     let timers: NodeJS.Timeout[];
     let respond: (socket: Socket) => void;
-    const pool = createConnectionPool({ now: () => performance.now(), countConnection: () => undefined });
+    const pool = createConnectionPool({ now: () => performance.now(), countConnection: () => undefined, readAnswerId: () => undefined });
     const request = createTextRequest(pool);
 
     beforeEach(done => {
