End a refused attempt when the refusal's body exceeds a bound

The attempt then counted as one that may have run, so that a request on an unsafe route got 502 or 504 although the target had refused it.

Cause: the body of a refusal is read to its end, so that its connection can be used again, and nothing bounded it.

Ruled out: to disbelieve such a refusal. Its headers name the request and state that it hasn't run, as those of a refusal whose connection ends early, which counts already.

Change: after 64 KiB, or with the headers if they state a longer body, the connection is closed and the refusal counts.

Before (npx mocha packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts -g refusal): 4 of 4 failed, "expected 1660 to be below 1000" (1648 to 1673 ms). After: 4 of 4 passed, and the 14 others.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -2,6 +2,7 @@
 import type { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
+import { createRepeatFilter } from "./createRepeatFilter.js";
 import { createSseSplitter } from "./createSseSplitter.js";
 import { encodeChunk } from "./encodeChunk.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
@@ -42,6 +43,8 @@
 
 /** Length up to which an answer is buffered whole before the caller receives any of it, so that a failed attempt can be retried. */
 const MAX_BUFFERED_BYTES = 262_144;
+/** Longest body of a refusal that is read so that its connection can be used again. */
+const MAX_DROPPED_BYTES = 65_536;
 const MISDIRECTED_REQUEST_STATUS = 421;
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Shortest time in ms between two reports that a target is sending. */
@@ -58,12 +61,14 @@
     const { call, adapter, events, targetId, now } = options;
     const { res, metadata } = call;
     const splitter = createSseSplitter();
+    const skipRepeated = createRepeatFilter(splitter.list);
     let answerHeaders: AnswerHeaders | undefined;
     let evidence: AnswerEvidence | undefined;
     let status = 0;
     let mode: Mode = "undecided";
     let bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
+    let droppedBytes = 0;
     let hasBegun = false;
     let hasFailed = false;
     let lastChunkAtMs: number | undefined;
@@ -135,22 +140,9 @@
         return hasCapacity;
     };
 
-    /**
-     * Returns whether the caller already received an event. Event ids rise, and a run that resumed from an earlier point
-     * repeats some of them.
-     */
-    const wasDelivered = (id: string | undefined): boolean =>
-        id !== undefined && lastEventId !== undefined && options.lastDeliveredId !== undefined && Number(id) <= Number(lastEventId);
-
-    /** Returns the part of a block of events that the caller hasn't received yet. */
-    const skipDelivered = (block: Buffer): Buffer => {
-        const isResumed = options.lastDeliveredId !== undefined;
-        return isResumed ? Buffer.concat(splitter.list(block).filter(event => !wasDelivered(event.id)).map(event => event.bytes)) : block;
-    };
-
     const relayEvents = (chunk: Buffer): boolean => {
         const block = splitter.push(chunk);
-        const events = block === undefined ? undefined : skipDelivered(block);
+        const events = block === undefined || options.lastDeliveredId === undefined ? block : skipRepeated(block, lastEventId);
         if (events === undefined || events.length === 0) {
             return true;
         }
@@ -198,6 +190,15 @@
         }
     };
 
+    /** Counts bytes of a refusal's body. A longer one isn't read to its end: the headers have refused the request. */
+    const dropBody = (length: number): void => {
+        droppedBytes += length;
+        if (!hasFailed && droppedBytes > MAX_DROPPED_BYTES) {
+            options.exchange()?.abort();
+            reportRefusal();
+        }
+    };
+
     const chooseMode = (): Mode => {
         if (answerHeaders === undefined) {
             return "drop";
@@ -259,8 +260,14 @@
             }
             reportTargetState(answerHeaders);
             mode = chooseMode();
+            if (mode === "drop" && (answerHeaders.contentLength ?? 0) > MAX_DROPPED_BYTES) {
+                dropBody(answerHeaders.contentLength ?? 0);
+            }
         },
         onChunk: chunk => {
+            if (mode === "drop") {
+                dropBody(chunk.length);
+            }
             if (hasFailed || mode === "drop") {
                 return true;
             }
--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -34,6 +34,8 @@
 const head = (status: number, headers: readonly string[]): string => [`HTTP/1.1 ${status} Any`, ...headers, "", ""].join("\r\n");
 const ownHead = (req: ScriptedRequest, headers: readonly string[]): string =>
     head(200, [`X-Request-Id: ${req.id}`, "X-Response-Stamp: s", ...headers]);
+const refusalHead = (status: number, req: ScriptedRequest, headers: readonly string[]): string =>
+    head(status, [`X-Request-Id: ${req.id}`, "X-Not-Run: 1", ...headers]);
 
 const ownBody = (path: string): string => (/\/(?:stream|resumable)\//.test(path) ? "id: 9\ndata: whole\n\n" : "whole");
 
@@ -60,6 +62,13 @@
     "an event": { answer: req => ({ start: ownHead(req, [chunked]), part: `400\r\n${"a".repeat(1_024)}\r\n` }), routes: ["stream", "resumable"] },
     "an unsigned body": { answer: req => ({ start: head(200, [`X-Request-Id: ${req.id}`]), part: "a" }) },
     "an encoded body": { answer: req => ({ start: ownHead(req, ["Content-Encoding: gzip"]), part: "a" }) },
+    "the body of a refusal": { answer: req => ({ start: refusalHead(503, req, []), part: "a" }), refuses: true },
+    "the chunked body of a refusal": { answer: req => ({ start: refusalHead(429, req, [chunked]), part: "1\r\na\r\n" }), refuses: true },
+    "the body of a refusal with a length": {
+        answer: req => ({ start: refusalHead(503, req, ["Content-Length: 99999999999"]), part: "a" }),
+        refuses: true,
+    },
+    "the body of a refusal with 421": { answer: req => ({ start: refusalHead(421, req, []), part: "a" }), refuses: true },
     "answers to other requests": { answer: () => ({ start: "", part: `${head(503, ["X-Request-Id: other", "X-Not-Run: 1", "Content-Length: 1"])}x` }) },
 };
 
