--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -60,6 +60,11 @@
     },
     "chunk extensions": { answer: req => ({ start: ownHead(req, [chunked]), part: `1;a=${"a".repeat(900)}\r\nb\r\n` }) },
     "an event": { answer: req => ({ start: ownHead(req, [chunked]), part: `400\r\n${"a".repeat(1_024)}\r\n` }), routes: ["stream", "resumable"] },
+    "events that the caller has received": {
+        answer: req => ({ start: ownHead(req, []), part: "id: 3\ndata: again\n\n" }),
+        routes: ["resumable"],
+        headers: { "last-event-id": "5" },
+    },
     "an unsigned body": { answer: req => ({ start: head(200, [`X-Request-Id: ${req.id}`]), part: "a" }) },
     "an encoded body": { answer: req => ({ start: ownHead(req, ["Content-Encoding: gzip"]), part: "a" }) },
     "the body of a refusal": { answer: req => ({ start: refusalHead(503, req, []), part: "a" }), refuses: true },
