Take no long failure without the signature for the target's own

A target that answered 500 without its signature, and never ended the body, had these bytes relayed to the caller until the deadline, and a safe request wasn't sent to another target.

Cause: the signature was asked for only with a success.

Ruled out: to ask for it with each failure. Proxies and platforms answer short failures of their own, and a target's 400 without an id is one.

Change: an answer that is too long to be buffered (256 KiB) needs the signature; without it the attempt ends as garbled. The record of when parts arrive moves to a file of its own, unchanged.

Before (npx mocha packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts -g failure): "expected 500 ... to deeply equal 200, whole". After: 20 of 20 of that file passed, and the 18 of gateway.test.ts.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -2,6 +2,7 @@
 import type { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
+import { createArrivalRecorder } from "./createArrivalRecorder.js";
 import { createRepeatFilter } from "./createRepeatFilter.js";
 import { createSseSplitter } from "./createSseSplitter.js";
 import { encodeChunk } from "./encodeChunk.js";
@@ -47,8 +48,6 @@
 const MAX_DROPPED_BYTES = 65_536;
 const MISDIRECTED_REQUEST_STATUS = 421;
 const MIN_SERVER_ERROR_STATUS = 500;
-/** Shortest time in ms between two reports that a target is sending. */
-const CONTACT_INTERVAL_MS = 100;
 
 /**
  * How the body is handled: discarded, buffered whole, relayed chunk by chunk, or relayed event by event. It is undecided
@@ -58,8 +57,9 @@
 
 /** Creates the handlers that check one response of a target and relay it to the caller. */
 export const createAnswerRelay = (options: RelayOptions): PooledResponseHandlers => {
-    const { call, adapter, events, targetId, now } = options;
+    const { call, adapter, events, targetId } = options;
     const { res, metadata } = call;
+    const arrivals = createArrivalRecorder(options.now, events.onContact);
     const splitter = createSseSplitter();
     const skipRepeated = createRepeatFilter(splitter.list);
     let answerHeaders: AnswerHeaders | undefined;
@@ -71,9 +71,6 @@
     let droppedBytes = 0;
     let hasBegun = false;
     let hasFailed = false;
-    let lastChunkAtMs: number | undefined;
-    let longestGapMs = 0;
-    let nextContactMs = Number.NEGATIVE_INFINITY;
     let lastEventId = options.lastDeliveredId;
 
     const fail = (ran: "no" | "unknown", cause: FailureCause, reason: string): void => {
@@ -155,16 +152,6 @@
         return writeChunk(events);
     };
 
-    const recordChunk = (): void => {
-        const nowMs = now();
-        longestGapMs = Math.max(longestGapMs, nowMs - (lastChunkAtMs ?? nowMs));
-        lastChunkAtMs = nowMs;
-        if (nowMs >= nextContactMs) {
-            nextContactMs = nowMs + CONTACT_INTERVAL_MS;
-            events.onContact();
-        }
-    };
-
     const isFromOtherTarget = (): boolean => answerHeaders?.targetId !== undefined && answerHeaders.targetId !== targetId;
 
     /** Reports what the target says of itself. An answer of another target that has its address now says nothing of it. */
@@ -199,6 +186,15 @@
         }
     };
 
+    /** Relays an answer that is too long to be buffered. A long failure without the signature isn't taken for the target's own. */
+    const startRelay = (): Mode => {
+        if (answerHeaders?.stamped === true) {
+            return "relay";
+        }
+        failAndClose("garbled", `the answer lacks the target's signature and is longer than ${MAX_BUFFERED_BYTES} bytes`);
+        return "drop";
+    };
+
     const chooseMode = (): Mode => {
         if (answerHeaders === undefined) {
             return "drop";
@@ -222,7 +218,7 @@
             failAndClose("error", `the target that should continue the stream answered ${status}`);
             return "drop";
         }
-        return answerHeaders.contentLength !== undefined && answerHeaders.contentLength > MAX_BUFFERED_BYTES ? "relay" : "buffer";
+        return (answerHeaders.contentLength ?? 0) > MAX_BUFFERED_BYTES ? startRelay() : "buffer";
     };
 
     const handleEnd = (): void => {
@@ -245,7 +241,7 @@
         reportBegun();
         writeHead(mode === "buffer" ? bufferedBytes : undefined);
         res.end(mode === "buffer" ? Buffer.concat(bufferedChunks) : undefined);
-        events.onFinished(status, longestGapMs);
+        events.onFinished(status, arrivals.longestGapMs());
     };
 
     return {
@@ -271,7 +267,7 @@
             if (hasFailed || mode === "drop") {
                 return true;
             }
-            recordChunk();
+            arrivals.record();
             if (mode === "events") {
                 try {
                     return relayEvents(chunk);
@@ -288,11 +284,14 @@
                 if (bufferedBytes <= MAX_BUFFERED_BYTES) {
                     return true;
                 }
-                mode = "relay";
-                reportBegun();
-                writeHead(answerHeaders?.contentLength);
+                mode = startRelay();
                 const bytes = Buffer.concat(bufferedChunks);
                 bufferedChunks = [];
+                if (mode === "drop") {
+                    return true;
+                }
+                reportBegun();
+                writeHead(answerHeaders?.contentLength);
                 return write(bytes);
             }
             reportBegun();
--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -66,6 +66,7 @@
         headers: { "last-event-id": "5" },
     },
     "an unsigned body": { answer: req => ({ start: head(200, [`X-Request-Id: ${req.id}`]), part: "a" }) },
+    "an unsigned failure": { answer: req => ({ start: head(500, [`X-Request-Id: ${req.id}`]), part: "a" }) },
     "an encoded body": { answer: req => ({ start: ownHead(req, ["Content-Encoding: gzip"]), part: "a" }) },
     "the body of a refusal": { answer: req => ({ start: refusalHead(503, req, []), part: "a" }), refuses: true },
     "the chunked body of a refusal": { answer: req => ({ start: refusalHead(429, req, [chunked]), part: "1\r\na\r\n" }), refuses: true },
