Test what follows a whole answer without end, and signed streams without end

A gateway process closes the connection when bytes without end follow an answer at once, on an idle connection or after the headers of an answer to HEAD, and the caller has its answer. A signed stream without end, also one of comments or of blank lines, is the target's own answer: it is relayed as fast as the caller reads until the deadline, and ends when the caller leaves.

--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -1,3 +1,4 @@
+import { createConnection } from "node:net";
 import type { AddressInfo } from "node:net";
 import { expect } from "chai";
 import { request } from "undici";
@@ -78,6 +79,16 @@
     "answers to other requests": { answer: () => ({ start: "", part: `${head(503, ["X-Request-Id: other", "X-Not-Run: 1", "Content-Length: 1"])}x` }) },
 };
 
+/** Answers that a caller gets, and what never ends is beside or after them. Their services have no other target. */
+const wholeAnswers: Record<string, (req: ScriptedRequest) => EndlessAnswer> = {
+    "after/safe": req => ({ start: writeOwnAnswer(req), part: "?" }),
+    "idle/safe": req => ({ start: writeOwnAnswer(req), part: writeOwnAnswer(req), pauseMs: 200 }),
+    "head/safe": req => ({ start: ownHead(req, ["Content-Length: 5"]), part: "a" }),
+    "events/stream": req => ({ start: ownHead(req, [chunked]), part: "400\r\ndata: ".padEnd(1_027, "a").concat("\n\n\r\n") }),
+    "comments/stream": req => ({ start: ownHead(req, []), part: ": comment\n\n" }),
+    "lines/stream": req => ({ start: ownHead(req, []), part: "\n" }),
+};
+
 describe("A gateway process whose targets send bytes without end", () => {
     const store = createMetadataStoreServer();
     const honest = createScriptedEngineServer((req, socket) => void setTimeout(() => socket.write(writeOwnAnswer(req)), HONEST_ANSWER_MS));
@@ -85,21 +96,21 @@
     let gateway: Awaited<ReturnType<typeof startGatewayProcess>>;
     let sequence = 0;
 
-    const send = async (path: string, headers: Record<string, string> = {}) => {
+    const send = async (path: string, headers: Record<string, string> = {}, method: "POST" | "HEAD" = "POST") => {
         sequence += 1;
         const id = `r${sequence}`;
         const startedAtMs = performance.now();
         const res = await request(`http://${gateway.caller}${path}`, {
-            method: "POST",
+            method,
             headers: { "host": ROUTE_HOST, "x-request-id": id, "x-deadline-ms": String(DEADLINE_MS), ...headers },
-            body: "x",
+            ...(method === "HEAD" ? {} : { body: "x" }),
         });
         const text = await res.body.text().catch(() => "cut");
         return { id, status: res.statusCode, text, tookMs: performance.now() - startedAtMs };
     };
 
     const servicesOf = (name: string): string[] => ROUTE_KINDS.map(kind => `${Object.keys(endlessKinds).indexOf(name)}/${kind}`);
-    const services = Object.keys(endlessKinds).flatMap(servicesOf);
+    const services = [...Object.keys(endlessKinds).flatMap(servicesOf), ...Object.keys(wholeAnswers)];
 
     const createConfig = () => ({
         version: 3,
@@ -139,8 +150,13 @@
                 register(`good-${service.replace("/", "-")}`, service, honestPort, 1);
             }
         }
+        for (const [service, answer] of Object.entries(wholeAnswers)) {
+            const engine = createEndlessEngineServer(answer);
+            engines.set(service, engine);
+            register(`bad-${service.replace("/", "-")}`, service, await listen(engine.server, 0), 8);
+        }
         gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
-        await waitFor("all targets are known", () => gateway.log.filter(line => line.event === "targetFound").length === 2 * services.length);
+        await waitFor("all targets are known", () => gateway.log.filter(line => line.event === "targetFound").length === store.count("servers/"));
     });
 
     after(() => {
@@ -185,4 +201,66 @@
             }
         }).timeout(60_000);
     }
+
+    it("sends a target that never ends its answers fewer requests than the other one", async () => {
+        const service = servicesOf("header lines")[0] ?? "";
+        const ids: string[] = [];
+        for (let round = 0; round < 10; round += 1) {
+            const answers = await Promise.all(Array.from({ length: 4 }, () => send(`/${service}/x`)));
+            ids.push(...answers.map(each => each.id));
+            expect(answers.map(each => each.status)).to.deep.equal([200, 200, 200, 200]);
+        }
+        const toEndless = engines.get(service)?.requestIds.filter(id => ids.includes(id)) ?? [];
+        expect(toEndless.length).to.be.below(ids.length / 4);
+    }).timeout(60_000);
+
+    /** Waits until a target's connections are closed, and checks what they have taken. */
+    const checkClosed = async (service: string, withinMs: number): Promise<void> => {
+        const engine = engines.get(service);
+        await waitFor("the connections are closed", () => engine?.openCount() === 0, withinMs);
+        expect(engine?.mostBytes(), service).to.be.within(1, MAX_BYTES);
+    };
+
+    it("passes on an answer and closes its connection when bytes without end follow, at once, while it is idle, or after HEAD", async () => {
+        for (const service of ["after/safe", "idle/safe", "head/safe"]) {
+            const isHead = service === "head/safe";
+            const { status, text } = await send(`/${service}/x`, {}, isHead ? "HEAD" : "POST");
+            expect({ status, text }, service).to.deep.equal({ status: 200, text: isHead ? "" : "whole" });
+            await checkClosed(service, MAX_ANSWER_MS);
+        }
+    });
+
+    for (const service of ["events/stream", "comments/stream", "lines/stream"]) {
+        it(`relays a signed stream without end until the deadline or until its caller leaves (${service})`, async () => {
+            const { status, text, tookMs } = await send(`/${service}/x`, { "x-deadline-ms": "1000" });
+            expect({ status, text }).to.deep.equal({ status: 200, text: "cut" });
+            expect(tookMs).to.be.within(900, 1_500);
+            await waitFor("the connection is closed", () => engines.get(service)?.openCount() === 0, MAX_ANSWER_MS);
+            const abandoned = new AbortController();
+            const res = await request(`http://${gateway.caller}/${service}/x`, {
+                method: "POST",
+                headers: { "host": ROUTE_HOST, "x-request-id": `left-${service}`, "x-deadline-ms": String(DEADLINE_MS) },
+                body: "x",
+                signal: abandoned.signal,
+            });
+            expect(res.statusCode).to.equal(200);
+            abandoned.abort();
+            await res.body.dump().catch(() => undefined);
+            await waitFor("the connection is closed", () => engines.get(service)?.openCount() === 0, MAX_ANSWER_MS);
+        });
+    }
+
+    it("reads no more of a signed stream without end than a caller takes who doesn't read", async () => {
+        const service = "events/stream";
+        const taken = await new Promise<number>((resolve, reject) => {
+            const [host, port] = gateway.caller.split(":");
+            const socket = createConnection({ host: host ?? "", port: Number(port) });
+            socket.once("error", reject);
+            socket.pause();
+            socket.write(`POST /${service}/x HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx`);
+            setTimeout(() => resolve(engines.get(service)?.openBytes() ?? 0), 1_500);
+            setTimeout(() => socket.destroy(), 1_600);
+        });
+        expect(taken).to.be.within(1, 2 * MAX_BYTES);
+    });
 });
--- a/packages/medlarlb-fakes/src/site/createEndlessEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createEndlessEngineServer.ts
@@ -46,6 +46,8 @@
         requestIds,
         /** Returns the largest number of bytes that a connection has taken before it was closed. */
         mostBytes: (): number => mostBytes,
+        /** Returns the number of bytes that connections have taken which are still open. */
+        openBytes: (): number => [...openSockets].reduce((sum, socket) => sum + socket.bytesWritten, 0),
         /** Returns the number of connections on which an answer has begun. */
         openCount: (): number => openSockets.size,
     };
--- a/packages/medlarlb-fakes/src/site/createMetadataStoreServer.ts
+++ b/packages/medlarlb-fakes/src/site/createMetadataStoreServer.ts
@@ -145,6 +145,8 @@
         /** Writes a key directly, without a transaction. */
         put,
         remove,
+        /** Returns the number of keys with a prefix. */
+        count: (prefix: string): number => list(prefix).items.length,
         close: (): void => {
             leases.forEach(({ timer }) => clearTimeout(timer));
             server.closeAllConnections();
