Wait once for a caller's connection to drain

On-call engineers saw "MaxListenersExceededWarning: Possible EventEmitter memory leak detected. 11 drain listeners added to [Socket]" when a target sent a fast stream in small chunks to a caller who doesn't read.

Cause: each chunk of one read that found the connection full added a listener of its own, up to some ten thousand for chunks of a byte, each of which resumed the target's connection.

Ruled out: a leak. Reading pauses after the read, and the listeners go with the drain.

Change: one listener at a time.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -3,6 +3,7 @@
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
 import { createArrivalRecorder } from "./createArrivalRecorder.js";
+import { createDrainListener } from "./createDrainListener.js";
 import { createRepeatFilter } from "./createRepeatFilter.js";
 import { createSseSplitter } from "./createSseSplitter.js";
 import { encodeChunk } from "./encodeChunk.js";
@@ -60,6 +61,7 @@
     const { call, adapter, events, targetId } = options;
     const { res, metadata } = call;
     const arrivals = createArrivalRecorder(options.now, events.onContact);
+    const resumeAfterDrain = createDrainListener(() => options.exchange()?.resume());
     const splitter = createSseSplitter();
     const skipRepeated = createRepeatFilter(splitter.list);
     let answerHeaders: AnswerHeaders | undefined;
@@ -108,7 +110,7 @@
     const write = (bytes: Buffer): boolean => {
         const hasCapacity = res.write(bytes);
         if (!hasCapacity) {
-            res.once("drain", () => options.exchange()?.resume());
+            resumeAfterDrain(res);
         }
         return hasCapacity;
     };
@@ -132,7 +134,7 @@
         }
         const hasCapacity = socket.write(encodeChunk(bytes));
         if (!hasCapacity) {
-            socket.once("drain", () => options.exchange()?.resume());
+            resumeAfterDrain(socket);
         }
         return hasCapacity;
     };
