--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -48,6 +48,8 @@
 /** Longest body of a refusal that is read so that its connection can be used again. */
 const MAX_DROPPED_BYTES = 65_536;
 const MISDIRECTED_REQUEST_STATUS = 421;
+/** Statuses by which a caller is told that its request has not run and won't. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /**
@@ -207,6 +209,10 @@
             }
             return "drop";
         }
+        if (NOT_RUN_STATUSES.has(status) && metadata.route.kind !== "safe") {
+            failAndClose("error", `the target answered ${status} and didn't say that it hasn't run the request`);
+            return "drop";
+        }
         const success = status >= 200 && status < 300;
         if (answerHeaders.encoded || (success && !answerHeaders.stamped)) {
             failAndClose("garbled", "the answer is encoded or lacks the target's signature");
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -32,12 +32,14 @@
     const idleByAddress = new Map<string, IdleConnection[]>();
 
     const discard = (address: string, connection: IdleConnection["connection"]): void => {
-        const remaining = (idleByAddress.get(address) ?? []).filter(each => each.connection !== connection);
-        if (remaining.length === 0) {
-            idleByAddress.delete(address);
+        const idle = idleByAddress.get(address) ?? [];
+        const position = idle.findIndex(each => each.connection === connection);
+        if (position >= 0) {
+            // In place, because `acquire` may be going through the list.
+            idle.splice(position, 1);
         }
-        else {
-            idleByAddress.set(address, remaining);
+        if (idle.length === 0) {
+            idleByAddress.delete(address);
         }
     };
 
@@ -64,20 +66,17 @@
         return connection;
     };
 
-    /** Returns the idle connection that was used last, or a new one. */
+    /** Returns the idle connection that was used last and on which no attempt of the request has failed, or a new one. */
     const acquire = (address: string, { requestId }: TargetRequestMessage): IdleConnection["connection"] => {
         if (requestId === "") {
             // Only the first answer of a connection can be told to be that of a request without an id.
             return open(address);
         }
-        const idle = idleByAddress.get(address);
-        for (let latest = idle?.pop(); latest !== undefined; latest = idle?.pop()) {
-            if (!latest.connection.isClosed() && now() < latest.untilMs) {
-                return latest.connection;
-            }
-            latest.connection.close();
-        }
-        return open(address);
+        const idle = idleByAddress.get(address) ?? [];
+        idle.filter(each => now() >= each.untilMs).forEach(each => each.connection.close());
+        const position = idle.findLastIndex(each => !each.connection.hasFailed(requestId));
+        const [latest] = position < 0 ? [] : idle.splice(position, 1);
+        return latest?.connection ?? open(address);
     };
 
     const closeExpired = (): void => {
