--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -3,10 +3,9 @@
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
 import { createArrivalRecorder } from "./createArrivalRecorder.js";
-import { createDrainListener } from "./createDrainListener.js";
+import { createCallerWriter } from "./createCallerWriter.js";
 import { createRepeatFilter } from "./createRepeatFilter.js";
 import { createSseSplitter } from "./createSseSplitter.js";
-import { encodeChunk } from "./encodeChunk.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
 import type { IngressCall } from "./ingressCall.js";
 
@@ -62,8 +61,8 @@
 export const createAnswerRelay = (options: RelayOptions): PooledResponseHandlers => {
     const { call, adapter, events, targetId } = options;
     const { res, metadata } = call;
+    const writer = createCallerWriter(call, () => options.exchange()?.resume());
     const arrivals = createArrivalRecorder(options.now, events.onContact);
-    const resumeAfterDrain = createDrainListener(() => options.exchange()?.resume());
     const splitter = createSseSplitter();
     const skipRepeated = createRepeatFilter(splitter.list);
     let answerHeaders: AnswerHeaders | undefined;
@@ -97,49 +96,7 @@
         events.onBegun();
     };
 
-    const writeHead = (length: number | undefined): void => {
-        if (res.headersSent || answerHeaders === undefined) {
-            return;
-        }
-        const headers = answerHeaders.forwarded.flat();
-        if (length !== undefined) {
-            headers.push("content-length", String(length));
-        }
-        res.writeHead(status, headers);
-    };
-
-    /** Writes part of a body that has a length. */
-    const write = (bytes: Buffer): boolean => {
-        const hasCapacity = res.write(bytes);
-        if (!hasCapacity) {
-            resumeAfterDrain(res);
-        }
-        return hasCapacity;
-    };
-
-    /**
-     * Writes part of a body without a length as one chunk, together with the headers if it is the first. `res.write` would
-     * make four writes of it, which costs a stream of small events more than the rest of their way.
-     */
-    const writeChunk = (bytes: Buffer): boolean => {
-        const socket = res.socket ?? undefined;
-        if (socket === undefined || call.req.httpVersionMinor === 0) {
-            writeHead(undefined);
-            return write(Buffer.from(bytes));
-        }
-        if (!res.headersSent) {
-            // The headers and the first events leave in one write.
-            socket.cork();
-            process.nextTick(() => socket.uncork());
-            writeHead(undefined);
-            res.flushHeaders();
-        }
-        const hasCapacity = socket.write(encodeChunk(bytes));
-        if (!hasCapacity) {
-            resumeAfterDrain(socket);
-        }
-        return hasCapacity;
-    };
+    const head = () => ({ status, headers: answerHeaders?.forwarded ?? [] });
 
     const relayEvents = (chunk: Buffer): boolean => {
         const block = splitter.push(chunk);
@@ -153,7 +110,7 @@
             lastEventId = id;
             options.onDelivered(id);
         }
-        return writeChunk(events);
+        return writer.writeChunk(head(), events);
     };
 
     const isFromOtherTarget = (): boolean => answerHeaders?.targetId !== undefined && answerHeaders.targetId !== targetId;
@@ -247,7 +204,7 @@
             return;
         }
         reportBegun();
-        writeHead(mode === "buffer" ? bufferedBytes : undefined);
+        writer.writeHead(head(), mode === "buffer" ? bufferedBytes : undefined);
         res.end(mode === "buffer" ? Buffer.concat(bufferedChunks) : undefined);
         events.onFinished(status, arrivals.longestGapMs());
     };
@@ -299,12 +256,12 @@
                     return true;
                 }
                 reportBegun();
-                writeHead(answerHeaders?.contentLength);
-                return write(bytes);
+                writer.writeHead(head(), answerHeaders?.contentLength);
+                return writer.write(bytes);
             }
             reportBegun();
-            writeHead(answerHeaders?.contentLength);
-            return write(Buffer.from(chunk));
+            writer.writeHead(head(), answerHeaders?.contentLength);
+            return writer.write(Buffer.from(chunk));
         },
         onEnd: handleEnd,
         onFailure: ({ sent, malformed, reason }) => {
