Keep the retries of all instances together within the budget

Cause, as the tests before this commit show: the fixed allowance was divided by the number of instances known at the moment. A restart handed it out again, a start knew one instance, a cut or a planned stop raised the others' shares within the same window. Besides, each instance judged the share of its requests in windows of its own, so that the sum could be nearly twice the part.

Ruled out: that the number of instances only has to be taken more cautiously; the sum was exceeded with a group that knew all its members, when the load moved. False refusals may add to the demand for retries, but don't pass the budget.

Change, decisions: in each window an instance retries as often as the mean of its requests in that window and the one before allows. Means add up over instances, whatever moves or restarts. The fixed allowance is dealt in whole tokens in the order of hashed ids; an instance has its tokens after it has seen itself in the store's list for 1.5 windows and while its contact with the list is younger than half a window; one that is gone keeps its tokens for 1.5 windows. With M memory, K age of contact and W window, M = W + K: whoever may use tokens within W of me was listed before my latest contact, and a predecessor's have left. Change, daemon: contact is as old as the call that brought it; the watcher passes that age on; a message that waited while the process was frozen counts as old as the freeze. The log line and event counter `retryShare` tell the part and why.

Tests: an instance that has just started retries little, so that the tests of retries join the group first (virtual time), or wait for the part in the log (real process, three tests failed without); no expectation was changed.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -2,6 +2,7 @@
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
 import { observationMutations } from "./observationMutations.mjs";
+import { retryMutations } from "./retryMutations.mjs";
 
 const DECISIONS = "packages/medlarlb-decisions/src";
 const LEDGERS_TEST = `${DECISIONS}/__tests__/ledgers.test.ts`;
@@ -229,6 +230,7 @@
         check: ATTEMPTS_TEST,
     },
     ...observationMutations,
+    ...retryMutations,
 ];
 
 const only = process.argv[2];
--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -27,6 +27,7 @@
         const calls: string[] = [];
         const events: string[] = [];
         const relays: DirectoryRelay[] = [];
+        const contacts: number[] = [];
         let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
         let reachable = true;
         const revision = (): number => Math.max(...items.map(item => item.revision));
@@ -59,6 +60,7 @@
                 onTargetGone: id => events.push(`${id} gone`),
                 onInstances: () => undefined,
                 onPlanners: () => undefined,
+                onListContact: atMs => contacts.push(atMs),
                 onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
             },
         });
@@ -76,6 +78,7 @@
             calls,
             events,
             relays,
+            contacts,
             relay,
             startHeartbeat,
             change: (entry: StoreEntry): void => {
@@ -164,4 +167,38 @@
         await sleep(2_300);
         expect(events).to.not.include("e1 gone");
     });
+
+    it("has seen the list when it asked for changes, not when they came", async () => {
+        const { contacts } = createFixture();
+        sync.start();
+        const askedByMs = performance.now() + 50;
+        await sleep(600);
+        expect(contacts[0]).to.be.below(askedByMs);
+    });
+
+    it("has seen the list as long ago as the watcher that passes changes on", async () => {
+        const { contacts, startHeartbeat } = createFixture();
+        sync.start();
+        await sleep(20);
+        startHeartbeat(() => 5);
+        await sleep(1_500);
+        contacts.splice(0);
+        sync.applyRelay(watcher, { after: 5, revision: 5, items: [], contactAgeMs: 0, outageEndedAgoMs: undefined, readAgeMs: 2_000 });
+        expect(contacts).to.have.length(1);
+        expect(performance.now() - (contacts[0] ?? 0)).to.be.within(2_000, 2_500);
+    });
+
+    it("takes a message that waited while the process was frozen for as old as the freeze", async () => {
+        const { contacts, startHeartbeat } = createFixture();
+        sync.start();
+        await sleep(20);
+        startHeartbeat(() => 5);
+        await sleep(1_500);
+        contacts.splice(0);
+        const frozenSinceMs = performance.now();
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_000);
+        await sleep(10);
+        sync.applyRelay(watcher, { after: 5, revision: 5, items: [], contactAgeMs: 0, outageEndedAgoMs: undefined, readAgeMs: 0 });
+        expect(contacts.at(-1)).to.be.within(frozenSinceMs - 1_000, frozenSinceMs);
+    });
 });
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -55,6 +55,8 @@
     let stopped = false;
     let consecutiveFailures = 0;
     let outageEndedAtMs = Number.NEGATIVE_INFINITY;
+    /** Times of the check before the last and of the last one. */
+    let checkTimesMs: [number, number] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
     const listInstances = (): ListedInstance[] =>
         [...entriesByKey.values()].filter(entry => entry.key.startsWith(directoryKeys.instance(""))).flatMap(entry => {
@@ -124,7 +126,7 @@
     };
 
     /** Passes on changes that this instance has read itself. */
-    const relayChanges = (after: number, items: StoreEntry[]): void => {
+    const relayChanges = (after: number, items: StoreEntry[], askedAtMs: number): void => {
         if (role.shouldRelay(now())) {
             const sinceOutageMs = now() - outageEndedAtMs;
             relay({
@@ -132,6 +134,7 @@
                 revision: revision ?? after,
                 items,
                 contactAgeMs: 0,
+                readAgeMs: now() - askedAtMs,
                 outageEndedAgoMs: Number.isFinite(sinceOutageMs) ? sinceOutageMs : undefined,
             });
         }
@@ -153,6 +156,7 @@
     };
 
     const watchOnce = async (after: number): Promise<boolean> => {
+        const askedAtMs = now();
         const changes = await store.watch("", after, WATCH_TIMEOUT_MS);
         if (changes.isErr) {
             if (changes.error.kind === "compacted") {
@@ -165,7 +169,8 @@
         isBehind = false;
         applyEntries(changes.value.items);
         revision = Math.max(revision ?? after, changes.value.revision);
-        relayChanges(after, changes.value.items);
+        handlers.onListContact(askedAtMs);
+        relayChanges(after, changes.value.items, askedAtMs);
         return true;
     };
 
@@ -186,6 +191,13 @@
         consecutiveFailures = 0;
     };
 
+    /** Notes the time of a check. Messages that waited while this process was frozen are handled before the next two checks. */
+    const noteCheck = (): void => {
+        if (now() - checkTimesMs[1] >= FOLLOWING_CHECK_MS) {
+            checkTimesMs = [checkTimesMs[1], now()];
+        }
+    };
+
     /** Reads the store once if this instance has to, and returns the time in ms until the next check. */
     const followStoreOnce = async (): Promise<number> => {
         if (revision === undefined) {
@@ -200,6 +212,7 @@
 
     const followStore = async (): Promise<void> => {
         while (!stopped) {
+            noteCheck();
             await pause.wait(await followStoreOnce());
         }
     };
@@ -234,6 +247,9 @@
             }
             applyEntries(changes.items);
             revision = Math.max(revision, changes.revision);
+            if (changes.readAgeMs !== undefined) {
+                handlers.onListContact(Math.min(now() - changes.readAgeMs, checkTimesMs[0]));
+            }
         },
         stop: (): void => {
             stopped = true;
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -185,7 +185,14 @@
         const others = [...zoneMembers, instanceId].filter(id => id !== planner).sort();
         const zoneOrder = planner === undefined ? others : [planner, ...others];
         watchRole.setOrder(zoneOrder, now());
-        push({ kind: "instances", count: Math.max(listedInstances.length, alive.length), planners, members, zoneOrder });
+        push({
+            kind: "instances",
+            count: Math.max(listedInstances.length, alive.length),
+            listed: listedInstances.map(each => brandAs<InstanceId>(each.id)),
+            planners,
+            members,
+            zoneOrder,
+        });
     };
 
     const plannerLease = createGatewayPlannerLease({
@@ -235,6 +242,7 @@
                 plannerLease.setHolder(listedPlanners.get(zone));
                 pushInstances();
             },
+            onListContact: atMs => loop.note({ kind: "listContact", atMs }),
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -10,6 +10,8 @@
     onTargetEntry: (id: string, text: string) => void;
     onTargetGone: (targetId: TargetId) => void;
     onInstances: (instances: ListedInstance[]) => void;
+    /** Called with a time at which the store's list was as the handlers have last been told. */
+    onListContact: (atMs: number) => void;
     onPlanners: (planners: Map<ZoneId, StoredPlanner>) => void;
     /** Called when the store becomes reachable or unreachable. */
     onReachabilityChange: (reachable: boolean, reason: string) => void;
--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -6,6 +6,7 @@
 import type { GatewayCommand } from "../gatewayCommand.js";
 import type { GatewayInput } from "../gatewayInput.js";
 import { createSettings } from "./support/createSettings.js";
+import { joinGroup } from "./support/joinGroup.js";
 
 type Send = Extract<GatewayCommand, { kind: "send" }>;
 
@@ -14,6 +15,7 @@
 const createTestGateway = (route: Partial<Route>) => {
     let nowMs = 1_000;
     const decisions = createGatewayDecisions(createSettings("i1", "z"), () => 0.5);
+    joinGroup(decisions, { kind: "instances", count: 1, listed: [brandAs("i1")], planners: new Map(), members: [], zoneOrder: [] }, nowMs);
     const step = (...inputs: GatewayInput[]): GatewayCommand[] => {
         nowMs += 10;
         return decisions.step(nowMs, inputs);
--- a/packages/medlarlb-decisions/src/gateway/__tests__/retryBudget.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/retryBudget.test.ts
@@ -68,6 +68,23 @@
             group.run(WINDOW_MS);
         },
     },
+    {
+        title: "of which one was cut off while all others came and went",
+        play: (group, { refuse }) => {
+            const size = group.instances.length;
+            group.run(SETTLED_MS);
+            const [first, ...others] = group.instances;
+            others.forEach(each => group.stop(each, 0));
+            group.run(SETTLED_MS);
+            group.cut(first === undefined ? [] : [first], 1.5 * SETTLED_MS + 1_000, true);
+            group.grow(size - 1, 1, 0);
+            group.run(1.5 * SETTLED_MS);
+            refuse(true);
+            group.run(1_000);
+            group.instances.filter(each => each !== first).forEach(each => group.stop(each, 0));
+            group.run(WINDOW_MS);
+        },
+    },
     {
         title: "between which the load moves",
         play: (group, { refuse, load }) => {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/retryHistories.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/retryHistories.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { USED_BUDGET_RATIO } from "../retries/usedBudgetRatio.js";
 import { chooseHistoryGroup } from "./support/chooseHistoryGroup.js";
 import { countBeyondRetryBudget } from "./support/countBeyondRetryBudget.js";
 import { createSettings } from "./support/createSettings.js";
@@ -13,6 +14,14 @@
 /** Requests per second at all instances together. */
 const REQUEST_RATES = [0.5, 8, 80];
 
+const settings = createSettings("any", "any");
+/** The part of the budget that instances hand out. The rest is a reserve for retries that are sent late, which isn't played here. */
+const usedBudget = {
+    ...settings,
+    retryRatio: settings.retryRatio * USED_BUDGET_RATIO,
+    retryExtra: settings.retryExtra * USED_BUDGET_RATIO,
+};
+
 type Group = ReturnType<typeof createVirtualRetryGroup>;
 
 /** Returns disturbances of single instances, zones, the whole group and the store. */
@@ -95,7 +104,7 @@
         this.timeout(Math.max(60_000, HISTORIES * 4_000));
         const faults = Array.from({ length: HISTORIES }, (_, index) => {
             const { retryTimesMs, requestTimesMs } = playHistory(FIRST_SEED + index, index);
-            const excess = countBeyondRetryBudget(retryTimesMs, requestTimesMs, createSettings("any", "any"));
+            const excess = countBeyondRetryBudget(retryTimesMs, requestTimesMs, usedBudget);
             return excess === 0 ? [] : [`seed ${FIRST_SEED + index}: ${excess.toFixed(1)} retries beyond the budget`];
         }).flat();
         expect(faults).to.deep.equal([]);
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
@@ -219,6 +219,7 @@
         {
             kind: "instances",
             count: instances.length,
+            listed: instances.map(({ settings }) => settings.instanceId),
             planners,
             members: instances.filter(each => each !== instance).map(({ settings }) => ({ id: settings.instanceId, zone: settings.zone })),
             zoneOrder: instances.filter(each => each.settings.zone === instance.settings.zone).map(({ settings }) => settings.instanceId),
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualRetryGroup.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualRetryGroup.ts
@@ -1,5 +1,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { InstanceId } from "medlarlb-types/instanceId";
 import { applyGatewayInput } from "../../applyGatewayInput.js";
 import { createGatewayContext } from "../../createGatewayContext.js";
 import { countRequest } from "../../retries/countRequest.js";
@@ -15,6 +17,8 @@
 const RENEWAL_MS = 10_000;
 /** Time in ms after which instances that can reach each other know of each other. */
 const CONTACT_DELAY_MS = 2_000;
+/** Age in ms up to which an instance learns of the store's answers through another one. */
+const MAX_CONTACT_AGE_MS = 900;
 
 interface RetryGroupOptions {
     seed: number;
@@ -64,6 +68,7 @@
         applyGatewayInput(instance.context, {
             kind: "instances",
             count: Math.max(instance.listed.length, members.length + 1),
+            listed: instance.listed.map(id => brandAs<InstanceId>(id)),
             planners: new Map(),
             members,
             zoneOrder: [],
@@ -78,6 +83,9 @@
             }
             instance.readVersion = registry.version();
             instance.listed = registry.listed();
+            tellInstances(instance);
+            applyGatewayInput(instance.context, { kind: "listContact", atMs: now() - random() * MAX_CONTACT_AGE_MS });
+            return;
         }
         tellInstances(instance);
     };
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -13,6 +13,8 @@
 import { createVirtualClock } from "./createVirtualClock.js";
 import { createVirtualGossip } from "./createVirtualGossip.js";
 import { createVirtualTarget } from "./createVirtualTarget.js";
+import { describeGroup } from "./describeGroup.js";
+import { joinGroup } from "./joinGroup.js";
 import type { VirtualServiceOptions } from "./virtualServiceOptions.js";
 import type { VirtualServiceInstance } from "./virtualServiceInstance.js";
 import type { VirtualRun } from "./virtualRun.js";
@@ -85,7 +87,7 @@
         if (instance.isPaused) {
             return;
         }
-        const inputs = instance.inputs.splice(0);
+        const inputs: GatewayInput[] = [...instance.inputs.splice(0), { kind: "listContact", atMs: now() }];
         instance.decisions.step(now(), inputs).forEach(command => execute(instance, command));
         const nextAtMs = instance.decisions.nextStepAtMs();
         if (Number.isFinite(nextAtMs)) {
@@ -219,18 +221,13 @@
 
     /** Gives an instance that has started what the store lists. */
     const introduce = (instance: VirtualServiceInstance): void => {
-        const members = instances.filter(each => each !== instance)
-            .map(({ settings }) => ({ id: settings.instanceId, zone: settings.zone }));
-        const zoneOrder = instances.filter(each => each.zone === instance.zone).map(({ settings }) => settings.instanceId);
-        give(
-            instance,
-            ...targets.filter(each => each.isUp()).map(each => ({ kind: "target" as const, entry: each.entry() })),
-            { kind: "instances", count: instances.length, planners: new Map(planners), members, zoneOrder },
-        );
+        const entries = targets.filter(each => each.isUp()).map(each => ({ kind: "target" as const, entry: each.entry() }));
+        give(instance, ...entries, describeGroup(instances, instance, planners));
         if (planners.get(instance.settings.zone) === instance.settings.instanceId) {
             give(instance, { kind: "duty", fence: 1 });
         }
     };
+    instances.forEach(each => joinGroup(each.decisions, describeGroup(instances, each, planners), now()));
     instances.forEach(introduce);
     instances.forEach(gossip.pullRepeatedly);
 
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -28,6 +28,8 @@
 import { applyModelRequest } from "./placement/applyModelRequest.js";
 import { markAllPools } from "./pools/markAllPools.js";
 import { markTargetPools } from "./pools/markTargetPools.js";
+import { recordListContact } from "./retries/recordListContact.js";
+import { updateGroupView } from "./retries/updateGroupView.js";
 
 type Handlers = { [Kind in GatewayInput["kind"]]: (context: GatewayContext, input: Extract<GatewayInput, { kind: Kind }>) => void };
 
@@ -70,13 +72,15 @@
     },
     finished: applyFinished,
     failed: applyFailed,
-    instances: (context, { count, planners, members, zoneOrder }) => {
+    instances: (context, { count, listed, planners, members, zoneOrder }) => {
         context.instanceCount = count;
         context.planners = planners;
         context.members = members;
         context.zoneOrder = zoneOrder;
+        updateGroupView(context, listed, members.map(each => each.id));
         markAllPools(context);
     },
+    listContact: (context, { atMs }) => recordListContact(context, atMs),
     probed: applyProbed,
     observations: applyObservations,
     stop: context => {
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -3,6 +3,7 @@
 import { createCrashTable } from "./crashes/createCrashTable.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import { createGroupView } from "./retries/createGroupView.js";
 import type { CallCheck } from "./rows/callCheck.js";
 
 /** Creates the context of an instance that has just started, with empty tables. */
@@ -25,6 +26,7 @@
     crashes: createCrashTable(),
     observationsToRelay: [],
     retryBudgets: new Map(),
+    groupView: createGroupView(),
     instanceCount: 1,
     planners: new Map(),
     members: [],
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -12,6 +12,7 @@
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { DemandTable } from "./placement/demandTable.js";
 import type { ManagedEngine } from "./placement/managedEngine.js";
+import type { GroupView } from "./retries/groupView.js";
 import type { RetryBudget } from "./retries/retryBudget.js";
 import type { CallCheck } from "./rows/callCheck.js";
 import type { CallRow } from "./rows/callRow.js";
@@ -46,6 +47,7 @@
     /** Observations from other zones that this instance passes on to its own zone with the next status, in a large group. */
     observationsToRelay: TargetObservation[];
     retryBudgets: Map<string, RetryBudget>;
+    groupView: GroupView;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
     /** Other instances that respond to this one. */
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -20,6 +20,8 @@
     /** Number of serving instances, including this one. */
     count: number;
     planners: Map<ZoneId, InstanceId>;
+    /** All instances that the store lists. */
+    listed: readonly InstanceId[];
     /** The others that respond to this one. */
     members: { id: InstanceId; zone: ZoneId }[];
     /** The instances of this zone, this one included, in the order in which they collect the zone's load. */
@@ -59,6 +61,8 @@
     /** This instance stops. Calls that still wait are refused now, so that callers can use another instance. */
     | { kind: "stop" }
     | InstancesInput
+    /** The store's list of instances was as the latest `instances` at a time. It needs no step of its own. */
+    | { kind: "listContact"; atMs: number }
     | { kind: "status"; status: InstanceStatus }
     /** Load digest from the planner of this zone, in a large group. */
     | { kind: "digest"; digest: LoadDigest }
--- a/packages/medlarlb-decisions/src/gateway/retries/currentBucket.ts
+++ b/packages/medlarlb-decisions/src/gateway/retries/currentBucket.ts
@@ -1,17 +1,16 @@
+import { BUCKET_MS } from "./bucketMs.js";
 import type { RetryBudget } from "./retryBudget.js";
 
-const BUCKET_MS = 1_000;
-
-/** Returns the counts of the current second, and removes those of seconds that have left the window. */
+/** Returns the counts of the current time, and removes those that are older than two windows, which no window needs any more. */
 export const currentBucket = (budget: RetryBudget, windowMs: number, nowMs: number): RetryBudget["buckets"][number] => {
-    while (budget.buckets[0] !== undefined && budget.buckets[0].secondStartMs + BUCKET_MS < nowMs - windowMs) {
+    while (budget.buckets[0] !== undefined && budget.buckets[0].startMs + BUCKET_MS < nowMs - 2 * windowMs) {
         budget.buckets.shift();
     }
     const last = budget.buckets.at(-1);
-    if (last !== undefined && nowMs - last.secondStartMs < BUCKET_MS) {
+    if (last !== undefined && nowMs - last.startMs < BUCKET_MS) {
         return last;
     }
-    const bucket = { secondStartMs: nowMs, requests: 0, retries: 0 };
+    const bucket = { startMs: nowMs, requests: 0, retries: 0 };
     budget.buckets.push(bucket);
     return bucket;
 };
--- a/packages/medlarlb-decisions/src/gateway/retries/retryBudget.ts
+++ b/packages/medlarlb-decisions/src/gateway/retries/retryBudget.ts
@@ -1,4 +1,4 @@
-/** Sliding window over the requests and retries of one service. Each bucket holds the counts of one second. */
+/** Requests and retries of one service at this instance. Each bucket holds the counts of a short time, the oldest first. */
 export interface RetryBudget {
-    buckets: { secondStartMs: number; requests: number; retries: number }[];
+    buckets: { startMs: number; requests: number; retries: number }[];
 }
--- a/packages/medlarlb-decisions/src/gateway/retries/takeRetryToken.ts
+++ b/packages/medlarlb-decisions/src/gateway/retries/takeRetryToken.ts
@@ -1,23 +1,48 @@
 import type { GatewayContext } from "../gatewayContext.js";
+import { BUCKET_MS } from "./bucketMs.js";
+import { countFixedTokens } from "./countFixedTokens.js";
 import { currentBucket } from "./currentBucket.js";
+import { logRetryShare } from "./logRetryShare.js";
+import type { RetryBudget } from "./retryBudget.js";
+import { USED_BUDGET_RATIO } from "./usedBudgetRatio.js";
 
-/** Share of the retry budget that is used. The rest is a reserve for instances that start and stop. */
-const USED_BUDGET_RATIO = 0.7;
+/** Returns whether one more retry leaves each window that ends from now on within a ratio of the requests and a fixed number. */
+const isWithinBudget = ({ buckets }: RetryBudget, windowMs: number, nowMs: number, ratio: number, fixedTokens: number): boolean => {
+    let retries = 1;
+    let requests = 0;
+    let counted = buckets.length;
+    for (let index = buckets.length - 1; index >= 0; index -= 1) {
+        const bucket = buckets[index];
+        if (bucket === undefined || bucket.startMs + BUCKET_MS <= nowMs - windowMs) {
+            return true;
+        }
+        retries += bucket.retries;
+        // Windows that begin within this bucket: the requests of the window before them count from its beginning.
+        const requestsSinceMs = bucket.startMs + BUCKET_MS - windowMs;
+        for (let next = buckets[counted - 1]; next !== undefined && next.startMs >= requestsSinceMs; next = buckets[counted - 1]) {
+            requests += next.requests;
+            counted -= 1;
+        }
+        if (retries > ratio * requests + fixedTokens) {
+            return false;
+        }
+    }
+    return true;
+};
 
 /**
- * Takes one token from this instance's share of a service's retry budget, and returns whether one was left. A token is a
- * retry that the counts of the sliding window still allow. An instance's share consists of a ratio of its own requests and
- * an equal part of the fixed allowance, so that the shares add up to the budget without any message between instances.
+ * Takes one token from this instance's share of a service's retry budget, and returns whether one was left. In each window an
+ * instance retries as often as its own requests in that window and the one before allow, on average of the two, and as it has
+ * tokens of the fixed allowance. Neither part needs a message between instances: averages add up to the average over all
+ * instances, which is no more than the fuller of the two windows.
  */
 export const takeRetryToken = (context: GatewayContext, service: string): boolean => {
-    const { retryRatio, retryWindowMs, retryExtra } = context.settings;
+    const { retryRatio, retryWindowMs } = context.settings;
     const budget = context.retryBudgets.get(service) ?? { buckets: [] };
     context.retryBudgets.set(service, budget);
     const bucket = currentBucket(budget, retryWindowMs, context.nowMs);
-    const requests = budget.buckets.reduce((sum, each) => sum + each.requests, 0);
-    const retries = budget.buckets.reduce((sum, each) => sum + each.retries, 0);
-    const allowed = retryRatio * USED_BUDGET_RATIO * requests + retryExtra * USED_BUDGET_RATIO / Math.max(1, context.instanceCount);
-    if (retries + 1 > allowed) {
+    logRetryShare(context);
+    if (!isWithinBudget(budget, retryWindowMs, context.nowMs, retryRatio * USED_BUDGET_RATIO / 2, countFixedTokens(context))) {
         return false;
     }
     bucket.retries += 1;
--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -16,6 +16,7 @@
 import { listenOnFreePort } from "./support/listenOnFreePort.js";
 import type { SendOptions } from "./support/sendOptions.js";
 import { waitForAnswer } from "./support/waitForAnswer.js";
+import { watchRetryTokens } from "./support/watchRetryTokens.js";
 
 const GATEWAY_SCRIPT = "packages/medlarlb-daemon/lib/gatewayMain.js";
 const ROUTE_HOST = "site.example";
@@ -47,15 +48,14 @@
         const storeAddress = `127.0.0.1:${(store.server.address() as AddressInfo).port}`;
         writeFileSync(path, createGatewaySettings({ caller, readiness, peer, metrics, store: storeAddress }));
         gateway = spawn(process.execPath, [GATEWAY_SCRIPT], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "pipe", "inherit"] });
-        if (readLog) {
-            gateway.stdout?.resume();
-        }
+        const hasRetryTokens = readLog ? watchRetryTokens(gateway.stdout) : () => true;
         await waitFor("the gateway is ready", async () => {
             const res = await request(`http://${readiness}/`).catch(() => undefined);
             await res?.body.dump();
             return res?.statusCode === 200;
         });
         await waitFor("the gateway forwards to its targets", async () => (await sendRequest("GET", "/safe/ready")).status === 200);
+        await waitFor("the gateway has its part of the retry budget", hasRetryTokens);
         engines.forEach(engine => engine.runs.splice(0));
     };
 
--- a/packages/medlarlb-fakes/src/__tests__/support/createGatewaySettings.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/createGatewaySettings.ts
@@ -25,4 +25,6 @@
     `address = ${metrics}`,
     "[limits]",
     "graceSeconds = 6",
+    // An instance has its part of the retry budget one and a half windows after its start.
+    "retryWindowSeconds = 4",
 ].join("\n");
--- a/packages/medlarlb-peers/src/frameCodec.ts
+++ b/packages/medlarlb-peers/src/frameCodec.ts
@@ -56,6 +56,7 @@
     "items",
     "contactAgeMs",
     "outageEndedAgoMs",
+    "readAgeMs",
 ] as const;
 
 /** Encodes and decodes the messages in the frames between instances. */
--- a/packages/medlarlb-types/src/directoryRelay.ts
+++ b/packages/medlarlb-types/src/directoryRelay.ts
@@ -8,6 +8,8 @@
     items: StoreEntry[];
     /** Time in ms since the store answered the sender. */
     contactAgeMs: number;
+    /** Time in ms since the sender asked the store, for how old the changes may be; older instances leave it out. */
+    readAgeMs?: number | undefined;
     /** Time in ms since the store answered the sender again after an outage; undefined if it had none. */
     outageEndedAgoMs: number | undefined;
 }
