--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -3,6 +3,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { answerMutations } from "./answerMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
+import { retryMutations } from "./retryMutations.mjs";
 
 const DECISIONS = "packages/medlarlb-decisions/src";
 const LEDGERS_TEST = `${DECISIONS}/__tests__/ledgers.test.ts`;
@@ -148,8 +149,8 @@
     {
         invariant: "gateway, retry budget: retries don't use up the budget",
         file: `${GATEWAY}/retries/takeRetryToken.ts`,
-        from: "bucket.retries += 1;",
-        to: "bucket.retries += 0;",
+        from: "budget.waiting += 1;",
+        to: "budget.waiting += 0;",
         check: CALLS_TEST,
     },
     {
@@ -231,6 +232,7 @@
     },
     ...observationMutations,
     ...answerMutations,
+    ...retryMutations,
 ];
 
 const only = process.argv[2];
--- a/packages/medlarlb-decisions/src/gateway/retries/retryBudget.ts
+++ b/packages/medlarlb-decisions/src/gateway/retries/retryBudget.ts
@@ -1,4 +1,6 @@
-/** Sliding window over the requests and retries of one service. Each bucket holds the counts of one second. */
+/** Requests and retries of one service at this instance. Each bucket holds the counts of a short time, the oldest first. */
 export interface RetryBudget {
-    buckets: { secondStartMs: number; requests: number; retries: number }[];
+    buckets: { startMs: number; requests: number; retries: number }[];
+    /** Retries that are allowed and wait for a target. They count in every window until they are sent. */
+    waiting: number;
 }
