Count a load from the weight store until a report settles whether it began

A caller saw nothing at once; the weight store got more loads than its rate, which slows each of them.

Cause: an order without an answer was dropped from the planner's record like a refused one. The engine may have begun the load, or may begin it seconds later, so each lost answer gave the planner another load to spend.

Ruled out: memory.

Change: such a load counts against the window and the concurrent loads until a report or a newer accepted order settles it, for 12 s at most. An order to the same engine may replace it.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
@@ -3,6 +3,7 @@
 import { brandAs } from "medlarlb-types/brandAs";
 import type { EngineProfile } from "medlarlb-types/engineProfile";
 import type { InstanceId } from "medlarlb-types/instanceId";
+import type { PlacementOrderOutcome } from "medlarlb-types/placementOrderOutcome";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { Route } from "medlarlb-types/route";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
@@ -26,6 +27,8 @@
     msPerToken?: number[];
     /** Number of models that each engine has on its disk besides the loaded ones. */
     modelsOnDisk?: number;
+    /** Draws how an order is delayed and which outcome its sender gets, if not the engine's own. */
+    drawOrderFault?: (random: () => number) => { delayMs: number; answer: PlacementOrderOutcome | undefined };
 }
 
 interface Outcome {
@@ -153,6 +156,21 @@
         });
     };
 
+    const sendOrder = (from: (typeof instances)[number], { targetId, order }: Extract<GatewayCommand, { kind: "order" }>): void => {
+        const fault = options.drawOrderFault?.(random) ?? { delayMs: 0, answer: undefined };
+        const pushAnswer = (answer: PlacementOrderOutcome): unknown => from.inputs.push({ kind: "ordered", targetId, answer, reason: "" });
+        after(DELAY_MS + fault.delayMs, () => {
+            const answer = findEngine(targetId)?.handleOrder(nowMs, order) ?? "unknown";
+            if (fault.answer === undefined) {
+                after(DELAY_MS, () => pushAnswer(answer));
+            }
+        });
+        const { answer } = fault;
+        if (answer !== undefined) {
+            after(2 * DELAY_MS, () => pushAnswer(answer));
+        }
+    };
+
     const executeCommand = (from: (typeof instances)[number], command: GatewayCommand): void => {
         switch (command.kind) {
             case "send":
@@ -167,10 +185,7 @@
                 break;
             }
             case "order":
-                after(DELAY_MS, () => {
-                    const answer = findEngine(command.targetId)?.handleOrder(nowMs, command.order) ?? "unknown";
-                    after(DELAY_MS, () => from.inputs.push({ kind: "ordered", targetId: command.targetId, answer, reason: "" }));
-                });
+                sendOrder(from, command);
                 break;
             case "report":
                 after(2 * DELAY_MS, () => {
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -1,6 +1,7 @@
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { dropManagedEngine } from "../placement/dropManagedEngine.js";
 import { leavePools } from "../pools/leavePools.js";
 import { markTargetPools } from "../pools/markTargetPools.js";
 import { setTargetModels } from "../pools/setTargetModels.js";
@@ -46,7 +47,7 @@
         if (existing !== undefined) {
             context.targets.delete(entry.targetId);
             leavePools(context, existing);
-            context.managedEngines.delete(entry.targetId);
+            dropManagedEngine(context, entry.targetId);
         }
         addTarget(context, entry);
         return;
--- a/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
@@ -1,6 +1,7 @@
 import type { TargetId } from "medlarlb-types/targetId";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { dropManagedEngine } from "../placement/dropManagedEngine.js";
 import { leavePools } from "../pools/leavePools.js";
 import { indexTargets } from "./indexTargets.js";
 
@@ -10,7 +11,7 @@
     if (target !== undefined) {
         context.targets.delete(targetId);
         leavePools(context, target);
-        context.managedEngines.delete(targetId);
+        dropManagedEngine(context, targetId);
         indexTargets(context);
         logEvent(context, "targetGone", { target: targetId });
     }
--- a/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
@@ -13,6 +13,8 @@
 const REPORT_LAG_MS = 100;
 /** Time in ms after an unload order at which the planner first checks whether the unload is done. */
 const EXPECTED_UNLOAD_MS = 60;
+/** Time in ms for which an order without an answer may still be carried out. */
+const MAX_ORDER_DELAY_MS = 12_000;
 
 const expectedOrderMs = (context: GatewayContext, managed: ManagedEngine, order: PlacementOrder): number => {
     const service = context.targets.get(managed.targetId)?.entry.service ?? "";
@@ -46,6 +48,13 @@
     return order.action === "load" && isFromStore(managed, order.model);
 };
 
+/** Records that an engine may have begun, or may still begin, a load from the weight store. */
+const keepUnsettled = (context: GatewayContext, managed: ManagedEngine, order: PlacementOrder): void => {
+    if (order.action === "load" && order.adapter === undefined && isFromStore(managed, order.model)) {
+        managed.unsettledLoad = { model: order.model, orderCount: order.expectedOrderCount, untilMs: context.nowMs + MAX_ORDER_DELAY_MS };
+    }
+};
+
 /** Marks what is known of an engine as unconfirmed, so that no order is sent before its next report. */
 const requireReport = (managed: ManagedEngine): void => {
     managed.synced = false;
@@ -70,6 +79,9 @@
         // The unload still waits for runs to finish. The load is ordered again once a report shows that the unload is done.
         return;
     }
+    if (input.answer === "unknown") {
+        keepUnsettled(context, managed, order);
+    }
     if (!isAccepted) {
         requireReport(managed);
         return;
@@ -77,6 +89,7 @@
     if (isFollowUpLoad) {
         managed.models.delete(managed.running?.order.model ?? "");
     }
+    managed.unsettledLoad = undefined;
     managed.orderCount += 1;
     if (order.adapter === undefined) {
         publishPlacementUpdate(context, managed, recordModelOrder(context, managed, order));
--- a/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
@@ -33,6 +33,16 @@
     managed.orderCount = report.orderCount;
 };
 
+/** Settles a load that the engine didn't answer, if the report shows what became of it. Returns whether it was carried out. */
+const settleLoad = (managed: ManagedEngine, report: EngineReport): boolean => {
+    const { unsettledLoad } = managed;
+    if (unsettledLoad === undefined || report.orderCount <= unsettledLoad.orderCount) {
+        return false;
+    }
+    managed.unsettledLoad = undefined;
+    return report.models.some(each => each.name === unsettledLoad.model);
+};
+
 const finishOrder = (context: GatewayContext, managed: ManagedEngine): void => {
     const order = managed.running?.order;
     managed.running = undefined;
@@ -62,7 +72,8 @@
         return;
     }
     managed.synced = true;
+    const storeLoadBegun = settleLoad(managed, report);
     applyLoadedModels(context, managed, report);
     finishOrder(context, managed);
-    publishPlacementUpdate(context, managed);
+    publishPlacementUpdate(context, managed, storeLoadBegun);
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/managedEngine.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/managedEngine.ts
@@ -24,6 +24,11 @@
         /** Whether the load that follows an unload was tried without waiting for the engine's report. */
         followUpTried: boolean;
     } | undefined;
+    /**
+     * Load from the weight store whose order got no answer. It may have begun, or may still begin while the engine has accepted
+     * `orderCount` orders, so it counts against the store's limits until a report or an accepted order rules it out.
+     */
+    unsettledLoad: { model: string; orderCount: number; untilMs: number } | undefined;
     /** Adapters that the engine is loading. */
     loadingAdapters: { model: string; adapter: string; doneAtMs: number }[];
     /** Model to load as soon as there is memory for it. */
--- a/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
@@ -4,6 +4,7 @@
 import { createPlacementTable } from "./createPlacementTable.js";
 import { expectedLoadMs } from "./expectedLoadMs.js";
 import { isFromStore } from "./isFromStore.js";
+import { isLoadUnsettled } from "./isLoadUnsettled.js";
 import { rankZonesForModel } from "./rankZonesForModel.js";
 import { replicaValue } from "./replicaValue.js";
 import { sendOrder } from "./sendOrder.js";
@@ -122,12 +123,14 @@
     profile: EngineProfile,
     table: PlacementTable,
     candidate: LoadCandidate,
-    storeLoadAllowed: boolean,
+    storeLoads: number,
 ): PlannedLoad | undefined => {
     let best: PlannedLoad | undefined;
     const requiredMb = profile.models.get(candidate.model)?.weightsMb ?? Number.POSITIVE_INFINITY;
     for (const duty of context.managedEngines.values()) {
-        if (!canLoadModel(context, service, duty, candidate.model) || (!storeLoadAllowed && isFromStore(duty, candidate.model))) {
+        // A new order replaces an unsettled one of the same engine.
+        const isStoreLoadAllowed = storeLoads + (isLoadUnsettled(duty, context.nowMs) ? 1 : 0) > 0;
+        if (!canLoadModel(context, service, duty, candidate.model) || (!isStoreLoadAllowed && isFromStore(duty, candidate.model))) {
             continue;
         }
         const hasRoom = usedWeightsMb(profile, duty) + requiredMb <= profile.weightsMb;
@@ -149,7 +152,7 @@
 export const planModels = (context: GatewayContext, service: string, profile: EngineProfile): void => {
     const table = createPlacementTable(context, service, profile);
     for (const candidate of listLoadCandidates(context, service, table)) {
-        const plannedLoad = findBestLoad(context, service, profile, table, candidate, storeLoadsLeft(context, profile) > 0);
+        const plannedLoad = findBestLoad(context, service, profile, table, candidate, storeLoadsLeft(context, profile));
         if (plannedLoad === undefined) {
             continue;
         }
--- a/packages/medlarlb-decisions/src/gateway/placement/storeLoadsLeft.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/storeLoadsLeft.ts
@@ -1,6 +1,7 @@
 import type { EngineProfile } from "medlarlb-types/engineProfile";
 import type { GatewayContext } from "../gatewayContext.js";
 import { isFromStore } from "./isFromStore.js";
+import { isLoadUnsettled } from "./isLoadUnsettled.js";
 
 const MS_PER_SECOND = 1_000;
 /** Loads that are allowed in a window beyond the store's rate, over all zones. */
@@ -33,11 +34,14 @@
     const maxConcurrent = Math.max(1, Math.round(profile.storeLoadsPerSecond * longestLoadMs / MS_PER_SECOND / zoneCount));
     let running = 0;
     let planned = 0;
+    let unsettled = 0;
     for (const managed of context.managedEngines.values()) {
         const order = (managed.running ?? managed.pending)?.order;
-        const isModelLoad = order?.action === "load" && order.adapter === undefined;
-        running += isModelLoad && isFromStore(managed, order.model) ? 1 : 0;
+        const isStoreLoad = order?.action === "load" && order.adapter === undefined && isFromStore(managed, order.model);
+        running += isStoreLoad ? 1 : 0;
+        // An engine carries out only one of two orders with the same condition.
+        unsettled += !isStoreLoad && isLoadUnsettled(managed, context.nowMs) ? 1 : 0;
         planned += managed.nextModel !== undefined && isFromStore(managed, managed.nextModel) ? 1 : 0;
     }
-    return Math.min(Math.floor(allowedInWindow) - context.storeLoadTimesMs.length - planned, maxConcurrent - running - planned);
+    return Math.min(Math.floor(allowedInWindow) - context.storeLoadTimesMs.length, maxConcurrent - running) - planned - unsettled;
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
@@ -1,5 +1,6 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { dropManagedEngine } from "./dropManagedEngine.js";
 import type { ManagedEngine } from "./managedEngine.js";
 
 const createManagedEngine = (target: PoolTarget): ManagedEngine => ({
@@ -12,6 +13,7 @@
     onDisk: new Set(target.entry.onDisk),
     pending: undefined,
     running: undefined,
+    unsettledLoad: undefined,
     loadingAdapters: [],
     nextModel: undefined,
     requestedAdapters: [],
@@ -24,7 +26,7 @@
     for (const [targetId, duty] of context.managedEngines) {
         const target = context.targets.get(targetId);
         if (target === undefined || target.entry.startedAtMs !== duty.startedAtMs) {
-            context.managedEngines.delete(targetId);
+            dropManagedEngine(context, targetId);
         }
     }
     for (const target of context.targets.values()) {
