Give orders again to an engine that didn't carry out an accepted one

Callers got 503 for each model that the engine was to load, until the planner lease changed its holder.

Cause: an answer 202 that isn't the order's own raises the planner's number of accepted orders above the engine's. Each later order is then refused (409), and each report has a lower number and is ignored as too old.

Change: a report that was requested 2 s or more after the latest acceptance is believed also if its number is lower. If it is wrong after all, the engine refuses the next order, whose condition doesn't hold.

The test failed before: of three models that were requested one by one, the two after the false answer got 503 instead of 200.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/unprovedOrders.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/unprovedOrders.test.ts
@@ -37,6 +37,27 @@
         }
     });
 
+    it("goes on ordering models from an engine that didn't carry out an order which was answered as accepted", () => {
+        let orders = 0;
+        const deployment = createVirtualDeployment({
+            seed: 1,
+            zones: 1,
+            enginesPerZone: 1,
+            models: 6,
+            route: slowRoute,
+            drawOrderFault: () => {
+                orders += 1;
+                return orders === 1 ? { delayMs: Number.POSITIVE_INFINITY, answer: "accepted" } : { delayMs: 0, answer: undefined };
+            },
+        });
+        deployment.run(3_000);
+        for (const model of ["m3", "m4", "m5"]) {
+            deployment.sendCall(0, model, { tokens: 200 });
+            deployment.run(10_000);
+        }
+        expect(deployment.outcomes().map(each => each.status).slice(1)).to.deep.equal([200, 200]);
+    });
+
     const lostAnswers = [
         { when: "at once", maxDelayMs: 0 },
         { when: "late", maxDelayMs: 6_000 },
--- a/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyOrdered.ts
@@ -91,6 +91,7 @@
     }
     managed.unsettledLoad = undefined;
     managed.orderCount += 1;
+    managed.acceptedAtMs = context.nowMs;
     if (order.adapter === undefined) {
         publishPlacementUpdate(context, managed, recordModelOrder(context, managed, order));
         return;
--- a/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyReport.ts
@@ -6,6 +6,9 @@
 import { sendOrder } from "./sendOrder.js";
 import { publishPlacementUpdate } from "./publishPlacementUpdate.js";
 
+/** Largest age in ms of the state that a report shows when it is requested. */
+const MAX_REPORT_AGE_MS = 2_000;
+
 const applyLoadedModels = (context: GatewayContext, managed: ManagedEngine, report: EngineReport): void => {
     const knownModels = managed.models;
     const runningOrder = managed.running?.order;
@@ -54,6 +57,15 @@
     }
 };
 
+/** Corrects the record of an engine that has carried out fewer orders than it answered, so that it is given orders again. */
+const dropLostOrders = (context: GatewayContext, managed: ManagedEngine, report: EngineReport): void => {
+    if (report.orderCount < managed.orderCount) {
+        logEvent(context, "orderLost", { target: managed.targetId, orderCount: report.orderCount, knownCount: managed.orderCount });
+        managed.running = undefined;
+        managed.nextModel = undefined;
+    }
+};
+
 /**
  * Applies an engine's report of its own state. A report is about a hundred ms old, so one from before the last accepted
  * order is ignored.
@@ -66,12 +78,13 @@
     }
     managed.reportRequestedAtMs = undefined;
     const restarted = report.startedAtMs !== 0 && managed.startedAtMs !== 0 && report.startedAtMs !== managed.startedAtMs;
-    const isOld = report.orderCount < managed.orderCount;
+    const isOld = report.orderCount < managed.orderCount && input.requestedAtMs < managed.acceptedAtMs + MAX_REPORT_AGE_MS;
     if (restarted || isOld || report.orderRunning) {
         logEvent(context, "reportIgnored", { target: managed.targetId, restarted, isOld, orderRunning: report.orderRunning, startedAtMs: report.startedAtMs, knownStartMs: managed.startedAtMs, orderCount: report.orderCount, knownCount: managed.orderCount });
         return;
     }
     managed.synced = true;
+    dropLostOrders(context, managed, report);
     const storeLoadBegun = settleLoad(managed, report);
     applyLoadedModels(context, managed, report);
     finishOrder(context, managed);
--- a/packages/medlarlb-decisions/src/gateway/placement/managedEngine.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/managedEngine.ts
@@ -9,6 +9,8 @@
     synced: boolean;
     /** Number of orders that the engine has accepted. */
     orderCount: number;
+    /** Time of the engine's latest answer that it carries out an order. */
+    acceptedAtMs: number;
     /** Loaded models, with the time at which each adapter was last requested. */
     models: Map<string, { adapters: Map<string, number>; loadedAtMs: number }>;
     inMemory: Set<string>;
--- a/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
@@ -8,6 +8,7 @@
     startedAtMs: target.entry.startedAtMs,
     synced: false,
     orderCount: 0,
+    acceptedAtMs: Number.NEGATIVE_INFINITY,
     models: new Map(),
     inMemory: new Set(target.entry.inMemory),
     onDisk: new Set(target.entry.onDisk),
