Give each order and report request a connection to itself

An engine may answer a call a second time, late, before its next answer on the connection. For an order this was believed: a false 202 counts a change that wasn't made, a false 409, 412, 421 or 503 drops one that is made.

Cause: orders and report requests shared kept connections, and nothing in their answers says whose they are.

A false refusal can't overfill an engine, because orders state the number of accepted ones.

Change: the first answer on a new connection can't belong to an earlier call, so each of these calls gets its own. The store keeps its connections: it answers in order. The wiring is one module, which the test uses.

The test failed before in all 7 cases: false 200, 202, 409, 412, 421, 503 taken for the order's answer, and an earlier report for a later one.

--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -15,8 +15,6 @@
 import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createPeerGroup } from "medlarlb-peers/createPeerGroup";
 import { callerFirstEventTimeoutMs } from "medlarlb-site-adapter/callerFirstEventTimeoutMs";
-import { createEngineControl } from "medlarlb-site-adapter/createEngineControl";
-import { createStoreClient } from "medlarlb-site-adapter/createStoreClient";
 import { createTargetHeaders } from "medlarlb-site-adapter/createTargetHeaders";
 import { decodeRoutingConfig } from "medlarlb-site-adapter/decodeRoutingConfig";
 import { decodeTargetEntry } from "medlarlb-site-adapter/decodeTargetEntry";
@@ -24,13 +22,13 @@
 import { readCallHeaders } from "medlarlb-site-adapter/readCallHeaders";
 import { storeKeys } from "medlarlb-site-adapter/storeKeys";
 import { createConnectionPool } from "medlarlb-targets/createConnectionPool";
-import { createTextRequest } from "medlarlb-targets/createTextRequest";
 import { createLoop } from "../createLoop.js";
 import type { GatewaySettingsFile } from "../settings/gatewaySettingsFile.js";
 import { listenAt } from "../shared/listenAt.js";
 import { repeatEvery } from "../shared/repeatEvery.js";
 import { waitUntil } from "../shared/waitUntil.js";
 import { createCallProxy } from "./createCallProxy.js";
+import { createControlClients } from "./createControlClients.js";
 import { createCommandExecutor } from "./createCommandExecutor.js";
 import { createObservationGossip } from "./createObservationGossip.js";
 import { createDirectorySync } from "./createDirectorySync.js";
@@ -85,9 +83,13 @@
     const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => executeCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
-    const request = createTextRequest(createConnectionPool({ now, countConnection: () => undefined }));
-    const store = createStoreClient({ address: settings.store.address, request, countCall: call => metrics.storeCalls.inc({ call }) });
-    const engines = createEngineControl(request, instanceId, targetId => push({ kind: "targetLeaving", targetId, source: "control" }));
+    const { store, engines } = createControlClients({
+        storeAddress: settings.store.address,
+        instanceId,
+        now,
+        countStoreCall: call => metrics.storeCalls.inc({ call }),
+        onLeaving: targetId => push({ kind: "targetLeaving", targetId, source: "control" }),
+    });
     const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc() });
     const adapter = { callerFirstEventTimeoutMs, readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
     const callProxy = createCallProxy({ adapter, pool, metrics, now, push, note: loop.note, isStopping: () => stopping });
