--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -1,3 +1,4 @@
+import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
 import type { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
@@ -16,12 +17,14 @@
     onLeaving: () => void;
     /** Called when the target asks for a pause. */
     onPause: (pauseMs: number) => void;
+    /** Called for each answer to another request that precedes the own one. */
+    onForeignAnswer: (evidence: AnswerEvidence) => void;
     onBegun: () => void;
     /** Called at most once in a while although bytes keep arriving. */
     onContact: () => void;
     /** `longestGapMs` is the longest pause between two parts of the answer. */
     onFinished: (status: number, longestGapMs: number) => void;
-    onFailed: (failure: { ran: "no" | "unknown"; cause: FailureCause; reason: string }) => void;
+    onFailed: (failure: { ran: "no" | "unknown"; cause: FailureCause; reason: string; evidence: AnswerEvidence | undefined }) => void;
 }
 
 interface RelayOptions {
@@ -56,6 +59,7 @@
     const { res, metadata } = call;
     const splitter = createSseSplitter();
     let answerHeaders: AnswerHeaders | undefined;
+    let evidence: AnswerEvidence | undefined;
     let status = 0;
     let mode: Mode = "undecided";
     let bufferedChunks: Buffer[] = [];
@@ -70,7 +74,7 @@
     const fail = (ran: "no" | "unknown", cause: FailureCause, reason: string): void => {
         if (!hasFailed) {
             hasFailed = true;
-            events.onFailed({ ran, cause, reason });
+            events.onFailed({ ran, cause, reason, evidence });
         }
     };
 
@@ -195,11 +199,13 @@
     };
 
     const chooseMode = (): Mode => {
-        if (answerHeaders === undefined || answerHeaders.notRun) {
+        if (answerHeaders === undefined) {
             return "drop";
         }
-        if (answerHeaders.callerRequestId !== undefined && answerHeaders.callerRequestId !== metadata.callerRequestId) {
-            failAndClose("garbled", "the answer belongs to another request");
+        if (answerHeaders.notRun) {
+            if ((answerHeaders.callerRequestId ?? "") !== metadata.callerRequestId) {
+                failAndClose("garbled", `the target refused with ${status} and didn't name the request`);
+            }
             return "drop";
         }
         const success = status >= 200 && status < 300;
@@ -242,9 +248,12 @@
     };
 
     return {
-        onHead: (statusCode, headers) => {
+        onForeignAnswer: (foreignStatus, answerId, { ageMs, carriedRequests }) =>
+            events.onForeignAnswer({ status: foreignStatus, answerId, connectionAgeMs: Math.round(ageMs), carriedRequests }),
+        onHead: (statusCode, headers, { ageMs, carriedRequests }) => {
             status = statusCode;
             answerHeaders = adapter.readAnswer(statusCode, headers);
+            evidence = { status, answerId: answerHeaders.callerRequestId, connectionAgeMs: Math.round(ageMs), carriedRequests };
             if (answerHeaders.load !== undefined) {
                 events.onLoad(answerHeaders.load);
             }
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -19,6 +19,7 @@
 import { decodeRoutingConfig } from "medlarlb-site-adapter/decodeRoutingConfig";
 import { decodeTargetEntry } from "medlarlb-site-adapter/decodeTargetEntry";
 import { readAnswerHeaders } from "medlarlb-site-adapter/readAnswerHeaders";
+import { readAnswerId } from "medlarlb-site-adapter/readAnswerId";
 import { readCallHeaders } from "medlarlb-site-adapter/readCallHeaders";
 import { storeKeys } from "medlarlb-site-adapter/storeKeys";
 import { createConnectionPool } from "medlarlb-targets/createConnectionPool";
@@ -90,7 +91,7 @@
         countStoreCall: call => metrics.storeCalls.inc({ call }),
         onLeaving: targetId => push({ kind: "targetLeaving", targetId, source: "control" }),
     });
-    const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc() });
+    const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc(), readAnswerId });
     const adapter = { callerFirstEventTimeoutMs, readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
     const callProxy = createCallProxy({ adapter, pool, metrics, now, push, note: loop.note, isStopping: () => stopping });
     const ingress = createIngressServer({
