--- a/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
@@ -1,5 +1,6 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { dropManagedEngine } from "./dropManagedEngine.js";
 import type { ManagedEngine } from "./managedEngine.js";
 
 const createManagedEngine = (target: PoolTarget): ManagedEngine => ({
@@ -7,11 +8,13 @@
     startedAtMs: target.entry.startedAtMs,
     synced: false,
     orderCount: 0,
+    acceptedAtMs: Number.NEGATIVE_INFINITY,
     models: new Map(),
     inMemory: new Set(target.entry.inMemory),
     onDisk: new Set(target.entry.onDisk),
     pending: undefined,
     running: undefined,
+    unsettledLoad: undefined,
     loadingAdapters: [],
     nextModel: undefined,
     requestedAdapters: [],
@@ -25,7 +28,7 @@
     for (const [targetId, duty] of context.managedEngines) {
         const target = context.targets.get(targetId);
         if (target === undefined || target.entry.startedAtMs !== duty.startedAtMs) {
-            context.managedEngines.delete(targetId);
+            dropManagedEngine(context, targetId);
         }
     }
     for (const target of context.targets.values()) {
