Show answers to callers that precede the one that is due, and a connection that stays paused

Seen on this code: - A caller's request is passed on; a later request on the same connection has a slow or malformed header. The ingress writes 408 or 400 on the connection at once, before the answer that is due or into its body.

--- a/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
@@ -175,6 +175,26 @@
         expect(pauses).to.be.above(3);
     });
 
+    it("answers the next request on a connection whose last response ended with a pause", async () => {
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        respond = socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        await new Promise<void>((resolve, reject) => {
+            const request = pool.send(address, { method: "GET", path: "/", headers: ["Host", "h"], body: undefined, requestId: undefined }, {
+                onForeignAnswer: () => undefined,
+                onHead: () => undefined,
+                onChunk: () => {
+                    setTimeout(() => request.resume(), 1);
+                    return false;
+                },
+                onEnd: resolve,
+                onFailure: ({ reason }) => reject(new Error(reason)),
+            });
+        });
+        await new Promise(resolve => setTimeout(resolve, 20));
+        const late = new Promise<string>(resolve => setTimeout(() => resolve("no answer within 1 s"), 1_000));
+        expect(await Promise.race([sendRequest(), late])).to.deep.include({ body: "ok", failure: undefined });
+    });
+
     it("reports that a request was never sent when no connection opens", async () => {
         const { port } = server.address() as AddressInfo;
         server.close();
@@ -234,6 +254,23 @@
             expect((await send("1")).failure).to.deep.include({ sent: true });
         });
 
+        it("reports nothing more about a request that is aborted at an answer to another request", async () => {
+            respond = socket => socket.write(write("1", "one"));
+            await send("1");
+            respond = socket => socket.write(write("1", "late") + write("2", "two"));
+            const reports: string[] = [];
+            const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+            const request = pool.send(address, { method: "POST", path: "/", headers: ["Host", "h"], body: undefined, requestId: "2" }, {
+                onForeignAnswer: () => request.abort(),
+                onHead: () => void reports.push("head"),
+                onChunk: () => reports.push("chunk") > 0,
+                onEnd: () => void reports.push("end"),
+                onFailure: () => void reports.push("failure"),
+            });
+            await new Promise(resolve => setTimeout(resolve, 50));
+            expect(reports).to.deep.equal([]);
+        });
+
         it("sends a request without an id on a connection of its own", async () => {
             respond = socket => socket.write(write("1", "one"));
             await send("1");
