Collect a buffered answer in one piece of memory

A target that sent an answer in chunks of one byte had 30 MB kept for each request of up to 256 KiB.

Cause: each chunk was kept as a buffer object of its own.

Ruled out: to refuse such chunks. They are a valid answer.

Change: the collector that holds incomplete events holds these answers too.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -1,4 +1,5 @@
 import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
+import { createByteCollector } from "medlarlb-targets/createByteCollector";
 import type { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
@@ -70,8 +71,7 @@
     let evidence: AnswerEvidence | undefined;
     let status = 0;
     let mode: Mode = "undecided";
-    let bufferedChunks: Buffer[] = [];
-    let bufferedBytes = 0;
+    const buffered = createByteCollector(MAX_BUFFERED_BYTES, "a buffered answer");
     let droppedBytes = 0;
     let hasBegun = false;
     let hasFailed = false;
@@ -242,13 +242,13 @@
         }
         if (mode === "buffer" && status >= MIN_SERVER_ERROR_STATUS && metadata.route.kind === "safe" && metadata.route.maxAttempts > 1) {
             // The decisions may retry a safe request on another target. The caller gets this answer if they don't.
-            call.failedAnswer = { status, headers: answerHeaders?.forwarded.flat() ?? [], body: Buffer.concat(bufferedChunks) };
+            call.failedAnswer = { status, headers: answerHeaders?.forwarded.flat() ?? [], body: buffered.take() };
             fail("unknown", "error", `the target answered ${status}`);
             return;
         }
         reportBegun();
-        writeHead(mode === "buffer" ? bufferedBytes : undefined);
-        res.end(mode === "buffer" ? Buffer.concat(bufferedChunks) : undefined);
+        writeHead(mode === "buffer" ? buffered.length() : undefined);
+        res.end(mode === "buffer" ? buffered.take() : undefined);
         events.onFinished(status, arrivals.longestGapMs());
     };
 
@@ -285,26 +285,20 @@
                     return true;
                 }
             }
+            if (mode === "buffer" && buffered.length() + chunk.length <= MAX_BUFFERED_BYTES) {
+                buffered.add(chunk);
+                return true;
+            }
             if (mode === "buffer") {
-                // The memory of a chunk is used again for the next one.
-                bufferedChunks.push(Buffer.from(chunk));
-                bufferedBytes += chunk.length;
-                if (bufferedBytes <= MAX_BUFFERED_BYTES) {
-                    return true;
-                }
                 mode = startRelay();
-                const bytes = Buffer.concat(bufferedChunks);
-                bufferedChunks = [];
-                if (mode === "drop") {
-                    return true;
-                }
-                reportBegun();
-                writeHead(answerHeaders?.contentLength);
-                return write(bytes);
+            }
+            if (mode === "drop") {
+                return true;
             }
             reportBegun();
             writeHead(answerHeaders?.contentLength);
-            return write(Buffer.from(chunk));
+            // The memory of a chunk is used again for the next one.
+            return write(Buffer.concat([buffered.take(), chunk]));
         },
         onEnd: handleEnd,
         onFailure: ({ sent, malformed, reason }) => {
