--- a/packages/medlarlb-targets/src/__tests__/probeListening.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/probeListening.test.ts
@@ -12,4 +12,22 @@
         await new Promise(resolve => server.close(resolve));
         expect(await probeListening(address)).to.equal("refused");
     });
+
+    it("closes its connection to a process that writes without end", async () => {
+        let timer: NodeJS.Timeout | undefined;
+        let writtenBytes: number | undefined;
+        const server = createServer(socket => {
+            socket.on("error", () => undefined);
+            timer = setInterval(() => socket.writableNeedDrain || socket.write(Buffer.alloc(65_536, "?")), 1);
+            socket.once("close", () => {
+                clearInterval(timer);
+                writtenBytes = socket.bytesWritten;
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        expect(await probeListening(`127.0.0.1:${(server.address() as AddressInfo).port}`)).to.equal("listening");
+        await new Promise(resolve => setTimeout(resolve, 200));
+        expect(writtenBytes).to.be.a("number").and.below(1_048_576);
+        server.close();
+    });
 });
