--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -45,6 +45,7 @@
     return ownHead(req, ["Content-Type: text/event-stream", `Content-Length: ${body.length}`]) + body;
 };
 
+const FIRST_EVENT = "id: 1\ndata: one\n\n";
 const chunked = "Transfer-Encoding: chunked";
 const endlessKinds: Record<string, EndlessKind> = {
     "header lines": { answer: () => ({ start: "HTTP/1.1 200 OK\r\n", part: "X-A: 1\r\n" }) },
@@ -79,12 +80,14 @@
     "answers to other requests": { answer: () => ({ start: "", part: `${head(503, ["X-Request-Id: other", "X-Not-Run: 1", "Content-Length: 1"])}x` }) },
 };
 
-/** Answers that a caller gets, and what never ends is beside or after them. Their services have no other target. */
+/** Answers that a caller gets, and what never ends is beside or after them. Only resumable services have another target. */
 const wholeAnswers: Record<string, (req: ScriptedRequest) => EndlessAnswer> = {
     "after/safe": req => ({ start: writeOwnAnswer(req), part: "?" }),
     "idle/safe": req => ({ start: writeOwnAnswer(req), part: writeOwnAnswer(req), pauseMs: 200 }),
     "head/safe": req => ({ start: ownHead(req, ["Content-Length: 5"]), part: "a" }),
     "events/stream": req => ({ start: ownHead(req, [chunked]), part: "400\r\ndata: ".padEnd(1_027, "a").concat("\n\n\r\n") }),
+    "late/stream": req => ({ start: ownHead(req, []) + FIRST_EVENT, part: "a" }),
+    "late/resumable": req => ({ start: ownHead(req, []) + FIRST_EVENT, part: "a" }),
     "comments/stream": req => ({ start: ownHead(req, []), part: ": comment\n\n" }),
     "lines/stream": req => ({ start: ownHead(req, []), part: "\n" }),
 };
@@ -154,6 +157,9 @@
             const engine = createEndlessEngineServer(answer);
             engines.set(service, engine);
             register(`bad-${service.replace("/", "-")}`, service, await listen(engine.server, 0), 8);
+            if (service.endsWith("/resumable")) {
+                register(`good-${service.replace("/", "-")}`, service, honestPort, 1);
+            }
         }
         gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
         await waitFor("all targets are known", () => gateway.log.filter(line => line.event === "targetFound").length === store.count("servers/"));
@@ -250,6 +256,20 @@
         });
     }
 
+    it("breaks off a stream when one of its events never ends, and continues a resumable one on another target", async () => {
+        const { status, text, tookMs } = await send("/late/stream/x");
+        expect({ status, text }).to.deep.equal({ status: 200, text: "cut" });
+        expect(tookMs).to.be.below(MAX_ANSWER_MS);
+        for (const answer of await sendUntilEndless("late/resumable", {})) {
+            expect(answer).to.deep.include({ status: 200, text: FIRST_EVENT + ownBody("/late/resumable/x") });
+            expect(answer.tookMs).to.be.below(MAX_ANSWER_MS);
+            await waitFor("the log names the attempt", () => logOf(answer.id).length > 0);
+            expect(logOf(answer.id)).to.deep.equal(["retried"]);
+        }
+        await checkClosed("late/stream", MAX_ANSWER_MS);
+        await checkClosed("late/resumable", MAX_ANSWER_MS);
+    });
+
     it("reads no more of a signed stream without end than a caller takes who doesn't read", async () => {
         const service = "events/stream";
         const taken = await new Promise<number>((resolve, reject) => {
