--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -1,7 +1,9 @@
 // Mutation tests: breaks one guard in the source at a time and runs the test file that has to fail. Exits with 1 if one passes.
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
+import { answerMutations } from "./answerMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
+import { retryMutations } from "./retryMutations.mjs";
 
 const DECISIONS = "packages/medlarlb-decisions/src";
 const LEDGERS_TEST = `${DECISIONS}/__tests__/ledgers.test.ts`;
@@ -147,8 +149,8 @@
     {
         invariant: "gateway, retry budget: retries don't use up the budget",
         file: `${GATEWAY}/retries/takeRetryToken.ts`,
-        from: "bucket.retries += 1;",
-        to: "bucket.retries += 0;",
+        from: "budget.waiting += 1;",
+        to: "budget.waiting += 0;",
         check: CALLS_TEST,
     },
     {
@@ -229,11 +231,17 @@
         check: ATTEMPTS_TEST,
     },
     ...observationMutations,
+    ...answerMutations,
+    ...retryMutations,
 ];
 
 const only = process.argv[2];
 let problems = 0;
-for (const { invariant, file, from, to, check } of mutations.filter(each => only === undefined || each.invariant.includes(only))) {
+/** Tests that start processes run what is built. */
+const buildAll = () => spawnSync("npx", ["tsc", "-b"]);
+
+const selected = mutations.filter(each => only === undefined || each.invariant.includes(only));
+for (const { invariant, file, from, to, check, build = false } of selected) {
     const source = readFileSync(file, "utf8");
     if (!source.includes(from)) {
         console.log(`outdated   ${invariant}: ${file} doesn't contain the text of the guard`);
@@ -242,6 +250,9 @@
     }
     writeFileSync(file, source.replace(from, to));
     try {
+        if (build) {
+            buildAll();
+        }
         const run = spawnSync("npx", ["mocha", check], {
             encoding: "utf8",
             env: { MEDLARLB_HISTORIES: "250", ...process.env },
@@ -253,6 +264,9 @@
     }
     finally {
         writeFileSync(file, source);
+        if (build) {
+            buildAll();
+        }
     }
 }
 process.exitCode = problems === 0 ? 0 : 1;
--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -9,6 +9,7 @@
 import type { StoreError } from "medlarlb-types/storeError";
 import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDirectorySync } from "../gateway/createDirectorySync.js";
+import { waitUntil } from "../shared/waitUntil.js";
 
 const watcher = brandAs<InstanceId>("a:1");
 const self = brandAs<InstanceId>("b:1");
@@ -27,8 +28,10 @@
         const calls: string[] = [];
         const events: string[] = [];
         const relays: DirectoryRelay[] = [];
+        const contacts: number[] = [];
         let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
         let reachable = true;
+        let hasLongHistory = false;
         const revision = (): number => Math.max(...items.map(item => item.revision));
         const answer = <Value>(value: Value): Result<Value, StoreError> =>
             (reachable ? Result.ok<Value, StoreError>(value) : Result.err<Value, StoreError>({ kind: "unknown", message: "no answer" }));
@@ -39,6 +42,9 @@
             },
             watch: async (_prefix: string, after: number, waitMs: number) => {
                 calls.push(`watch ${after}`);
+                if (hasLongHistory) {
+                    return Result.err<never, StoreError>({ kind: "tooLong", message: "too many changes" });
+                }
                 const changed = () => items.filter(item => item.revision > after);
                 await sleep(changed().length > 0 ? 0 : waitMs);
                 return answer({ items: changed(), revision: revision() });
@@ -59,6 +65,7 @@
                 onTargetGone: id => events.push(`${id} gone`),
                 onInstances: () => undefined,
                 onPlanners: () => undefined,
+                onListContact: atMs => contacts.push(atMs),
                 onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
             },
         });
@@ -76,11 +83,15 @@
             calls,
             events,
             relays,
+            contacts,
             relay,
             startHeartbeat,
             change: (entry: StoreEntry): void => {
                 items = [...items.filter(item => item.key !== entry.key), entry];
             },
+            setLongHistory: (value: boolean): void => {
+                hasLongHistory = value;
+            },
             setReachable: (value: boolean): void => {
                 reachable = value;
             },
@@ -118,6 +129,17 @@
         expect(events).to.include("config 2");
     });
 
+    it("lists the store anew if the changes that it missed are too many for one response", async () => {
+        const { calls, events, change, setLongHistory } = createFixture();
+        setLongHistory(true);
+        sync.start();
+        await waitUntil(() => calls.length >= 2, 1_000);
+        change({ key: "op/config", value: "config 2", revision: 9 });
+        await waitUntil(() => events.includes("config 2"), 3_000);
+        expect(calls.slice(0, 3)).to.deep.equal(["list", "watch 5", "list"]);
+        expect(events).to.deep.equal(["config 1", "config 2"]);
+    });
+
     it("watches the store itself within 1.5 s when the watcher is silent, and passes changes on", async () => {
         const { calls, events, relays, startHeartbeat, change } = createFixture();
         sync.start();
@@ -164,4 +186,38 @@
         await sleep(2_300);
         expect(events).to.not.include("e1 gone");
     });
+
+    it("has seen the list when it asked for changes, not when they came", async () => {
+        const { contacts } = createFixture();
+        sync.start();
+        const askedByMs = performance.now() + 50;
+        await sleep(600);
+        expect(contacts[0]).to.be.below(askedByMs);
+    });
+
+    it("has seen the list as long ago as the watcher that passes changes on", async () => {
+        const { contacts, startHeartbeat } = createFixture();
+        sync.start();
+        await sleep(20);
+        startHeartbeat(() => 5);
+        await sleep(1_500);
+        contacts.splice(0);
+        sync.applyRelay(watcher, { after: 5, revision: 5, items: [], contactAgeMs: 0, outageEndedAgoMs: undefined, readAgeMs: 2_000 });
+        expect(contacts).to.have.length(1);
+        expect(performance.now() - (contacts[0] ?? 0)).to.be.within(2_000, 2_500);
+    });
+
+    it("takes a message that waited while the process was frozen for as old as the freeze", async () => {
+        const { contacts, startHeartbeat } = createFixture();
+        sync.start();
+        await sleep(20);
+        startHeartbeat(() => 5);
+        await sleep(1_500);
+        contacts.splice(0);
+        const frozenSinceMs = performance.now();
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_000);
+        await sleep(10);
+        sync.applyRelay(watcher, { after: 5, revision: 5, items: [], contactAgeMs: 0, outageEndedAgoMs: undefined, readAgeMs: 0 });
+        expect(contacts.at(-1)).to.be.within(frozenSinceMs - 1_000, frozenSinceMs);
+    });
 });
--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -2,8 +2,10 @@
 import type { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import type { PooledResponseHandlers } from "medlarlb-targets/pooledResponseHandlers";
 import type { FailureCause } from "medlarlb-decisions/gateway/failureCause";
+import { createArrivalRecorder } from "./createArrivalRecorder.js";
+import { createCallerWriter } from "./createCallerWriter.js";
+import { createRepeatFilter } from "./createRepeatFilter.js";
 import { createSseSplitter } from "./createSseSplitter.js";
-import { encodeChunk } from "./encodeChunk.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
 import type { IngressCall } from "./ingressCall.js";
 
@@ -42,10 +44,12 @@
 
 /** Length up to which an answer is buffered whole before the caller receives any of it, so that a failed attempt can be retried. */
 const MAX_BUFFERED_BYTES = 262_144;
+/** Longest body of a refusal that is read so that its connection can be used again. */
+const MAX_DROPPED_BYTES = 65_536;
 const MISDIRECTED_REQUEST_STATUS = 421;
+/** Statuses by which a caller is told that its request has not run and won't. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MIN_SERVER_ERROR_STATUS = 500;
-/** Shortest time in ms between two reports that a target is sending. */
-const CONTACT_INTERVAL_MS = 100;
 
 /**
  * How the body is handled: discarded, buffered whole, relayed chunk by chunk, or relayed event by event. It is undecided
@@ -55,20 +59,21 @@
 
 /** Creates the handlers that check one response of a target and relay it to the caller. */
 export const createAnswerRelay = (options: RelayOptions): PooledResponseHandlers => {
-    const { call, adapter, events, targetId, now } = options;
+    const { call, adapter, events, targetId } = options;
     const { res, metadata } = call;
+    const writer = createCallerWriter(call, () => options.exchange()?.resume());
+    const arrivals = createArrivalRecorder(options.now, events.onContact);
     const splitter = createSseSplitter();
+    const skipRepeated = createRepeatFilter(splitter.list);
     let answerHeaders: AnswerHeaders | undefined;
     let evidence: AnswerEvidence | undefined;
     let status = 0;
     let mode: Mode = "undecided";
     let bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
+    let droppedBytes = 0;
     let hasBegun = false;
     let hasFailed = false;
-    let lastChunkAtMs: number | undefined;
-    let longestGapMs = 0;
-    let nextContactMs = Number.NEGATIVE_INFINITY;
     let lastEventId = options.lastDeliveredId;
 
     const fail = (ran: "no" | "unknown", cause: FailureCause, reason: string): void => {
@@ -91,66 +96,11 @@
         events.onBegun();
     };
 
-    const writeHead = (length: number | undefined): void => {
-        if (res.headersSent || answerHeaders === undefined) {
-            return;
-        }
-        const headers = answerHeaders.forwarded.flat();
-        if (length !== undefined) {
-            headers.push("content-length", String(length));
-        }
-        res.writeHead(status, headers);
-    };
-
-    /** Writes part of a body that has a length. */
-    const write = (bytes: Buffer): boolean => {
-        const hasCapacity = res.write(bytes);
-        if (!hasCapacity) {
-            res.once("drain", () => options.exchange()?.resume());
-        }
-        return hasCapacity;
-    };
-
-    /**
-     * Writes part of a body without a length as one chunk, together with the headers if it is the first. `res.write` would
-     * make four writes of it, which costs a stream of small events more than the rest of their way.
-     */
-    const writeChunk = (bytes: Buffer): boolean => {
-        const socket = res.socket ?? undefined;
-        if (socket === undefined || call.req.httpVersionMinor === 0) {
-            writeHead(undefined);
-            return write(Buffer.from(bytes));
-        }
-        if (!res.headersSent) {
-            // The headers and the first events leave in one write.
-            socket.cork();
-            process.nextTick(() => socket.uncork());
-            writeHead(undefined);
-            res.flushHeaders();
-        }
-        const hasCapacity = socket.write(encodeChunk(bytes));
-        if (!hasCapacity) {
-            socket.once("drain", () => options.exchange()?.resume());
-        }
-        return hasCapacity;
-    };
-
-    /**
-     * Returns whether the caller already received an event. Event ids rise, and a run that resumed from an earlier point
-     * repeats some of them.
-     */
-    const wasDelivered = (id: string | undefined): boolean =>
-        id !== undefined && lastEventId !== undefined && options.lastDeliveredId !== undefined && Number(id) <= Number(lastEventId);
-
-    /** Returns the part of a block of events that the caller hasn't received yet. */
-    const skipDelivered = (block: Buffer): Buffer => {
-        const isResumed = options.lastDeliveredId !== undefined;
-        return isResumed ? Buffer.concat(splitter.list(block).filter(event => !wasDelivered(event.id)).map(event => event.bytes)) : block;
-    };
+    const head = () => ({ status, headers: answerHeaders?.forwarded ?? [] });
 
     const relayEvents = (chunk: Buffer): boolean => {
         const block = splitter.push(chunk);
-        const events = block === undefined ? undefined : skipDelivered(block);
+        const events = block === undefined || options.lastDeliveredId === undefined ? block : skipRepeated(block, lastEventId);
         if (events === undefined || events.length === 0) {
             return true;
         }
@@ -160,17 +110,7 @@
             lastEventId = id;
             options.onDelivered(id);
         }
-        return writeChunk(events);
-    };
-
-    const recordChunk = (): void => {
-        const nowMs = now();
-        longestGapMs = Math.max(longestGapMs, nowMs - (lastChunkAtMs ?? nowMs));
-        lastChunkAtMs = nowMs;
-        if (nowMs >= nextContactMs) {
-            nextContactMs = nowMs + CONTACT_INTERVAL_MS;
-            events.onContact();
-        }
+        return writer.writeChunk(head(), events);
     };
 
     const isFromOtherTarget = (): boolean => answerHeaders?.targetId !== undefined && answerHeaders.targetId !== targetId;
@@ -198,6 +138,24 @@
         }
     };
 
+    /** Counts bytes of a refusal's body. A longer one isn't read to its end: the headers have refused the request. */
+    const dropBody = (length: number): void => {
+        droppedBytes += length;
+        if (!hasFailed && droppedBytes > MAX_DROPPED_BYTES) {
+            options.exchange()?.abort();
+            reportRefusal();
+        }
+    };
+
+    /** Relays an answer that is too long to be buffered. A long failure without the signature isn't taken for the target's own. */
+    const startRelay = (): Mode => {
+        if (answerHeaders?.stamped === true) {
+            return "relay";
+        }
+        failAndClose("garbled", `the answer lacks the target's signature and is longer than ${MAX_BUFFERED_BYTES} bytes`);
+        return "drop";
+    };
+
     const chooseMode = (): Mode => {
         if (answerHeaders === undefined) {
             return "drop";
@@ -208,6 +166,10 @@
             }
             return "drop";
         }
+        if (NOT_RUN_STATUSES.has(status) && metadata.route.kind !== "safe") {
+            failAndClose("error", `the target answered ${status} and didn't say that it hasn't run the request`);
+            return "drop";
+        }
         const success = status >= 200 && status < 300;
         if (answerHeaders.encoded || (success && !answerHeaders.stamped)) {
             failAndClose("garbled", "the answer is encoded or lacks the target's signature");
@@ -221,7 +183,7 @@
             failAndClose("error", `the target that should continue the stream answered ${status}`);
             return "drop";
         }
-        return answerHeaders.contentLength !== undefined && answerHeaders.contentLength > MAX_BUFFERED_BYTES ? "relay" : "buffer";
+        return (answerHeaders.contentLength ?? 0) > MAX_BUFFERED_BYTES ? startRelay() : "buffer";
     };
 
     const handleEnd = (): void => {
@@ -242,9 +204,9 @@
             return;
         }
         reportBegun();
-        writeHead(mode === "buffer" ? bufferedBytes : undefined);
+        writer.writeHead(head(), mode === "buffer" ? bufferedBytes : undefined);
         res.end(mode === "buffer" ? Buffer.concat(bufferedChunks) : undefined);
-        events.onFinished(status, longestGapMs);
+        events.onFinished(status, arrivals.longestGapMs());
     };
 
     return {
@@ -259,12 +221,18 @@
             }
             reportTargetState(answerHeaders);
             mode = chooseMode();
+            if (mode === "drop" && (answerHeaders.contentLength ?? 0) > MAX_DROPPED_BYTES) {
+                dropBody(answerHeaders.contentLength ?? 0);
+            }
         },
         onChunk: chunk => {
+            if (mode === "drop") {
+                dropBody(chunk.length);
+            }
             if (hasFailed || mode === "drop") {
                 return true;
             }
-            recordChunk();
+            arrivals.record();
             if (mode === "events") {
                 try {
                     return relayEvents(chunk);
@@ -281,16 +249,19 @@
                 if (bufferedBytes <= MAX_BUFFERED_BYTES) {
                     return true;
                 }
-                mode = "relay";
-                reportBegun();
-                writeHead(answerHeaders?.contentLength);
+                mode = startRelay();
                 const bytes = Buffer.concat(bufferedChunks);
                 bufferedChunks = [];
-                return write(bytes);
+                if (mode === "drop") {
+                    return true;
+                }
+                reportBegun();
+                writer.writeHead(head(), answerHeaders?.contentLength);
+                return writer.write(bytes);
             }
             reportBegun();
-            writeHead(answerHeaders?.contentLength);
-            return write(Buffer.from(chunk));
+            writer.writeHead(head(), answerHeaders?.contentLength);
+            return writer.write(Buffer.from(chunk));
         },
         onEnd: handleEnd,
         onFailure: ({ sent, malformed, reason }) => {
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -25,10 +25,13 @@
 import { applyLeaseChange } from "./placement/applyLeaseChange.js";
 import { applyOrdered } from "./placement/applyOrdered.js";
 import { applyReport } from "./placement/applyReport.js";
+import { applyReportFailed } from "./placement/applyReportFailed.js";
 import { relayPlacementUpdate } from "./placement/relayPlacementUpdate.js";
 import { applyModelRequest } from "./placement/applyModelRequest.js";
 import { markAllPools } from "./pools/markAllPools.js";
 import { markTargetPools } from "./pools/markTargetPools.js";
+import { recordListContact } from "./retries/recordListContact.js";
+import { updateGroupView } from "./retries/updateGroupView.js";
 
 type Handlers = { [Kind in GatewayInput["kind"]]: (context: GatewayContext, input: Extract<GatewayInput, { kind: Kind }>) => void };
 
@@ -72,13 +75,15 @@
     finished: applyFinished,
     foreignAnswer: applyForeignAnswer,
     failed: applyFailed,
-    instances: (context, { count, planners, members, zoneOrder }) => {
+    instances: (context, { count, listed, planners, members, zoneOrder }) => {
         context.instanceCount = count;
         context.planners = planners;
         context.members = members;
         context.zoneOrder = zoneOrder;
+        updateGroupView(context, listed, members.map(each => each.id));
         markAllPools(context);
     },
+    listContact: (context, { atMs }) => recordListContact(context, atMs),
     probed: applyProbed,
     observations: applyObservations,
     stop: context => {
@@ -95,13 +100,7 @@
     wanted: (context, { service, model, adapter, targetId }) => applyModelRequest(context, service, model, adapter, targetId),
     duty: (context, { fence }) => applyLeaseChange(context, fence),
     report: applyReport,
-    reportFailed: (context, { targetId, reason }) => {
-        logEvent(context, "reportFailed", { target: targetId, reason });
-        const managed = context.managedEngines.get(targetId);
-        if (managed !== undefined) {
-            managed.reportRequestedAtMs = undefined;
-        }
-    },
+    reportFailed: applyReportFailed,
     ordered: applyOrdered,
 };
 
--- a/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
@@ -108,6 +108,24 @@
         }
     });
 
+    it("gives no connection to two requests at once when one with a shorter idle time has expired", async () => {
+        const answers: (() => void)[] = [];
+        respond = socket => void answers.push(() => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+        const first = sendRequest();
+        const second = sendRequest();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        answers[0]?.();
+        await first;
+        sockets[1]?.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok");
+        await second;
+        passedMs += 600;
+        const sent = [sendRequest(), sendRequest()];
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(connectionCount).to.equal(3);
+        answers.slice(2).forEach(answer => answer());
+        expect((await Promise.all(sent)).map(each => each.body)).to.deep.equal(["ok", "ok"]);
+    });
+
     it("doesn't use a connection again whose target answered before it had read the whole request", async function () {
         this.timeout(5_000);
         respond = socket => {
@@ -201,12 +219,14 @@
             expect(await send("1")).to.deep.include({ foreignIds: ["another"], failure: { sent: true, malformed: true } });
             respond = socket => socket.write(write("another", "x").repeat(100));
             expect(await send("2")).to.deep.include({ failure: { sent: true, malformed: true } });
+            respond = socket => socket.write(write("3", "three"));
+            await send("3");
             const sendEndless = (socket: Socket): void => void socket.write("y".repeat(65_536), () => !socket.destroyed && sendEndless(socket));
             respond = socket => {
-                socket.write("HTTP/1.1 200 OK\r\nX-Id: another\r\nContent-Length: 9000000000\r\n\r\n");
+                socket.write("HTTP/1.1 200 OK\r\nX-Id: 3\r\nContent-Length: 9000000000\r\n\r\n");
                 sendEndless(socket);
             };
-            expect(await send("3")).to.deep.include({ foreignIds: ["another"], failure: { sent: true, malformed: true } });
+            expect(await send("4")).to.deep.include({ foreignIds: ["3"], failure: { sent: true, malformed: true } });
         }).timeout(5_000);
 
         it("doesn't take the end of a connection inside an answer to another request for the end of the own one", async () => {
