Read on after an answer whose last part its handler has paused

Callers saw: 504 after their deadline, for a request on a kept connection.

Cause: if the last part of an answer found the caller slow, reading was paused, and the connection was freed while it was. The pool ignores a resume after the end, so that the next request got no answer.

Ruled out: the answers' length alone; the caller has to be slow at the very last part.

Change: the end of an answer ends its pause.

--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -110,6 +110,8 @@
         }
         exchange = undefined;
         carriedRequests += 1;
+        // A handler that has paused the last part of the answer must not hold up the next request.
+        mayRead = true;
         // A target may answer before it has read the whole request. The rest of the request must not be taken for another one.
         if (isReusable && socket.writableLength === 0) {
             onFree(completed.idleMs);
