Report nothing about a request that is aborted at an answer to another one

Cause: only bodies were held back after an abort; a head that arrived in the same read as an answer to another request was reported.

Ruled out: an effect on callers; the gateway aborts in a later step.

Change: heads are held back as well. Before: the review's test was told of the head. After: of nothing.

Conclusion: the contract of abort holds again.

--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -210,6 +210,9 @@
                     readAnswerId,
                     onForeignAnswer: (status, answerId) => handleForeignAnswer(current, status, answerId),
                     onHead: (status, headers) => {
+                        if (exchange !== current) {
+                            return;
+                        }
                         current.hasOwnHead = true;
                         if (status >= MIN_FAILURE_STATUS && message.requestId !== undefined) {
                             failedIds.add(message.requestId);
