Write no answer of the gateway's own before one that is due on the connection

Callers saw: 408 for a request that its target runs (REFUSED), 400, or either inside a stream.

Cause: when a later request on a caller's connection has a slow or malformed header, the error was answered at once on that connection. It arrives where the answer to the earlier request is expected.

Ruled out: pipelining callers alone; a header that is begun while a stream runs is enough.

Change: while an answer to a request that was passed on is due, nothing is written; the connection ends after that answer.

After: the answer that is due arrives whole, alone, and the connection is closed.

--- a/packages/medlarlb-daemon/src/__tests__/createIngressServer.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createIngressServer.test.ts
@@ -76,4 +76,11 @@
         expect(received).to.contain("id: 1");
         expect(received).not.to.contain("HTTP/1.1 408");
     }).timeout(10_000);
+
+    it("sends the answer that is due whole after malformed bytes, and then closes the connection", async () => {
+        const closed = new Promise<void>(resolve => ingress.server.once("connection", socket => socket.once("close", () => resolve())));
+        const received = await sendThen("nonsense\r\n\r\n", ({ res }) => setTimeout(() => res.end("whole"), 200));
+        expect(received).to.match(/^HTTP\/1\.1 200 OK\r\n/).and.to.match(/\r\n\r\nwhole$/);
+        await closed;
+    }).timeout(10_000);
 });
--- a/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
+++ b/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
@@ -39,6 +39,8 @@
 export const createIngressServer = (options: IngressOptions) => {
     const { adapter, now, random } = options;
     let sequence = 0;
+    /** The latest answer that is due on each connection, of a request that has been passed on. */
+    const dueAnswers = new WeakMap<Socket, ServerResponse>();
 
     const reject = (req: IncomingMessage, res: ServerResponse, status: number, reason: string): void => {
         options.onRejected(status, reason, adapter.readCall(req.headers).callerRequestId);
@@ -87,6 +89,7 @@
         const { lastEventId, deadlineMs, callerIdentity, ...metadata } = adapter.readCall(req.headers);
         readBody(req, config.limits.maxBodyBytes, body => {
             sequence += 1;
+            dueAnswers.set(req.socket, res);
             const allowedMs = Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs);
             options.onCall({
                 req,
@@ -123,6 +126,13 @@
             socket.destroy();
             return;
         }
+        const due = dueAnswers.get(socket);
+        if (due !== undefined && !due.writableFinished) {
+            // An answer written now would be taken for the one that is due. The connection ends after that instead.
+            due.once("finish", () => socket.end());
+            options.onRejected(400, `${err.message}; closed after the answer that is due`, "");
+            return;
+        }
         const statusLines: Record<string, string> = { HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large", ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout" };
         options.onRejected(Number.parseInt(statusLines[err.code ?? ""] ?? "400", 10), err.message, "");
         socket.end(`HTTP/1.1 ${statusLines[err.code ?? ""] ?? "400 Bad Request"}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
