--- a/admin/retryMutations.mjs
+++ b/admin/retryMutations.mjs
@@ -57,8 +57,8 @@
     {
         invariant: "gateway, shared retry budget: a retry that waits counts from when it was allowed",
         file: `${RETRIES}/takeRetryToken.ts`,
-        from: "let retries = waiting + 1;",
-        to: "let retries = 1;",
+        from: "budget.waiting += 1;",
+        to: "currentBucket(budget, retryWindowMs, context.nowMs).retries += 1;",
         check: RETRY_HISTORIES_TEST,
     },
     {
