--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -92,7 +92,7 @@
         ({ kind: "failed", callId, attempt, ran, cause, reason: "test" });
     /** Runs several steps without inputs and returns their commands. */
     const repeatStep = (stepCount = 20): GatewayCommand[] => Array.from({ length: stepCount }, () => step()).flat();
-    return { step, call, createFailure, repeatStep, listSends, listStatuses };
+    return { view: decisions.view, step, call, createFailure, repeatStep, listSends, listStatuses };
 };
 
 describe("call attempts", () => {
@@ -162,4 +162,15 @@
         const commands = [...step({ kind: "callerLeft", callId }), ...repeatStep()];
         expect([...listSends(commands), ...listStatuses(commands)]).to.deep.equal([]);
     });
+
+    it("counts a retry whose caller leaves while it waits for a window, not for ever", () => {
+        const { view, step, call, createFailure } = createTestGateway({});
+        call();
+        step(createFailure(1, "no", "full"));
+        expect(view().retryBudgets.get("llm")).to.deep.include({ waiting: 1 });
+        step({ kind: "callerLeft", callId });
+        const budget = view().retryBudgets.get("llm");
+        expect(budget?.waiting).to.equal(0);
+        expect(budget?.buckets.reduce((sum, each) => sum + each.retries, 0)).to.equal(1);
+    });
 });
