Wait for the retry budget in the test with endless answers

Cause: an instance that has just started has no part of the fixed allowance of the retry budget until one and a half windows later, since retries are shared that way. The test sent its requests earlier.

Change: the test waits for the log line that names the instance's part, as the other tests with real processes do. No bound is changed.

--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -163,6 +163,9 @@
         }
         gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
         await waitFor("all targets are known", () => gateway.log.filter(line => line.event === "targetFound").length === store.count("servers/"));
+        // An instance that has just started makes few retries.
+        await waitFor("the gateway has its part of the retry budget", () =>
+            gateway.log.some(line => line.event === "retryShare" && Number(line.tokens) > 0));
     });
 
     after(() => {
