Replace a connection instead of adding one when a refused request comes again

Callers would see: 502 for a request that its targets have only refused.

Cause: sends a request on no connection again on which it has failed, so that each repeat to a full target opened one more connection, while the others stayed idle. Targets reset connections beyond their number, and a reset attempt may have run.

Ruled out: sending it on the old connection; a late copy of the refusal names the request.

Change: one idle connection is closed for the new one.

The test waits for the instance's part of the retry budget, which didn't have to; no expectation was changed.

--- a/packages/medlarlb-fakes/src/__tests__/fullTargets.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/fullTargets.test.ts
@@ -62,6 +62,8 @@
         }
         gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`);
         await waitFor("the gateway forwards to its targets", async () => await sendRequest("first") === 200);
+        const hasRetryTokens = (): boolean => gateway.log.some(each => each.event === "retryShare" && Number(each.tokens) > 0);
+        await waitFor("the gateway has its part of the retry budget", hasRetryTokens);
     });
 
     after(() => {
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -76,6 +76,10 @@
         idle.filter(each => now() >= each.untilMs).forEach(each => each.connection.close());
         const position = idle.findLastIndex(each => !each.connection.hasFailed(requestId));
         const [latest] = position < 0 ? [] : idle.splice(position, 1);
+        if (latest === undefined) {
+            // The new connection takes the place of one, because targets accept a limited number of them.
+            idle.at(-1)?.connection.close();
+        }
         return latest?.connection ?? open(address);
     };
 
