Believe "not run" only beside a status with which targets refuse

Callers would see: 503 for a request that has run, or a second run.

Cause: the header alone was believed, beside 200, 302 or 500, too.

Ruled out: the platform's pages; they name it with 400, 421, 429, 503.

Change: beside other statuses the answer counts as spoilt.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -48,6 +48,8 @@
 /** Longest body of a refusal that is read so that its connection can be used again. */
 const MAX_DROPPED_BYTES = 65_536;
 const MISDIRECTED_REQUEST_STATUS = 421;
+/** Statuses with which a target refuses a request. "Not run" beside another one contradicts itself. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([400, 408, 421, 429, 503]);
 /** Statuses by which a caller is told that its request has not run and won't. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -161,7 +163,10 @@
             return "drop";
         }
         if (answerHeaders.notRun) {
-            if ((answerHeaders.callerRequestId ?? "") !== metadata.callerRequestId) {
+            if (!REFUSAL_STATUSES.has(status)) {
+                failAndClose("garbled", `the target answered ${status} and says that it hasn't run the request`);
+            }
+            else if ((answerHeaders.callerRequestId ?? "") !== metadata.callerRequestId) {
                 failAndClose("garbled", `the target refused with ${status} and didn't name the request`);
             }
             return "drop";
--- a/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
@@ -159,6 +159,13 @@
         expect(runs).to.deep.equal(answers.map(each => each.id));
     }).timeout(20_000);
 
+    it("believes no \"not run\" beside a status with which targets don't refuse", async () => {
+        for (const status of [200, 302, 404, 500, 504]) {
+            const outcome = await sendSeries("/unsafe/x", req => writeAnswer(status, [req.id], ["X-Not-Run: 1", "X-Response-Stamp: s"], "x"));
+            expect(outcome, String(status)).to.deep.equal({ statuses: [502], falseRefusals: 0, repeatedRuns: 0, otherBodies: 0 });
+        }
+    }).timeout(60_000);
+
     it("sends a request to another target after a refusal that names it", async () => {
         const refusing = new Set(["e1"]);
         script = (req, socket) => {
