Wait for the own answer until the deadline, and prove ids more strictly

Callers would see: 502 for a request whose answer was coming; an answer without an id taken for their own after one to another request; a caller that uses an id twice gets the late answer to its first request.

Cause, found by the review: the wait ended 1 s after an answer that names no request of its connection; the first answer of a connection counted as first after a foreign one, too; and only failed requests kept later ones with the same id from a connection.

Ruled out: an early end for what may be repeated; its first-event time-out already sends it to another target.

Change: no time-out of its own; an answer without an id has to be the very first; a connection carries no request with an id that it has carried.

The test "responds 502 if a target's answer carries the id of another request" expected an end at once, which supposes that no other answer comes. The unit test of the 1 s is replaced by one that gets an answer after 1.3 s.

Before: 3 new tests failed. After: they pass.

--- a/admin/answerMutations.mjs
+++ b/admin/answerMutations.mjs
@@ -15,8 +15,15 @@
     {
         invariant: "gateway, whose answer: an answer that names no request is believed on a connection that carried others",
         file: `${TARGETS}/isOwnAnswer.ts`,
-        from: "carriedRequests === 0",
-        to: "carriedRequests >= 0",
+        from: "answerId === undefined && isFirstAnswer",
+        to: "answerId === undefined",
+        check: CONNECTION_POOL_TEST,
+    },
+    {
+        invariant: "gateway, whose answer: an answer that names no request is believed after one to another request",
+        file: `${TARGETS}/createAnswerReader.ts`,
+        from: "&& foreignAnswers === 0",
+        to: "",
         check: CONNECTION_POOL_TEST,
     },
     {
@@ -57,8 +64,8 @@
     {
         invariant: "gateway, whose answer: a request is sent again on the connection on which an attempt of it failed",
         file: `${TARGETS}/createTargetConnection.ts`,
-        from: "failedIds.add(message.requestId);",
-        to: "",
+        from: "(carriedIds.has(requestId) || failedIds.has(requestId))",
+        to: "false",
         check: FOREIGN_ANSWERS_TEST,
         build: true,
     },
@@ -70,6 +77,22 @@
         check: FOREIGN_ANSWERS_TEST,
         build: true,
     },
+    {
+        invariant: "gateway, true refusals: \"not run\" is believed beside any status",
+        file: RELAY,
+        from: "!REFUSAL_STATUSES.has(status)",
+        to: "status === 0",
+        check: FOREIGN_ANSWERS_TEST,
+        build: true,
+    },
+    {
+        invariant: "gateway, whose answer: each repeat of a refused request takes up one more connection",
+        file: `${TARGETS}/createConnectionPool.ts`,
+        from: "idle.at(-1)?.connection.close();",
+        to: "",
+        check: "packages/medlarlb-fakes/src/__tests__/fullTargets.test.ts",
+        build: true,
+    },
     {
         invariant: "gateway, true refusals: a refusal that names no request is believed",
         file: RELAY,
--- a/packages/medlarlb-targets/src/createAnswerReader.ts
+++ b/packages/medlarlb-targets/src/createAnswerReader.ts
@@ -58,7 +58,7 @@
     const createParser = (): ReturnType<typeof createResponseParser> => createResponseParser({
         onHead: (status, headers) => {
             const answerId = readAnswerId(headers);
-            isForeign = !isOwnAnswer(requestId, answerId, history());
+            isForeign = !isOwnAnswer(requestId, answerId, history().carriedRequests === 0 && foreignAnswers === 0);
             if (isForeign) {
                 startForeignAnswer(status, answerId);
                 return;
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -66,7 +66,7 @@
         return connection;
     };
 
-    /** Returns the idle connection that was used last and on which no attempt of the request has failed, or a new one. */
+    /** Returns the idle connection that was used last and hasn't carried a request with this id, or a new one. */
     const acquire = (address: string, { requestId }: TargetRequestMessage): IdleConnection["connection"] => {
         if (requestId === "") {
             // Only the first answer of a connection can be told to be that of a request without an id.
@@ -74,7 +74,7 @@
         }
         const idle = idleByAddress.get(address) ?? [];
         idle.filter(each => now() >= each.untilMs).forEach(each => each.connection.close());
-        const position = idle.findLastIndex(each => !each.connection.hasFailed(requestId));
+        const position = idle.findLastIndex(each => !each.connection.hasCarried(requestId));
         const [latest] = position < 0 ? [] : idle.splice(position, 1);
         if (latest === undefined) {
             // The new connection takes the place of one, because targets accept a limited number of them.
