--- a/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
@@ -188,4 +188,23 @@
             expect(await sendRequest("/other/x")).to.deep.include({ status: 200, text: "whole" });
         }
     }).timeout(20_000);
+
+    it("logs whose answers they were, and what their connection had carried", async () => {
+        /** Returns the lines of an event about requests that are sent from now on. */
+        const readLines = async (event: string, answer: (req: ScriptedRequest) => string) => {
+            const lastId = sequence;
+            await sendSeries("/unsafe/x", answer);
+            const list = () => gateway.log.filter(each => each.event === event && Number(String(each.request).slice(1)) > lastId);
+            await waitFor(`the log has ${event} lines`, () => list().length > 0);
+            return list() as { request: string; evidence: Record<string, unknown> }[];
+        };
+        const withRefusal = (req: ScriptedRequest): string => (req.previousIds.length === 0 ? "" : writeRefusal(503, [previousId(req)]));
+        for (const { request: id, evidence } of await readLines("foreignAnswer", req => withRefusal(req) + writeOwnAnswer(req))) {
+            expect(evidence).to.include({ status: 503 }).and.to.have.all.keys("status", "answerId", "connectionAgeMs", "carriedRequests");
+            expect(evidence.answerId).to.be.a("string").and.not.to.equal(id);
+            expect(evidence.carriedRequests).to.be.above(0);
+        }
+        const retries = await readLines("retried", req => writeAnswer(503, [req.id], ["X-Not-Run: 1"]));
+        expect(retries.every(each => each.evidence.answerId === each.request)).to.equal(true);
+    }).timeout(20_000);
 });
