Log the store's era, and how configurations and targets' entries were read

Change: storeEra lines; configApplied, configBroken, targetFound, targetState and targetGone carry the entry's origin. Decisions are the same.

--- a/packages/medlarlb-daemon/src/__tests__/falseControlAnswers.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/falseControlAnswers.test.ts
@@ -43,6 +43,7 @@
                 instanceId: brandAs<InstanceId>("i1"),
                 now: () => performance.now(),
                 countStoreCall: () => undefined,
+                onStoreEra: () => undefined,
                 onLeaving: () => undefined,
             });
             done();
--- a/packages/medlarlb-daemon/src/gateway/createControlClients.ts
+++ b/packages/medlarlb-daemon/src/gateway/createControlClients.ts
@@ -12,6 +12,8 @@
     instanceId: InstanceId;
     now: () => number;
     countStoreCall: (call: string) => void;
+    /** Called when the store's answers name another era, with that of the answers before. */
+    onStoreEra: (era: string | undefined, previous: string | undefined) => void;
     onLeaving: (targetId: TargetId) => void;
 }
 
@@ -22,7 +24,7 @@
 
 /** Creates the clients of the metadata store and of the engines' orders and reports. */
 export const createControlClients = (options: ControlClientsOptions): ControlClients => {
-    const { storeAddress, instanceId, now, countStoreCall, onLeaving } = options;
+    const { storeAddress, instanceId, now, countStoreCall, onStoreEra, onLeaving } = options;
     const pool = createConnectionPool({ now, countConnection: () => undefined, readAnswerId });
     // Answers to orders and report requests name no request, so each of these calls needs a connection that has carried none.
     const enginePool: typeof pool = {
@@ -30,7 +32,7 @@
         send: (address, message, handlers) => pool.send(address, { ...message, requestId: "" }, handlers),
     };
     return {
-        store: createStoreClient({ address: storeAddress, request: createTextRequest(pool), countCall: countStoreCall }),
+        store: createStoreClient({ address: storeAddress, request: createTextRequest(pool), countCall: countStoreCall, onEra: onStoreEra }),
         engines: createEngineControl(createTextRequest(enginePool), instanceId, onLeaving),
     };
 };
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -1,4 +1,5 @@
 import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
+import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
@@ -12,6 +13,8 @@
 import { directoryKeys } from "./directoryKeys.js";
 import { plannerEntry } from "./plannerEntry.js";
 
+type Source = Omit<EntryOrigin, "revision">;
+
 interface DirectorySyncOptions {
     store: MetadataStore;
     now: () => number;
@@ -76,21 +79,21 @@
             .map(entry => [entry.key.slice(prefix.length) as ZoneId, plannerEntry.decode(entry.value ?? "", entry.revision)]));
     };
 
-    const removeTarget = (key: string): void => {
+    const removeTarget = (key: string, origin: EntryOrigin): void => {
         const targetId = key.slice(targetPrefix.length) as TargetId;
         const sinceOutageMs = now() - outageEndedAtMs;
         if (sinceOutageMs >= REMOVAL_GRACE_MS) {
-            handlers.onTargetGone(targetId);
+            handlers.onTargetGone(targetId, origin);
         }
         else if (!pendingRemovals.has(key)) {
             pendingRemovals.set(key, setTimeout(() => {
                 pendingRemovals.delete(key);
-                handlers.onTargetGone(targetId);
+                handlers.onTargetGone(targetId, origin);
             }, REMOVAL_GRACE_MS - sinceOutageMs));
         }
     };
 
-    const applyEntry = (entry: StoreEntry): boolean => {
+    const applyEntry = (entry: StoreEntry, source: Source): boolean => {
         const previous = entriesByKey.get(entry.key);
         if (previous !== undefined && previous.revision >= entry.revision) {
             return false;
@@ -101,24 +104,25 @@
         else {
             entriesByKey.set(entry.key, entry);
         }
+        const origin = { ...source, revision: entry.revision };
         if (entry.key === configKey && entry.value !== undefined) {
-            handlers.onConfig(entry.value);
+            handlers.onConfig(entry.value, origin);
         }
         else if (entry.key.startsWith(targetPrefix)) {
             clearTimeout(pendingRemovals.get(entry.key));
             pendingRemovals.delete(entry.key);
             if (entry.value === undefined) {
-                removeTarget(entry.key);
+                removeTarget(entry.key, origin);
             }
             else if (entry.value !== previous?.value) {
-                handlers.onTargetEntry(entry.key.slice(targetPrefix.length), entry.value);
+                handlers.onTargetEntry(entry.key.slice(targetPrefix.length), entry.value, origin);
             }
         }
         return entry.key.startsWith(directoryKeys.prefix) && entry.value !== previous?.value;
     };
 
-    const applyEntries = (entries: StoreEntry[]): void => {
-        const instancesOrPlannersChanged = entries.map(applyEntry).some(Boolean);
+    const applyEntries = (entries: StoreEntry[], source: Source): void => {
+        const instancesOrPlannersChanged = entries.map(entry => applyEntry(entry, source)).some(Boolean);
         if (instancesOrPlannersChanged || revision === undefined) {
             handlers.onInstances(listInstances());
             handlers.onPlanners(listPlanners());
@@ -141,6 +145,7 @@
     };
 
     const readAll = async (): Promise<boolean> => {
+        const askedAtMs = now();
         const list = await store.list("");
         if (list.isErr) {
             return recordFailure(list.error.message);
@@ -150,7 +155,7 @@
         // An entry that isn't listed any more counts as removed. Its revision has to exceed the known one to be applied.
         const removed = [...entriesByKey.values()].filter(entry => !listedKeys.has(entry.key))
             .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, list.value.revision) }));
-        applyEntries([...list.value.items, ...removed]);
+        applyEntries([...list.value.items, ...removed], { source: "list", ageMs: now() - askedAtMs });
         revision = list.value.revision;
         return true;
     };
@@ -171,7 +176,7 @@
         }
         recordSuccess();
         isBehind = false;
-        applyEntries(changes.value.items);
+        applyEntries(changes.value.items, { source: "watch", ageMs: now() - askedAtMs });
         revision = Math.max(revision ?? after, changes.value.revision);
         handlers.onListContact(askedAtMs);
         relayChanges(after, changes.value.items, askedAtMs);
@@ -229,9 +234,9 @@
          * compaction until the store has been read again.
          */
         hasReadStore: (): boolean => revision !== undefined,
-        applyPeerEntries: (entries: StoreEntry[]): void => {
+        applyPeerEntries: (from: InstanceId, entries: StoreEntry[]): void => {
             if (revision === undefined) {
-                applyEntries(entries);
+                applyEntries(entries, { source: "peer", from, ageMs: undefined });
             }
         },
         /** Applies changes that another instance of this zone passes on. */
@@ -249,7 +254,7 @@
             if (changes.outageEndedAgoMs !== undefined) {
                 outageEndedAtMs = Math.max(outageEndedAtMs, now() - changes.outageEndedAgoMs);
             }
-            applyEntries(changes.items);
+            applyEntries(changes.items, { source: "relay", from, ageMs: changes.readAgeMs });
             revision = Math.max(revision, changes.revision);
             if (changes.readAgeMs !== undefined) {
                 handlers.onListContact(Math.min(now() - changes.readAgeMs, checkTimesMs[0]));
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { BootId } from "medlarlb-types/bootId";
 import { brandAs } from "medlarlb-types/brandAs";
+import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
@@ -89,6 +90,7 @@
         instanceId,
         now,
         countStoreCall: call => metrics.storeCalls.inc({ call }),
+        onStoreEra: (era, previous) => logEvent("storeEra", { era, previous }),
         onLeaving: targetId => push({ kind: "targetLeaving", targetId, source: "control" }),
     });
     const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc(), readAnswerId });
@@ -107,10 +109,10 @@
         },
     });
 
-    const applyConfig = (text: string, source: string): void => {
+    const applyConfig = (text: string, origin?: EntryOrigin): void => {
         const decoded = decodeRoutingConfig(text);
         if (decoded.isErr) {
-            logEvent("configBroken", { source, reason: decoded.error, keptVersion: config?.version });
+            logEvent("configBroken", { origin, reason: decoded.error, keptVersion: config?.version });
             return;
         }
         if (config !== undefined && decoded.value.version <= config.version) {
@@ -119,7 +121,7 @@
         config = decoded.value;
         configText = text;
         ingress.applyLimits(config);
-        push({ kind: "config", config });
+        push({ kind: "config", config, origin });
         // Instances that can't read the store learn of the new revision from the next probes.
     };
 
@@ -137,7 +139,7 @@
             return { revision, base: 0, entries: [{ key: CONFIG_ENTRY_KEY, value: configText, revision }] };
         },
         directoryItems: () => directory.items(),
-        onConfig: ({ entries }) => entries.forEach(entry => applyConfig(entry.value ?? "", "peer")),
+        onConfig: ({ entries }) => entries.forEach(entry => applyConfig(entry.value ?? "")),
         onGossip: entry => {
             observationGossip.receive(entry);
         },
@@ -146,7 +148,7 @@
         onGatewayMessage: (message, from) => {
             if (message.kind === "directory") {
                 logEvent("directoryFromPeer", { items: message.items.length, used: !directory.hasReadStore() });
-                directory.applyPeerEntries(message.items);
+                directory.applyPeerEntries(from, message.items);
             }
             else if (message.kind === "directoryChange") {
                 directory.applyRelay(from, message.changes);
@@ -224,17 +226,17 @@
             zoneMembers.forEach(id => peers.send(id, message));
         },
         handlers: {
-            onConfig: text => applyConfig(text, "store"),
-            onTargetEntry: (id, text) => {
+            onConfig: applyConfig,
+            onTargetEntry: (id, text, origin) => {
                 const entry = decodeTargetEntry(id, text);
                 if (entry.isOk) {
-                    push({ kind: "target", entry: entry.value });
+                    push({ kind: "target", entry: entry.value, origin });
                     return;
                 }
                 logEvent("entryBroken", { target: id, reason: entry.error });
-                push({ kind: "targetGone", targetId: brandAs(id) });
+                push({ kind: "targetGone", targetId: brandAs(id), origin });
             },
-            onTargetGone: targetId => push({ kind: "targetGone", targetId }),
+            onTargetGone: (targetId, origin) => push({ kind: "targetGone", targetId, origin }),
             onInstances: instances => {
                 listedInstances = instances;
                 peers.setListed(instances);
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -1,3 +1,4 @@
+import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import type { TargetId } from "medlarlb-types/targetId";
@@ -6,9 +7,9 @@
 /** Handlers of the changes that the directory sync finds in the store. */
 export interface DirectoryHandlers {
     /** Called with the text of a configuration document in the store. */
-    onConfig: (text: string) => void;
-    onTargetEntry: (id: string, text: string) => void;
-    onTargetGone: (targetId: TargetId) => void;
+    onConfig: (text: string, origin: EntryOrigin) => void;
+    onTargetEntry: (id: string, text: string, origin: EntryOrigin) => void;
+    onTargetGone: (targetId: TargetId, origin: EntryOrigin) => void;
     onInstances: (instances: ListedInstance[]) => void;
     /** Called with a time at which the store's list was as the handlers have last been told. */
     onListContact: (atMs: number) => void;
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -36,14 +36,14 @@
 type Handlers = { [Kind in GatewayInput["kind"]]: (context: GatewayContext, input: Extract<GatewayInput, { kind: Kind }>) => void };
 
 const handlers: Handlers = {
-    config: (context, { config }) => {
+    config: (context, { config, origin }) => {
         if (context.config === undefined || config.version > context.config.version) {
             context.config = config;
-            logEvent(context, "configApplied", { version: config.version, routes: config.routes.length, services: config.services.size });
+            logEvent(context, "configApplied", { version: config.version, routes: config.routes.length, services: config.services.size, origin });
         }
     },
-    target: (context, { entry }) => applyTarget(context, entry),
-    targetGone: (context, { targetId }) => removeTarget(context, targetId),
+    target: (context, { entry, origin }) => applyTarget(context, entry, origin),
+    targetGone: (context, { targetId, origin }) => removeTarget(context, targetId, origin),
     targetLeaving: applyLeaving,
     call: (context, { metadata }) => applyCall(context, metadata),
     callerLeft: (context, { callId }) => {
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -1,5 +1,6 @@
 import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
 import type { CallMetadata } from "medlarlb-types/callMetadata";
+import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { EngineReport } from "medlarlb-types/engineReport";
 import type { InstanceId } from "medlarlb-types/instanceId";
@@ -31,9 +32,10 @@
 
 /** Inputs of the gateway's decisions. Times are in ms of the instance's steady clock. */
 export type GatewayInput =
-    | { kind: "config"; config: RoutingConfig }
-    | { kind: "target"; entry: TargetEntry }
-    | { kind: "targetGone"; targetId: TargetId }
+    /** `origin` tells for the log how a document or an entry was read; a configuration without it came from another instance. */
+    | { kind: "config"; config: RoutingConfig; origin?: EntryOrigin | undefined }
+    | { kind: "target"; entry: TargetEntry; origin?: EntryOrigin }
+    | { kind: "targetGone"; targetId: TargetId; origin?: EntryOrigin }
     /** A target has said in an answer that it leaves. */
     | { kind: "targetLeaving"; targetId: TargetId; source: string }
     | { kind: "call"; metadata: CallMetadata }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -1,3 +1,4 @@
+import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -19,14 +20,14 @@
 const listModels = (entry: TargetEntry): PoolTarget["models"] =>
     new Map(entry.models.map(model => [model.name, new Set(model.adapters)]));
 
-const addTarget = (context: GatewayContext, entry: TargetEntry): PoolTarget => {
+const addTarget = (context: GatewayContext, entry: TargetEntry, origin: EntryOrigin | undefined): PoolTarget => {
     const isEngine = context.config?.services.get(entry.service)?.engine !== undefined || entry.models.length > 0;
     const msPerWorkUnit = context.serviceMsPerWorkUnit.get(entry.service) ?? (isEngine ? INITIAL_MS_PER_TOKEN : INITIAL_MS_PER_REQUEST);
     const target = createPoolTarget(entry, msPerWorkUnit, context.nowMs);
     context.targets.set(entry.targetId, target);
     indexTargets(context);
     setTargetModels(context, target, listModels(entry));
-    logEvent(context, "targetFound", { target: entry.targetId, service: entry.service, address: entry.address, zone: entry.zone, models: entry.models.map(model => model.name), inMemory: entry.inMemory, onDisk: entry.onDisk });
+    logEvent(context, "targetFound", { target: entry.targetId, service: entry.service, address: entry.address, zone: entry.zone, models: entry.models.map(model => model.name), inMemory: entry.inMemory, onDisk: entry.onDisk, leaving: target.leaving, origin });
     return target;
 };
 
@@ -41,7 +42,7 @@
     one.startedAtMs === other.startedAtMs && one.address === other.address && one.service === other.service;
 
 /** Applies the entry of a target from the platform's list. */
-export const applyTarget = (context: GatewayContext, entry: TargetEntry): void => {
+export const applyTarget = (context: GatewayContext, entry: TargetEntry, origin?: EntryOrigin): void => {
     const existing = context.targets.get(entry.targetId);
     if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
         if (existing !== undefined) {
@@ -49,7 +50,7 @@
             leavePools(context, existing);
             dropManagedEngine(context, entry.targetId);
         }
-        addTarget(context, entry);
+        addTarget(context, entry, origin);
         return;
     }
     // A placement update is ahead of the platform's list, which follows with the engine's next heartbeat.
@@ -58,7 +59,7 @@
     }
     const leaving = entry.leaving || existing.saidLeaving;
     if (existing.leaving !== leaving) {
-        logEvent(context, "targetState", { target: entry.targetId, leaving, remainingMs: entry.remainingMs, source: "list" });
+        logEvent(context, "targetState", { target: entry.targetId, leaving, remainingMs: entry.remainingMs, source: "list", origin });
     }
     existing.leaving = leaving;
     existing.entry = entry;
--- a/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
@@ -1,3 +1,4 @@
+import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { TargetId } from "medlarlb-types/targetId";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -6,13 +7,13 @@
 import { indexTargets } from "./indexTargets.js";
 
 /** Removes a target that the platform's list no longer contains. */
-export const removeTarget = (context: GatewayContext, targetId: TargetId): void => {
+export const removeTarget = (context: GatewayContext, targetId: TargetId, origin?: EntryOrigin): void => {
     const target = context.targets.get(targetId);
     if (target !== undefined) {
         context.targets.delete(targetId);
         leavePools(context, target);
         dropManagedEngine(context, targetId);
         indexTargets(context);
-        logEvent(context, "targetGone", { target: targetId });
+        logEvent(context, "targetGone", { target: targetId, origin });
     }
 };
