Compare revisions and leases of the store across its eras

Cause: a store that comes back from an older copy gives its revisions out again. An entry written after the return had a lower revision than the known one and was dropped, by the instance that reads the store and by those that follow it. The class: a number is compared with one of another line. Renewals, conditions and fencing tokens had the same cause: a lease id that was given out again was renewed for its former holder, and a fencing token fell. Change: platform/ joins each revision and lease with the era that the answer names, so that later eras are always higher.

--- a/packages/medlarlb-daemon/src/gateway/createControlClients.ts
+++ b/packages/medlarlb-daemon/src/gateway/createControlClients.ts
@@ -12,8 +12,8 @@
     instanceId: InstanceId;
     now: () => number;
     countStoreCall: (call: string) => void;
-    /** Called when the store's answers name another era, with that of the answers before. */
-    onStoreEra: (era: string | undefined, previous: string | undefined) => void;
+    /** Called when the store's answers name a later era, with that of the answers before. */
+    onStoreEra: (era: number, previous: number) => void;
     onLeaving: (targetId: TargetId) => void;
 }
 
--- a/packages/medlarlb-fakes/src/site/createMetadataStoreServer.ts
+++ b/packages/medlarlb-fakes/src/site/createMetadataStoreServer.ts
@@ -22,14 +22,22 @@
     remove: string[];
 }
 
+/** State of the store from which it may come back. */
+interface Copy {
+    items: Item[];
+    revision: number;
+}
+
 /** Creates a stand-in for the users' metadata store: keys with revisions, conditional transactions, leases and long-polling watches. */
 export const createMetadataStoreServer = () => {
     const items = new Map<string, Item>();
-    const changes: Change[] = [];
+    let changes: Change[] = [];
     const leases = new Map<number, { ttlMs: number; timer: NodeJS.Timeout }>();
     const watchers = new Set<() => void>();
     let revision = 1;
     let nextLease = 1;
+    /** Rises each time that the store comes back from a copy. */
+    let era = 1;
 
     const recordChange = (change: Change): void => {
         changes.push(change);
@@ -108,6 +116,9 @@
             case "kv-range":
                 return { status: 200, body: list(prefix) };
             case "kv-watch":
+                if (Number(url.searchParams.get("after")) > revision) {
+                    return { status: 410, body: {} };
+                }
                 return { status: 200, body: await watch(prefix, Number(url.searchParams.get("after")), Number(url.searchParams.get("wait_ms"))) };
             case "kv-txn":
                 return commit(body as unknown as Transaction);
@@ -134,6 +145,7 @@
     };
 
     const server = createServer((req, res) => {
+        res.setHeader("store-era", String(era));
         handleRequest(req).then(
             ({ status, body }) => sendJson(res, status, body),
             err => res.writeHead(500).end(String(err)),
@@ -145,6 +157,22 @@
         /** Writes a key directly, without a transaction. */
         put,
         remove,
+        /** Returns the present state without keys that hang on a lease. */
+        copy: (): Copy => ({ items: [...items.values()].filter(item => item.lease === 0), revision }),
+        /** Has the store come back from a copy: what was written since is gone, leases too, and revisions are given out again. */
+        restore: (copy: Copy): void => {
+            leases.forEach(({ timer }) => clearTimeout(timer));
+            leases.clear();
+            nextLease = 1;
+            items.clear();
+            copy.items.forEach(item => items.set(item.key, item));
+            changes = changes.filter(change => change.revision <= copy.revision);
+            revision = copy.revision;
+            era += 1;
+            server.closeAllConnections();
+        },
+        /** Returns the revision of the latest change. */
+        revision: (): number => revision,
         /** Returns the number of keys with a prefix. */
         count: (prefix: string): number => list(prefix).items.length,
         close: (): void => {
--- a/packages/medlarlb-types/src/metadataStore.ts
+++ b/packages/medlarlb-types/src/metadataStore.ts
@@ -10,7 +10,10 @@
     removes: string[];
 }
 
-/** The metadata store that the platform runs: keys with revisions, changes under conditions, leases, watches. */
+/**
+ * The metadata store that the platform runs: keys with revisions, changes under conditions, leases, watches. Revisions and
+ * leases are those of `storeEras`.
+ */
 export interface MetadataStore {
     /** Returns all keys with a prefix, and a revision from which a watch misses no change. */
     list: (prefix: string) => Promise<Result<{ items: StoreEntry[]; revision: number }, StoreError>>;
