Stop both gateways of the test when its preparation fails

A failing before hook left the first of two processes running, so that mocha waited for ever (seen once, 10 minutes, with storeEras.join broken on purpose: 5 client tests and the hook failed, as they should).

--- a/packages/medlarlb-fakes/src/__tests__/restoredStore.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/restoredStore.test.ts
@@ -64,7 +64,8 @@
             await listenOnFreePort(store.server);
             writeConfig(4);
             const address = `127.0.0.1:${(store.server.address() as AddressInfo).port}`;
-            gateways.push(await startGatewayProcess(address), await startGatewayProcess(address));
+            gateways.push(await startGatewayProcess(address));
+            gateways.push(await startGatewayProcess(address));
         }
         await waitFor("the gateways forward requests", () => isInForce(4));
         await sleep(1_000);
