Ignore store changes that an instance already knows, however they reach it

Cause: a removed key left nothing to compare an older value with, so a late message of a second watcher, or a list older than what other instances had passed on, brought the target back; the message for good. Change: an instance knows all changes up to its revision, so entries up to it are dropped, and a list before it isn't used. The revision is kept over a compaction. Messages of an instance that is an era behind are ignored, and a change that is needed from the store is asked for until it has come.

--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -32,19 +32,27 @@
         let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
         let reachable = true;
         let hasLongHistory = false;
+        let isCompacted = false;
+        let listRevision: number | undefined;
         const revision = (): number => Math.max(...items.map(item => item.revision));
         const answer = <Value>(value: Value): Result<Value, StoreError> =>
             (reachable ? Result.ok<Value, StoreError>(value) : Result.err<Value, StoreError>({ kind: "unknown", message: "no answer" }));
         const store = {
             list: async () => {
                 calls.push("list");
-                return answer({ items, revision: revision() });
+                const listedRevision = listRevision ?? revision();
+                listRevision = undefined;
+                return answer({ items, revision: listedRevision });
             },
             watch: async (_prefix: string, after: number, waitMs: number) => {
                 calls.push(`watch ${after}`);
                 if (hasLongHistory) {
                     return Result.err<never, StoreError>({ kind: "tooLong", message: "too many changes" });
                 }
+                if (isCompacted) {
+                    isCompacted = false;
+                    return Result.err<never, StoreError>({ kind: "compacted", message: "the history is gone" });
+                }
                 const changed = () => items.filter(item => item.revision > after);
                 await sleep(changed().length > 0 ? 0 : waitMs);
                 return answer({ items: changed(), revision: revision() });
@@ -89,6 +97,11 @@
             change: (entry: StoreEntry): void => {
                 items = [...items.filter(item => item.key !== entry.key), entry];
             },
+            /** Has the store drop its history, and list a state of an earlier revision once. */
+            compact: (listedRevision: number): void => {
+                isCompacted = true;
+                listRevision = listedRevision;
+            },
             setLongHistory: (value: boolean): void => {
                 hasLongHistory = value;
             },
@@ -187,6 +200,43 @@
         expect(events).to.not.include("e1 gone");
     });
 
+    describe("doesn't bring back a target that the store has removed", () => {
+        const entry: StoreEntry = { key: "servers/e1", value: "entry", revision: 7 };
+
+        const startWithRemovedTarget = async () => {
+            const fixture = createFixture();
+            sync.start();
+            await sleep(20);
+            fixture.startHeartbeat(() => 5);
+            await sleep(700);
+            fixture.relay(5, [entry]);
+            fixture.relay(7, [{ ...entry, value: undefined, revision: 9 }]);
+            stopHeartbeat();
+            return fixture;
+        };
+
+        it("because of a late message of another watcher", async () => {
+            const { events, relay } = await startWithRemovedTarget();
+            relay(5, [entry]);
+            relay(6, [entry, { key: "servers/e2", value: "entry", revision: 8 }]);
+            expect(events).to.deep.equal(["config 1", "e1 entry", "e1 gone"]);
+            relay(9, [{ ...entry, revision: 10 }]);
+            expect(events.slice(3), "written again").to.deep.equal(["e1 entry"]);
+        });
+
+        it("because of a list that is older than what another instance has passed on", async () => {
+            const { events, calls, relay, change, compact } = createFixture();
+            change(entry);
+            sync.start();
+            await sleep(20);
+            relay(7, [{ ...entry, value: undefined, revision: 9 }]);
+            compact(7);
+            await waitUntil(() => calls.filter(each => each === "list").length === 2, 2_000);
+            await sleep(50);
+            expect(events).to.deep.equal(["config 1", "e1 entry", "e1 gone"]);
+        });
+    });
+
     it("has seen the list when it asked for changes, not when they came", async () => {
         const { contacts } = createFixture();
         sync.start();
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -4,6 +4,7 @@
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
 import type { StoredPlanner } from "medlarlb-types/storedPlanner";
+import { storeEras } from "medlarlb-types/storeEras";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
@@ -52,9 +53,11 @@
     const entriesByKey = new Map<string, StoreEntry>();
     const pendingRemovals = new Map<string, NodeJS.Timeout>();
     const pause = createDelay();
+    /** Revision of the store up to which all changes are known. */
     let revision: number | undefined;
-    /** Whether another instance has passed on changes that follow others which this instance doesn't know. */
-    let isBehind = false;
+    let isListNeeded = true;
+    /** Revision of changes that another instance knows, and that this one has to read itself. */
+    let neededRevision = 0;
     let stopped = false;
     let consecutiveFailures = 0;
     let outageEndedAtMs = Number.NEGATIVE_INFINITY;
@@ -95,7 +98,9 @@
 
     const applyEntry = (entry: StoreEntry, source: Source): boolean => {
         const previous = entriesByKey.get(entry.key);
-        if (previous !== undefined && previous.revision >= entry.revision) {
+        const isKnown = revision !== undefined && entry.revision <= revision;
+        // A known key that is missing was removed. Only a higher revision shows that it has been written again.
+        if (isKnown || (previous !== undefined && previous.revision >= entry.revision)) {
             return false;
         }
         if (entry.value === undefined) {
@@ -151,10 +156,16 @@
             return recordFailure(list.error.message);
         }
         recordSuccess();
+        isListNeeded = false;
+        if (revision !== undefined && list.value.revision < revision) {
+            // Other instances have passed on all changes up to a later revision since the list was made.
+            return true;
+        }
         const listedKeys = new Set(list.value.items.map(entry => entry.key));
         // An entry that isn't listed any more counts as removed. Its revision has to exceed the known one to be applied.
         const removed = [...entriesByKey.values()].filter(entry => !listedKeys.has(entry.key))
             .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, list.value.revision) }));
+        revision = undefined; // Pages of the list may hold changes of any revision.
         applyEntries([...list.value.items, ...removed], { source: "list", ageMs: now() - askedAtMs });
         revision = list.value.revision;
         return true;
@@ -165,17 +176,16 @@
         const changes = await store.watch("", after, WATCH_TIMEOUT_MS);
         if (changes.isErr) {
             if (changes.error.kind === "compacted") {
-                revision = undefined;
+                isListNeeded = true;
                 return true;
             }
             if (changes.error.kind === "tooLong") {
                 // A listing comes in pages, and so has a bound that a long history lacks.
-                revision = undefined;
+                isListNeeded = true;
             }
             return recordFailure(changes.error.message);
         }
         recordSuccess();
-        isBehind = false;
         applyEntries(changes.value.items, { source: "watch", ageMs: now() - askedAtMs });
         revision = Math.max(revision ?? after, changes.value.revision);
         handlers.onListContact(askedAtMs);
@@ -209,10 +219,10 @@
 
     /** Reads the store once if this instance has to, and returns the time in ms until the next check. */
     const followStoreOnce = async (): Promise<number> => {
-        if (revision === undefined) {
+        if (revision === undefined || isListNeeded) {
             return await readAll() ? 0 : role.retryDelayMs();
         }
-        if (isBehind || role.shouldWatch(now())) {
+        if (revision < neededRevision || role.shouldWatch(now())) {
             const pauseMs = role.shouldRelay(now()) ? WATCH_PAUSE_MS : INTERIM_WATCH_PAUSE_MS;
             return await watchOnce(revision) ? pauseMs : role.retryDelayMs();
         }
@@ -229,10 +239,7 @@
     return {
         start: (): void => void followStore(),
         items: (): StoreEntry[] => [...entriesByKey.values()],
-        /**
-         * Returns whether the store itself has been read. Entries from other instances are applied until then, and after a
-         * compaction until the store has been read again.
-         */
+        /** Returns whether the store itself has been read. Entries from other instances are applied until then. */
         hasReadStore: (): boolean => revision !== undefined,
         applyPeerEntries: (from: InstanceId, entries: StoreEntry[]): void => {
             if (revision === undefined) {
@@ -241,13 +248,17 @@
         },
         /** Applies changes that another instance of this zone passes on. */
         applyRelay: (from: InstanceId, changes: DirectoryRelay): void => {
+            if (revision !== undefined && storeEras.eraOf(changes.revision) < storeEras.eraOf(revision)) {
+                // Its sender has yet to learn that the store has come back from an older copy.
+                return;
+            }
             role.recordWatcher(from, now() - changes.contactAgeMs);
             if (revision === undefined) {
                 return;
             }
             if (changes.after > revision) {
                 // Changes in between are missing. The store returns them at once.
-                isBehind = true;
+                neededRevision = Math.max(neededRevision, changes.after);
                 pause.end();
                 return;
             }
