Believe a target that was gone only once it has shown that it runs

Callers saw (as far as reproduced): requests to a target that had left, after the store came back from an older copy that lists it. Cause: the copy's entry was taken for a new one. A return counts as an outage for removals, and is logged.

--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -74,6 +74,7 @@
                 onInstances: () => undefined,
                 onPlanners: () => undefined,
                 onListContact: atMs => contacts.push(atMs),
+                onStoreRestored: () => events.push("store restored"),
                 onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
             },
         });
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -6,11 +6,11 @@
 import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import { storeEras } from "medlarlb-types/storeEras";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
-import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDelay } from "../shared/createDelay.js";
 import type { DirectoryHandlers } from "./directoryHandlers.js";
+import { createTargetReports } from "./createTargetReports.js";
 import { directoryKeys } from "./directoryKeys.js";
 import { plannerEntry } from "./plannerEntry.js";
 
@@ -42,16 +42,12 @@
 const INTERIM_WATCH_PAUSE_MS = 500;
 /** Interval in ms at which an instance that follows another one checks whether it still can. */
 const FOLLOWING_CHECK_MS = 150;
-/** Time in ms after a store outage during which a removed target isn't reported as gone, because its entry may reappear. */
-const REMOVAL_GRACE_MS = 2_200;
-
 /**
  * Creates the source of the configuration, targets, instances and planners that the platform's store lists. It watches the
  * store and passes changes on to the instances of its zone, or follows another instance that does so.
  */
 export const createDirectorySync = ({ store, now, configKey, targetPrefix, role, relay, handlers }: DirectorySyncOptions) => {
     const entriesByKey = new Map<string, StoreEntry>();
-    const pendingRemovals = new Map<string, NodeJS.Timeout>();
     const pause = createDelay();
     /** Revision of the store up to which all changes are known. */
     let revision: number | undefined;
@@ -61,6 +57,7 @@
     let stopped = false;
     let consecutiveFailures = 0;
     let outageEndedAtMs = Number.NEGATIVE_INFINITY;
+    const targetReports = createTargetReports({ now, targetPrefix, handlers, outageEndedAtMs: () => outageEndedAtMs });
     /** Times of the check before the last and of the last one. */
     let checkTimesMs: [number, number] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
@@ -82,21 +79,7 @@
             .map(entry => [entry.key.slice(prefix.length) as ZoneId, plannerEntry.decode(entry.value ?? "", entry.revision)]));
     };
 
-    const removeTarget = (key: string, origin: EntryOrigin): void => {
-        const targetId = key.slice(targetPrefix.length) as TargetId;
-        const sinceOutageMs = now() - outageEndedAtMs;
-        if (sinceOutageMs >= REMOVAL_GRACE_MS) {
-            handlers.onTargetGone(targetId, origin);
-        }
-        else if (!pendingRemovals.has(key)) {
-            pendingRemovals.set(key, setTimeout(() => {
-                pendingRemovals.delete(key);
-                handlers.onTargetGone(targetId, origin);
-            }, REMOVAL_GRACE_MS - sinceOutageMs));
-        }
-    };
-
-    const applyEntry = (entry: StoreEntry, source: Source): boolean => {
+    const applyEntry = (entry: StoreEntry, source: Source, fromCopy: boolean): boolean => {
         const previous = entriesByKey.get(entry.key);
         const isKnown = revision !== undefined && entry.revision <= revision;
         // A known key that is missing was removed. Only a higher revision shows that it has been written again.
@@ -114,20 +97,13 @@
             handlers.onConfig(entry.value, origin);
         }
         else if (entry.key.startsWith(targetPrefix)) {
-            clearTimeout(pendingRemovals.get(entry.key));
-            pendingRemovals.delete(entry.key);
-            if (entry.value === undefined) {
-                removeTarget(entry.key, origin);
-            }
-            else if (entry.value !== previous?.value) {
-                handlers.onTargetEntry(entry.key.slice(targetPrefix.length), entry.value, origin);
-            }
+            targetReports.report(entry, previous?.value, origin, fromCopy);
         }
         return entry.key.startsWith(directoryKeys.prefix) && entry.value !== previous?.value;
     };
 
-    const applyEntries = (entries: StoreEntry[], source: Source): void => {
-        const instancesOrPlannersChanged = entries.map(entry => applyEntry(entry, source)).some(Boolean);
+    const applyEntries = (entries: StoreEntry[], source: Source, fromCopy = false): void => {
+        const instancesOrPlannersChanged = entries.map(entry => applyEntry(entry, source, fromCopy)).some(Boolean);
         if (instancesOrPlannersChanged || revision === undefined) {
             handlers.onInstances(listInstances());
             handlers.onPlanners(listPlanners());
@@ -161,12 +137,17 @@
             // Other instances have passed on all changes up to a later revision since the list was made.
             return true;
         }
+        const isRestored = revision !== undefined && storeEras.eraOf(list.value.revision) > storeEras.eraOf(revision);
+        if (isRestored) {
+            outageEndedAtMs = now();
+            handlers.onStoreRestored();
+        }
         const listedKeys = new Set(list.value.items.map(entry => entry.key));
         // An entry that isn't listed any more counts as removed. Its revision has to exceed the known one to be applied.
         const removed = [...entriesByKey.values()].filter(entry => !listedKeys.has(entry.key))
             .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, list.value.revision) }));
         revision = undefined; // Pages of the list may hold changes of any revision.
-        applyEntries([...list.value.items, ...removed], { source: "list", ageMs: now() - askedAtMs });
+        applyEntries([...list.value.items, ...removed], { source: "list", ageMs: now() - askedAtMs }, isRestored);
         revision = list.value.revision;
         return true;
     };
@@ -274,7 +255,7 @@
         stop: (): void => {
             stopped = true;
             pause.end();
-            pendingRemovals.forEach(timer => clearTimeout(timer));
+            targetReports.stop();
         },
     };
 };
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -248,6 +248,7 @@
                 pushInstances();
             },
             onListContact: atMs => loop.note({ kind: "listContact", atMs }),
+            onStoreRestored: () => logEvent("storeRestored", {}),
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -14,6 +14,8 @@
     /** Called with a time at which the store's list was as the handlers have last been told. */
     onListContact: (atMs: number) => void;
     onPlanners: (planners: Map<ZoneId, StoredPlanner>) => void;
+    /** Called when the store is found to have come back from an older copy, before its entries are reported. */
+    onStoreRestored: () => void;
     /** Called when the store becomes reachable or unreachable. */
     onReachabilityChange: (reachable: boolean, reason: string) => void;
 }
