Keep one planner a zone over the return of an older store

Cause: a store that comes back loses its leases at once, while a holder that doesn't reach it goes on until its own time is out. Change: after a return a new holder adds the whole time of a lease, and the former holder goes on at once if it still has time. Instances renew lease and registration when they see the return, not up to 10 s later.

--- a/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
@@ -19,6 +19,7 @@
         let wallMs = 5_000_000;
         let reachable = true;
         let rank = 0;
+        let hasLostLeases = false;
         /** Renewals without a response yet; undefined while renewals are answered at once. */
         let delayedRenewals: (() => void)[] | undefined;
         let tick: () => void = () => undefined;
@@ -35,6 +36,10 @@
             },
             renewLease: () => {
                 const pendingRenewals = delayedRenewals;
+                if (hasLostLeases) {
+                    hasLostLeases = false;
+                    return Promise.resolve(Result.err<true, StoreError>({ kind: "noLease", message: "no such lease" }));
+                }
                 return pendingRenewals === undefined
                     ? answer(true as const)
                     : new Promise<Result<true, StoreError>>(resolve => pendingRenewals.push(() => resolve(Result.ok(true as const))));
@@ -74,6 +79,12 @@
             setReachable: (value: boolean): void => {
                 reachable = value;
             },
+            /** Has the store come back from a copy without leases, and the directory tell so. */
+            restoreStore: (): void => {
+                hasLostLeases = true;
+                lease.noteStoreRestored();
+                lease.setHolder(undefined);
+            },
             delayRenewals: (): void => {
                 delayedRenewals = [];
             },
@@ -102,6 +113,27 @@
         expect(lease.isValid()).to.equal(true);
     });
 
+    it("goes on nearly without a break at its holder when the store has lost it with its leases", async () => {
+        const { lease, advance, changes, restoreStore } = createFixture();
+        lease.setHolder(undefined);
+        await advance(4_000);
+        restoreStore();
+        await advance(1_000);
+        expect(lease.isValid()).to.equal(true);
+        expect(changes).to.deep.equal([41, undefined, 41]);
+    });
+
+    it("is used by another instance, after the store has lost it, only when the former holder's time and orders are past", async () => {
+        const { lease, advance, restoreStore } = createFixture();
+        lease.setHolder({ instance: "other" as never, revision: 9, active: true });
+        await advance(1_000);
+        restoreStore();
+        await advance(9_200);
+        expect(lease.isValid()).to.equal(false);
+        await advance(1_000);
+        expect(lease.isValid()).to.equal(true);
+    });
+
     it("is not acquired while another instance holds it", async () => {
         const { lease, advance, changes } = createFixture();
         lease.setHolder({ instance: "other" as never, revision: 9, active: true });
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -248,7 +248,10 @@
                 pushInstances();
             },
             onListContact: atMs => loop.note({ kind: "listContact", atMs }),
-            onStoreRestored: () => logEvent("storeRestored", {}),
+            onStoreRestored: () => {
+                plannerLease.noteStoreRestored();
+                registration.renewNow();
+            },
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -60,6 +60,10 @@
 export const createGatewayPlannerLease = (options: LeaseOptions) => {
     const { store, zone, instanceId, now, wallNow, leaseMs, rank, every, onChange } = options;
     let heldLease: HeldLease | undefined;
+    /** Time until which no other instance can be active, since this one held the lease until the store lost it. */
+    let exclusiveUntilMs = Number.NEGATIVE_INFINITY;
+    /** Time at which the store was found to have come back without its leases. */
+    let restoredAtMs = Number.NEGATIVE_INFINITY;
     /** Planner of the zone that the store names. */
     let storedHolder: StoredPlanner | undefined;
     let isHolderKnown = false;
@@ -111,6 +115,9 @@
         const key = directoryKeys.planner(zone);
         // After a restart this instance replaces its own entry, and has to wait only if its former process was still waiting.
         const previousHolder = storedHolder;
+        const isOwnLease = previousHolder?.active === true || now() < exclusiveUntilMs;
+        // A holder that can't reach the store goes on until its lease would have expired.
+        const othersEndAtMs = Math.max(now(), restoredAtMs + LEASE_TTL_MS);
         const change = await store.change({
             conditions: [{ key, revision: previousHolder?.revision ?? 0 }],
             puts: [{ key, value: plannerEntry.encode(instanceId, false), lease: lease.value }],
@@ -125,7 +132,7 @@
             lease: lease.value,
             fence: change.value,
             validUntilMs: startedAtMs + LEASE_TTL_MS - EXPIRY_MARGIN_MS,
-            activeAtMs: previousHolder?.active === true ? now() : now() + leaseMs + HANDOVER_MARGIN_MS,
+            activeAtMs: isOwnLease ? now() : othersEndAtMs + leaseMs + HANDOVER_MARGIN_MS,
             active: false,
         };
     };
@@ -143,6 +150,8 @@
             current.validUntilMs = sentAtMs + LEASE_TTL_MS - EXPIRY_MARGIN_MS;
         }
         else if (renewed.isErr && renewed.error.kind === "noLease") {
+            exclusiveUntilMs = current.active ? current.validUntilMs : Number.NEGATIVE_INFINITY;
+            nextCallAtMs = 0;
             deactivate("the lease has ended");
             heldLease = undefined;
         }
@@ -199,6 +208,11 @@
     const stopTicking = every(TICK_INTERVAL_MS, tick);
     return {
         isValid,
+        /** Notes that the store has come back from an older copy, without its leases. */
+        noteStoreRestored: (): void => {
+            restoredAtMs = now();
+            nextCallAtMs = 0;
+        },
         /** Sets the planner of the zone that the store names, with the revision of its entry. */
         setHolder: (newHolder: StoredPlanner | undefined): void => {
             const isNewlyFree = newHolder === undefined && (!isHolderKnown || storedHolder !== undefined);
--- a/packages/medlarlb-daemon/src/gateway/createRegistration.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRegistration.ts
@@ -39,8 +39,13 @@
         return renewed.isOk;
     };
 
+    let isRunning = false;
+
     const registerOrRenew = async (): Promise<void> => {
+        clearTimeout(timer);
+        isRunning = true;
         const succeeded = lease === undefined ? await register() : await renew(lease);
+        isRunning = false;
         if (!stopped) {
             timer = setTimeout(() => void registerOrRenew(), succeeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS);
         }
@@ -48,6 +53,12 @@
 
     return {
         start: (): void => void registerOrRenew(),
+        /** Registers this instance again at once if the store has lost its entry. */
+        renewNow: (): void => {
+            if (!isRunning && !stopped) {
+                void registerOrRenew();
+            }
+        },
         stop: async (): Promise<void> => {
             stopped = true;
             clearTimeout(timer);
