Keep the listed instances while they register again at a store that came back older

Cause: the store loses all registrations at its return, so that each instance listed an empty group, and the shared retry budget, which is dealt by the list, began anew. Change: instances missing from the first list after a return stay; the store is listed once more 2.5 s later. Evidence: the new test fails without the change (1 failing of 12), 12 passing with it.

--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -6,6 +6,7 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
+import { storeEras } from "medlarlb-types/storeEras";
 import type { StoreError } from "medlarlb-types/storeError";
 import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDirectorySync } from "../gateway/createDirectorySync.js";
@@ -29,6 +30,7 @@
         const events: string[] = [];
         const relays: DirectoryRelay[] = [];
         const contacts: number[] = [];
+        const instanceCounts: number[] = [];
         let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
         let reachable = true;
         let hasLongHistory = false;
@@ -49,12 +51,12 @@
                 if (hasLongHistory) {
                     return Result.err<never, StoreError>({ kind: "tooLong", message: "too many changes" });
                 }
-                if (isCompacted) {
+                const changed = () => items.filter(item => item.revision > after);
+                await sleep(changed().length > 0 ? 0 : waitMs);
+                if (isCompacted || storeEras.eraOf(revision()) !== storeEras.eraOf(after)) {
                     isCompacted = false;
                     return Result.err<never, StoreError>({ kind: "compacted", message: "the history is gone" });
                 }
-                const changed = () => items.filter(item => item.revision > after);
-                await sleep(changed().length > 0 ? 0 : waitMs);
                 return answer({ items: changed(), revision: revision() });
             },
         } as unknown as MetadataStore;
@@ -71,7 +73,7 @@
                 onConfig: text => events.push(text),
                 onTargetEntry: (id, text) => events.push(`${id} ${text}`),
                 onTargetGone: id => events.push(`${id} gone`),
-                onInstances: () => undefined,
+                onInstances: instances => instanceCounts.push(instances.length),
                 onPlanners: () => undefined,
                 onListContact: atMs => contacts.push(atMs),
                 onStoreRestored: () => events.push("store restored"),
@@ -93,8 +95,13 @@
             events,
             relays,
             contacts,
+            instanceCounts,
             relay,
             startHeartbeat,
+            /** Has the store come back from a copy that has the given entries. */
+            restore: (entries: StoreEntry[]): void => {
+                items = entries.map(entry => ({ ...entry, revision: storeEras.join(2, entry.revision) }));
+            },
             change: (entry: StoreEntry): void => {
                 items = [...items.filter(item => item.key !== entry.key), entry];
             },
@@ -238,6 +245,20 @@
         });
     });
 
+    it("keeps the listed instances after the return of an older store until they had time to register again", async () => {
+        const { events, instanceCounts, change, restore } = createFixture();
+        const config = { key: "op/config", value: "config 1", revision: 5 };
+        change({ key: "medlarlb/instances/a:1", value: "{\"zone\":\"z\"}", revision: 6 });
+        sync.start();
+        await sleep(50);
+        restore([config]);
+        await waitUntil(() => events.includes("store restored"), 2_000);
+        await sleep(1_000);
+        expect(Math.min(...instanceCounts)).to.equal(1);
+        await waitUntil(() => instanceCounts.at(-1) === 0, 3_000);
+        expect(instanceCounts.at(-1)).to.equal(0);
+    });
+
     it("has seen the list when it asked for changes, not when they came", async () => {
         const { contacts } = createFixture();
         sync.start();
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -42,6 +42,9 @@
 const INTERIM_WATCH_PAUSE_MS = 500;
 /** Interval in ms at which an instance that follows another one checks whether it still can. */
 const FOLLOWING_CHECK_MS = 150;
+/** Time in ms after the return of an older store within which instances register again. */
+const REGISTRATION_GRACE_MS = 2_500;
+
 /**
  * Creates the source of the configuration, targets, instances and planners that the platform's store lists. It watches the
  * store and passes changes on to the instances of its zone, or follows another instance that does so.
@@ -52,6 +55,8 @@
     /** Revision of the store up to which all changes are known. */
     let revision: number | undefined;
     let isListNeeded = true;
+    /** Time at which the store is listed again, since instances may have been missing from its list. */
+    let relistAtMs = Number.POSITIVE_INFINITY;
     /** Revision of changes that another instance knows, and that this one has to read itself. */
     let neededRevision = 0;
     let stopped = false;
@@ -138,13 +143,16 @@
             return true;
         }
         const isRestored = revision !== undefined && storeEras.eraOf(list.value.revision) > storeEras.eraOf(revision);
+        relistAtMs = Number.POSITIVE_INFINITY;
         if (isRestored) {
             outageEndedAtMs = now();
+            relistAtMs = now() + REGISTRATION_GRACE_MS;
             handlers.onStoreRestored();
         }
         const listedKeys = new Set(list.value.items.map(entry => entry.key));
         // An entry that isn't listed any more counts as removed. Its revision has to exceed the known one to be applied.
-        const removed = [...entriesByKey.values()].filter(entry => !listedKeys.has(entry.key))
+        const isKept = (key: string): boolean => listedKeys.has(key) || (isRestored && key.startsWith(directoryKeys.instance("")));
+        const removed = [...entriesByKey.values()].filter(entry => !isKept(entry.key))
             .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, list.value.revision) }));
         revision = undefined; // Pages of the list may hold changes of any revision.
         applyEntries([...list.value.items, ...removed], { source: "list", ageMs: now() - askedAtMs }, isRestored);
@@ -200,7 +208,7 @@
 
     /** Reads the store once if this instance has to, and returns the time in ms until the next check. */
     const followStoreOnce = async (): Promise<number> => {
-        if (revision === undefined || isListNeeded) {
+        if (revision === undefined || isListNeeded || now() >= relistAtMs) {
             return await readAll() ? 0 : role.retryDelayMs();
         }
         if (revision < neededRevision || role.shouldWatch(now())) {
