Keep a target's pause, limit and failures over a lapse of its entry

Cause: as for leaving targets: what a process has told was kept in a row that ends with its entry. After a lapse a target got requests inside its pause and beyond its limit. Change: the new row of the same process takes them over from the former one, with cut and given up requests that may have ended it.

--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -11,6 +11,7 @@
 import { createPoolTarget } from "../rows/createPoolTarget.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { indexTargets } from "./indexTargets.js";
+import { restoreTargetState } from "./restoreTargetState.js";
 
 /** Initial estimate of the time to process a prompt token, and to answer a request of a plain service, in ms. */
 const INITIAL_MS_PER_TOKEN = 0.055;
@@ -22,6 +23,9 @@
 const listModels = (entry: TargetEntry): PoolTarget["models"] =>
     new Map(entry.models.map(model => [model.name, new Set(model.adapters)]));
 
+const isSameIncarnation = (one: TargetEntry, other: TargetEntry): boolean =>
+    one.startedAtMs === other.startedAtMs && one.address === other.address && one.service === other.service;
+
 const addTarget = (context: GatewayContext, entry: TargetEntry, origin: EntryOrigin | undefined): PoolTarget => {
     const isEngine = context.config?.services.get(entry.service)?.engine !== undefined || entry.models.length > 0;
     const msPerWorkUnit = context.serviceMsPerWorkUnit.get(entry.service) ?? (isEngine ? INITIAL_MS_PER_TOKEN : INITIAL_MS_PER_REQUEST);
@@ -30,6 +34,11 @@
     context.targets.set(entry.targetId, target);
     indexTargets(context);
     setTargetModels(context, target, listModels(entry));
+    const former = context.formerTargets.get(entry.targetId);
+    context.formerTargets.delete(entry.targetId);
+    if (former !== undefined && isSameIncarnation(former.entry, entry)) {
+        restoreTargetState(context, target, former);
+    }
     logEvent(context, "targetFound", { target: entry.targetId, service: entry.service, address: entry.address, zone: entry.zone, models: entry.models.map(model => model.name), inMemory: entry.inMemory, onDisk: entry.onDisk, leaving: target.leaving, origin });
     return target;
 };
@@ -41,9 +50,6 @@
     setTargetModels(context, target, models);
 };
 
-const isSameIncarnation = (one: TargetEntry, other: TargetEntry): boolean =>
-    one.startedAtMs === other.startedAtMs && one.address === other.address && one.service === other.service;
-
 /** Applies the entry of a target from the platform's list. */
 export const applyTarget = (context: GatewayContext, entry: TargetEntry, origin?: EntryOrigin): void => {
     const existing = context.targets.get(entry.targetId);
