--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashingParts.test.ts
@@ -0,0 +1,93 @@
+import { expect } from "chai";
+import { createVirtualService } from "./support/createVirtualService.js";
+
+/** Start of the content of requests that end each target which begins to run them: those with one part in their prompts. */
+const CRASHING = "crashing";
+const CRASHING_PART = "c4a5";
+const FIRST_PART = "f125";
+/** Time in ms after which all instances have to know that a part has ended five targets, and requests with it allowed from then on. */
+const CONTACT_MS = 3_000;
+const MAX_LATER_SENDS = 3;
+const CERTAIN_ENDS = 5;
+/** Share of the sound requests served in calm that has to be served while the others still come. */
+const MIN_SERVED_RATIO = 0.5;
+
+const createService = (seed: number, instances: number, targets: number) =>
+    createVirtualService({ seed, instances, zones: 3, targets, isCrashing: content => content.startsWith(CRASHING) });
+
+type Service = ReturnType<typeof createService>;
+
+interface Load {
+    /** Ms between two requests with the part, and between two sound ones. */
+    crashingEveryMs: number;
+    soundEveryMs: number;
+    /** Prompt parts but the last of those requests, and of the sound ones. */
+    crashingParts: readonly string[];
+    soundParts: (index: number) => readonly string[];
+}
+
+/** Sends sound requests, and from a time on requests with the part, no two alike, at all instances. */
+const runLoad = (service: Service, durationMs: number, load: Load, withCrashing: boolean): void => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
+        const index = Math.round(service.now());
+        const instance = (): number => Math.floor(service.random() * service.instances.length);
+        if (elapsedMs % load.soundEveryMs === 0) {
+            service.sendCall(instance(), `sound-${index}`, { kind: index % 20 === 0 ? "unsafe" : "safe" }, load.soundParts(index));
+        }
+        if (withCrashing && elapsedMs % load.crashingEveryMs === 0) {
+            service.sendCall(instance(), `${CRASHING}-${index}`, { kind: index % 20 === 0 ? "unsafe" : "safe" }, load.crashingParts);
+        }
+        service.run(10);
+    }
+};
+
+const countLaterSends = ({ ends, arrivals }: Service): number => {
+    const endTimes = ends.filter(end => end.contents.some(content => content.startsWith(CRASHING))).map(end => end.atMs);
+    const certainAtMs = endTimes[CERTAIN_ENDS - 1] ?? Number.POSITIVE_INFINITY;
+    return arrivals.filter(each => each.content.startsWith(CRASHING) && each.inTouch && each.atMs > certainAtMs + CONTACT_MS).length;
+};
+
+/** Share of the sound requests sent in a span that were completed. */
+const servedRatio = ({ completions, arrivals, answers }: Service, fromMs: number, toMs: number): number => {
+    const isIn = (content: string): boolean => content.startsWith("sound-") && Number(content.slice(6)) >= fromMs && Number(content.slice(6)) < toMs;
+    const sent = new Set([...arrivals, ...answers].map(each => each.content).filter(isIn));
+    return new Set(completions.map(each => each.content).filter(isIn)).size / sent.size;
+};
+
+describe("requests that share one part of their prompts and end every target which runs them", () => {
+    const loads: Record<string, Load> = {
+        "with the part in the second place": {
+            crashingEveryMs: 150,
+            soundEveryMs: 50,
+            crashingParts: [FIRST_PART, CRASHING_PART],
+            soundParts: index => [FIRST_PART, `5e55${index % 7}`],
+        },
+        "with the part in the first place": {
+            crashingEveryMs: 150,
+            soundEveryMs: 50,
+            crashingParts: [CRASHING_PART, FIRST_PART],
+            soundParts: () => [FIRST_PART],
+        },
+        "with all other parts in common with sound ones, and rare": {
+            crashingEveryMs: 1_000,
+            soundEveryMs: 50,
+            crashingParts: [FIRST_PART, CRASHING_PART, "a11d"],
+            soundParts: () => [FIRST_PART, "a11d"],
+        },
+    };
+    for (const [name, load] of Object.entries(loads)) {
+        for (const [instances, targets] of [[6, 10], [63, 12], [195, 24]] as const) {
+            it(`are kept from targets by ${instances} instances, ${name}, and sound requests are served`, () => {
+                const service = createService(1, instances, targets);
+                service.run(1_000);
+                runLoad(service, 4_000, load, false);
+                const beganAtMs = service.now();
+                runLoad(service, 24_000, load, true);
+                const calm = servedRatio(service, 1_000, beganAtMs - 500);
+                const served = servedRatio(service, beganAtMs + 12_000, beganAtMs + 23_000);
+                expect(countLaterSends(service)).to.be.at.most(MAX_LATER_SENDS);
+                expect(served).to.be.at.least(calm * MIN_SERVED_RATIO);
+            });
+        }
+    }
+});
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createServiceCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createServiceCall.ts
@@ -17,8 +17,14 @@
     destinations: [{ service: "app", weight: 1 }],
 };
 
-/** Creates a request to the plain service `app`. Its content serves as its fingerprint. */
-export const createServiceCall = (callId: RequestId, content: string, arrivedAtMs: number, route: Partial<Route>): CallMetadata => {
+/** Creates a request to the plain service `app`. Its content serves as its fingerprint, and as the last part of its prompt. */
+export const createServiceCall = (
+    callId: RequestId,
+    content: string,
+    arrivedAtMs: number,
+    route: Partial<Route>,
+    sharedParts: readonly string[] = [],
+): CallMetadata => {
     const fullRoute = { ...ROUTE, ...route };
     return {
         callId,
@@ -31,7 +37,7 @@
         promptTokens: 0,
         outputTokens: 0,
         expectedTokens: 0,
-        promptParts: [],
+        promptParts: (sharedParts.length === 0 ? [] : [...sharedParts, content]).map(id => ({ id, tokens: 10 })),
         arrivedAtMs,
         latencyTargetAtMs: arrivedAtMs + fullRoute.latencyTargetMs,
         firstEventDeadlineAtMs: arrivedAtMs + fullRoute.timeoutMs,
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -259,7 +259,7 @@
             after(durationMs, () => instances.forEach(each => give(each, { kind: "target", entry: entry() })));
         },
         /** Sends a caller's request to an instance. Requests with equal content have equal fingerprints. */
-        sendCall: (index: number, content: string, route: Partial<Route> = {}): void => {
+        sendCall: (index: number, content: string, route: Partial<Route> = {}, sharedParts: readonly string[] = []): void => {
             const instance = instances[index % instances.length];
             if (instance === undefined) {
                 return;
@@ -268,7 +268,7 @@
             const callId = brandAs<RequestId>(`c${sequence}`);
             contents.set(callId, content);
             arrivedAtMs.set(callId, now());
-            give(instance, { kind: "call", metadata: createServiceCall(callId, content, now(), route) });
+            give(instance, { kind: "call", metadata: createServiceCall(callId, content, now(), route, sharedParts) });
         },
         /** Kills an instance and starts it again after a time. It has lost all its tables. */
         restart: (index: number, downMs: number): void => disturb(index, instance => {
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -82,6 +82,7 @@
         logEvent(context, "attemptCut", {
             request: row.metadata.callerRequestId,
             fingerprint: row.metadata.fingerprint,
+            sharedParts: row.metadata.promptParts.slice(0, -1).map(part => part.id),
             target: row.currentAttempt.targetId,
             attempt: input.attempt,
             sinceSentMs: Math.round(context.nowMs - row.currentAttempt.sentAtMs),
