Keep a prompt part from targets once four have ended under requests with it

Cause: the evidence of crashes was of whole requests, so that each arrival was new. The class: a cause is looked for at one level only, that of the whole, though the field that all cases share is known. Change: an ended target is also attributed to the parts, but the last, of the prompts that it had. Blame falls on what was on most ended targets, on a request rather than a part that was on no more, on parts together that were never seen apart, and on a part that targets have completed only for six ends that nothing else explains. An instance tells the completions that clear its parts in the message of the end; later ones only when they clear an end. A request with a blamed part is refused at once, by name of the part.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashingParts.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashingParts.test.ts
@@ -1,4 +1,6 @@
 import { expect } from "chai";
+import type { Fingerprint } from "medlarlb-types/fingerprint";
+import { findCrashingRequests } from "../crashes/findCrashingRequests.js";
 import { createVirtualService } from "./support/createVirtualService.js";
 
 /** Start of the content of requests that end each target which begins to run them: those with one part in their prompts. */
@@ -91,3 +93,40 @@
         }
     }
 });
+
+describe("the blame for ended targets", () => {
+    /** Judges ends by the keys of their requests; parts begin with "part:". Parts and requests in `completed` were completed before. */
+    const judge = (ends: string[][], completed: string[] = []) => {
+        const { crashing, parts } = findCrashingRequests(ends.map(keys => new Set(keys as Fingerprint[])), key => completed.includes(key));
+        return { requests: [...crashing.keys()], parts: parts.map(each => each.keys.join()) };
+    };
+    const repeat = (count: number, keys: (index: number) => string[]): string[][] =>
+        Array.from({ length: count }, (_, index) => keys(index));
+
+    it("falls on a part that all ends have in common, from the fourth on", () => {
+        expect(judge(repeat(3, index => [`r${index}`, "part:x"]))).to.deep.equal({ requests: [], parts: [] });
+        expect(judge(repeat(4, index => [`r${index}`, "part:x"]))).to.deep.equal({ requests: [], parts: ["part:x"] });
+    });
+
+    it("falls on a request rather than on a part that was on no more targets", () => {
+        expect(judge(repeat(4, () => ["r", "part:x"]))).to.deep.equal({ requests: ["r"], parts: [] });
+    });
+
+    it("falls on the part if several requests with it were sent twice", () => {
+        const ends = repeat(6, index => [`r${Math.floor(index / 2)}`, "part:x"]);
+        expect(judge(ends)).to.deep.equal({ requests: [], parts: ["part:x"] });
+    });
+
+    it("falls on parts together that were never seen apart, and on the one that was seen without the other", () => {
+        const together = repeat(4, index => [`r${index}`, "part:x", "part:y"]);
+        expect(judge(together).parts).to.deep.equal(["part:x,part:y"]);
+        expect(judge([...together, ["r9", "part:x"]]).parts).to.deep.equal(["part:x"]);
+    });
+
+    it("falls on a part that targets have completed before only if nothing else explains six ends", () => {
+        const ends = repeat(7, index => [`r${index}`, "part:first", "part:x"]);
+        expect(judge(ends, ["part:first"]).parts).to.deep.equal(["part:x"]);
+        expect(judge(ends.map(keys => keys.slice(0, 2)), ["part:first"]).parts).to.deep.equal(["part:first"]);
+        expect(judge(ends.slice(0, 5).map(keys => keys.slice(0, 2)), ["part:first"]).parts).to.deep.equal([]);
+    });
+});
--- a/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
@@ -1,5 +1,6 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { crashRefusal } from "../crashes/crashRefusal.js";
 import { endRetryWait } from "../retries/endRetryWait.js";
 import { takeRetryToken } from "../retries/takeRetryToken.js";
 import { endCurrentAttempt } from "./endCurrentAttempt.js";
@@ -15,7 +16,7 @@
 export const resumeCall = (context: GatewayContext, row: CallRow, reason: string): boolean => {
     const copyTargetId = row.currentAttempt?.copyTargetId;
     const target = copyTargetId === undefined ? undefined : context.targets.get(copyTargetId);
-    const isRefused = context.crashes.refused.has(row.metadata.fingerprint);
+    const isRefused = crashRefusal(context, row) !== undefined;
     if (isRefused || !row.delivered || target === undefined || !isUsable(target, context.nowMs)) {
         return false;
     }
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,3 +1,4 @@
+import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
@@ -86,9 +87,9 @@
  * left waiting before it.
  */
 const routeCall = (context: GatewayContext, row: CallRow, pool: ModelPool, queueMsByPool: Map<ModelPool, number>): void => {
-    const endedTargets = context.crashes.refused.get(row.metadata.fingerprint);
-    if (endedTargets !== undefined) {
-        failCall(context, row, `${endedTargets} targets have ended while they ran this request; change it, an equal one stays refused for ten minutes`);
+    const refusal = crashRefusal(context, row);
+    if (refusal !== undefined) {
+        failCall(context, row, refusal);
         return;
     }
     if (context.nowMs < row.notBeforeMs) {
--- a/packages/medlarlb-decisions/src/gateway/crashes/applyProbed.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/applyProbed.ts
@@ -23,7 +23,7 @@
     target.probedAtMs = undefined;
     logEvent(context, "targetProbed", { target: targetId, startedAtMs, state, cutRequests: cutRequests.length, tookMs: Math.round(context.nowMs - probedAtMs) });
     if ((state === "refused" || (state === "listening" && isReplaced(context, target))) && !target.leaving) {
-        reportEnd(context, target, cutRequests.map(each => each.fingerprint));
+        reportEnd(context, target, cutRequests.flatMap(each => each.keys));
         return;
     }
     // The probe was sent before these were cut, so that it says nothing about them.
--- a/packages/medlarlb-decisions/src/gateway/crashes/createCrashTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/createCrashTable.ts
@@ -7,6 +7,7 @@
     completed: new Map(),
     ownCompletions: new Map(),
     refused: new Map(),
+    refusedParts: [],
     suspects: new Set(),
     isChanged: false,
     expiresAtMs: Number.POSITIVE_INFINITY,
--- a/packages/medlarlb-decisions/src/gateway/crashes/judgeCrashes.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/judgeCrashes.ts
@@ -2,6 +2,8 @@
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { markAllPools } from "../pools/markAllPools.js";
+import type { BlamedParts } from "./blamedParts.js";
+import type { CrashTable } from "./crashTable.js";
 import { CRASH_EVIDENCE_TTL_MS } from "./crashEvidenceTtlMs.js";
 import { CERTAIN_END_COUNT } from "./certainEndCount.js";
 import { findCrashingRequests } from "./findCrashingRequests.js";
@@ -30,11 +32,11 @@
  * Finds the requests that are refused now. One that is only likely to be the cause is refused for a short time, in which
  * targets come back. Then it may show once more whether it is, alone among the suspects of a target.
  */
-const findRefusedRequests = (context: GatewayContext): { refused: Map<Fingerprint, number>; suspects: Set<Fingerprint> } => {
+const findRefusedRequests = (context: GatewayContext): Pick<CrashTable, "refused" | "refusedParts" | "suspects"> => {
     const { ends, completed } = context.crashes;
     const listPossibleCauses = ({ atMs, fingerprints }: { atMs: number; fingerprints: Set<Fingerprint> }): Set<Fingerprint> =>
         new Set([...fingerprints].filter(each => (completed.get(each) ?? Number.NEGATIVE_INFINITY) < atMs));
-    const { crashing, suspects } = findCrashingRequests([...ends.values()].map(listPossibleCauses), each => completed.has(each));
+    const { crashing, parts, suspects } = findCrashingRequests([...ends.values()].map(listPossibleCauses), each => completed.has(each));
     const refused = new Map<Fingerprint, number>();
     for (const [fingerprint, endedTargets] of crashing) {
         const latestEndMs = [...ends.values()].reduce((max, end) => (end.fingerprints.has(fingerprint) ? Math.max(max, end.atMs) : max), 0);
@@ -47,10 +49,10 @@
             suspects.add(fingerprint);
         }
     }
-    return { refused, suspects };
+    return { refused, refusedParts: parts, suspects };
 };
 
-/** Finds out anew which requests end targets if observations were added or have expired. */
+/** Finds out anew which requests and parts end targets if observations were added or have expired. */
 export const judgeCrashes = (context: GatewayContext): void => {
     const { crashes } = context;
     if (context.nowMs >= crashes.expiresAtMs) {
@@ -61,7 +63,7 @@
         return;
     }
     crashes.isChanged = false;
-    const { refused, suspects } = findRefusedRequests(context);
+    const { refused, refusedParts, suspects } = findRefusedRequests(context);
     for (const [fingerprint, endedTargets] of refused) {
         if (!crashes.refused.has(fingerprint)) {
             logEvent(context, "requestRefused", { fingerprint, endedTargets });
@@ -72,7 +74,12 @@
             logEvent(context, "requestAllowed", { fingerprint, suspect: suspects.has(fingerprint) });
         }
     }
+    const describeParts = (parts: readonly BlamedParts[]): string => parts.map(each => each.keys.join()).sort().join(" ");
+    if (describeParts(refusedParts) !== describeParts(crashes.refusedParts)) {
+        logEvent(context, "partsRefused", { parts: refusedParts, before: crashes.refusedParts });
+    }
     crashes.refused = refused;
+    crashes.refusedParts = refusedParts;
     crashes.suspects = suspects;
     markAllPools(context);
 };
--- a/packages/medlarlb-decisions/src/gateway/crashes/mergeCrashEvidence.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/mergeCrashEvidence.ts
@@ -4,9 +4,9 @@
 import { dropOldest } from "./dropOldest.js";
 import { incarnationKey } from "./incarnationKey.js";
 
-/** Largest number of ended targets, of requests of one of them, and of blamed requests that were completed. */
+/** Largest number of ended targets, of keys of the requests of one of them, and of blamed requests that were completed. */
 const MAX_ENDS = 256;
-const MAX_REQUESTS_PER_END = 128;
+const MAX_KEYS_PER_END = 256;
 const MAX_COMPLETED = 4_096;
 
 const mergeEnd = (table: CrashTable, { targetId, startedAtMs, fingerprints }: Extract<CrashEvidence, { kind: "ended" }>, atMs: number): boolean => {
@@ -17,7 +17,7 @@
     const end = table.ends.get(key) ?? { atMs, fingerprints: new Set() };
     const previousSize = end.fingerprints.size;
     for (const fingerprint of fingerprints) {
-        if (end.fingerprints.size < MAX_REQUESTS_PER_END) {
+        if (end.fingerprints.size < MAX_KEYS_PER_END) {
             end.fingerprints.add(fingerprint);
         }
     }
--- a/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
@@ -11,7 +11,7 @@
     if (target === undefined || attempt?.answerStartedAtMs !== undefined) {
         return;
     }
-    target.abandonedRequests.push({ fingerprint: row.metadata.fingerprint, atMs: context.nowMs });
+    target.abandonedRequests.push({ keys: row.crashKeys, atMs: context.nowMs });
     if (target.abandonedRequests.length > MAX_ABANDONED) {
         target.abandonedRequests.shift();
     }
--- a/packages/medlarlb-decisions/src/gateway/crashes/recordCompletion.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordCompletion.ts
@@ -1,18 +1,20 @@
 import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { GatewayContext } from "../gatewayContext.js";
 import { dropOldest } from "./dropOldest.js";
+import { isCompletionNeeded } from "./isCompletionNeeded.js";
 import { shareCrashEvidence } from "./shareCrashEvidence.js";
 
-/** Number of completed requests that an instance remembers, some minutes of its requests. */
-const MAX_OWN_COMPLETIONS = 4_096;
+/** Number of completed requests and parts that an instance remembers, some minutes of its requests. */
+const MAX_OWN_COMPLETIONS = 8_192;
 
 /** Records that a request was completed. If targets seem to have ended under it, the others are told that it isn't the cause. */
-export const recordCompletion = (context: GatewayContext, fingerprint: Fingerprint): void => {
-    const { ends, ownCompletions } = context.crashes;
-    ownCompletions.delete(fingerprint);
-    ownCompletions.set(fingerprint, context.nowMs);
-    dropOldest(ownCompletions, MAX_OWN_COMPLETIONS);
-    if ([...ends.values()].some(end => end.fingerprints.has(fingerprint))) {
-        shareCrashEvidence(context, { kind: "completed", fingerprint, agoMs: 0 });
+export const recordCompletion = (context: GatewayContext, keys: readonly Fingerprint[]): void => {
+    const { ownCompletions } = context.crashes;
+    for (const key of keys) {
+        ownCompletions.delete(key);
+        ownCompletions.set(key, context.nowMs);
     }
+    dropOldest(ownCompletions, MAX_OWN_COMPLETIONS);
+    const needed = keys.filter(key => isCompletionNeeded(context.crashes, key, context.nowMs));
+    shareCrashEvidence(context, needed.map(fingerprint => ({ kind: "completed", fingerprint, agoMs: 0 })));
 };
--- a/packages/medlarlb-decisions/src/gateway/crashes/recordCut.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordCut.ts
@@ -14,11 +14,10 @@
         return;
     }
     const { targetId, startedAtMs } = target.entry;
-    const { fingerprint } = row.metadata;
     if (context.crashes.ends.has(incarnationKey(targetId, startedAtMs))) {
-        reportEnd(context, target, [fingerprint]);
+        reportEnd(context, target, row.crashKeys);
         return;
     }
-    target.cutRequests.push({ fingerprint, atMs: context.nowMs });
+    target.cutRequests.push({ keys: row.crashKeys, atMs: context.nowMs });
     probeTarget(context, target);
 };
--- a/packages/medlarlb-decisions/src/gateway/crashes/recordResponse.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordResponse.ts
@@ -11,6 +11,6 @@
     const { targetId, startedAtMs } = target.entry;
     const end = context.crashes.ends.size === 0 ? undefined : context.crashes.ends.get(incarnationKey(targetId, startedAtMs));
     if (end !== undefined && sentAtMs > end.atMs && context.nowMs - end.atMs < REFUTABLE_MS) {
-        shareCrashEvidence(context, { kind: "alive", targetId, startedAtMs });
+        shareCrashEvidence(context, [{ kind: "alive", targetId, startedAtMs }]);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/crashes/reportEnd.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/reportEnd.ts
@@ -3,9 +3,10 @@
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
-import { shareCrashEvidence } from "./shareCrashEvidence.js";
+import { shareObservations } from "../observations/shareObservations.js";
+import { listOwnCompletions } from "./listOwnCompletions.js";
+import { mergeCrashEvidence } from "./mergeCrashEvidence.js";
 import { takeAbandoned } from "./takeAbandoned.js";
-import { shareOwnCompletions } from "./shareOwnCompletions.js";
 
 /** Records that a target has ended while it had requests of this instance, and tells the others. */
 export const reportEnd = (context: GatewayContext, target: PoolTarget, requests: readonly Fingerprint[]): void => {
@@ -13,6 +14,10 @@
     const fingerprints = [...new Set([...requests, ...takeAbandoned(context, target)])];
     const evidence: CrashEvidence = { kind: "ended", targetId, startedAtMs, fingerprints };
     logEvent(context, "targetEnded", { target: targetId, startedAtMs, fingerprints });
-    shareCrashEvidence(context, evidence);
-    shareOwnCompletions(context, evidence);
+    if (mergeCrashEvidence(context.crashes, evidence, context.nowMs)) {
+        context.crashes.isChanged = true;
+        const completions = listOwnCompletions(context, evidence).filter(each => mergeCrashEvidence(context.crashes, each, context.nowMs));
+        // One message, so that nobody judges the end without them.
+        shareObservations(context, [evidence, ...completions]);
+    }
 };
--- a/packages/medlarlb-decisions/src/gateway/crashes/shareCrashEvidence.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/shareCrashEvidence.ts
@@ -1,12 +1,13 @@
 import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { GatewayContext } from "../gatewayContext.js";
-import { shareObservation } from "../observations/shareObservation.js";
+import { shareObservations } from "../observations/shareObservations.js";
 import { mergeCrashEvidence } from "./mergeCrashEvidence.js";
 
-/** Records evidence of this instance and tells the others, unless it is known already. */
-export const shareCrashEvidence = (context: GatewayContext, evidence: CrashEvidence): void => {
-    if (mergeCrashEvidence(context.crashes, evidence, context.nowMs)) {
+/** Records evidence of this instance and tells the others in one message what isn't known already. */
+export const shareCrashEvidence = (context: GatewayContext, evidence: readonly CrashEvidence[]): void => {
+    const news = evidence.filter(each => mergeCrashEvidence(context.crashes, each, context.nowMs));
+    if (news.length > 0) {
         context.crashes.isChanged = true;
-        shareObservation(context, evidence);
+        shareObservations(context, news);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/crashes/takeAbandoned.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/takeAbandoned.ts
@@ -7,4 +7,4 @@
 
 /** Returns the requests that a target may have run when it ended although their attempts had been given up, and forgets them. */
 export const takeAbandoned = (context: GatewayContext, target: PoolTarget): Fingerprint[] =>
-    target.abandonedRequests.splice(0).filter(each => context.nowMs - each.atMs < ABANDONED_RUN_MS).map(each => each.fingerprint);
+    target.abandonedRequests.splice(0).filter(each => context.nowMs - each.atMs < ABANDONED_RUN_MS).flatMap(each => each.keys);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -1,6 +1,7 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
 import { createPromptKeys } from "../calls/createPromptKeys.js";
 import { enqueueCall } from "../calls/enqueueCall.js";
+import { crashKeys } from "../crashes/crashKeys.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { createRetryBudget } from "../retries/createRetryBudget.js";
 import { countRequest } from "../retries/countRequest.js";
@@ -11,6 +12,7 @@
 export const applyCall = (context: GatewayContext, metadata: CallMetadata): void => {
     const row: CallRow = {
         metadata,
+        crashKeys: crashKeys.list(metadata),
         promptKeys: createPromptKeys(metadata),
         currentAttempt: undefined,
         pool: undefined,
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -38,7 +38,7 @@
         }
     }
     if (input.status < MIN_FAILURE_STATUS) {
-        recordCompletion(context, metadata.fingerprint);
+        recordCompletion(context, row.crashKeys);
     }
     const answerStartedAtMs = attempt.answerStartedAtMs ?? context.nowMs;
     const hasLongGap = input.longestGapMs > (metadata.route.gapTargetMs ?? Number.POSITIVE_INFINITY);
--- a/packages/medlarlb-decisions/src/gateway/observations/applyObservations.ts
+++ b/packages/medlarlb-decisions/src/gateway/observations/applyObservations.ts
@@ -16,11 +16,7 @@
     if (observation.kind === "leaving") {
         return mergeLeavingObservation(context, observation);
     }
-    const isNews = mergeCrashEvidence(context.crashes, observation, context.nowMs - ageMs);
-    if (isNews) {
-        applyNewEvidence(context, observation);
-    }
-    return isNews;
+    return mergeCrashEvidence(context.crashes, observation, context.nowMs - ageMs);
 };
 
 /** Applies observations of another instance. In a large group, those from other zones are passed on within this zone. */
@@ -29,6 +25,12 @@
         return;
     }
     const news = input.observations.filter(each => mergeObservation(context, each, input.ageMs));
+    // All of a message is known before anything follows from it.
+    for (const observation of news) {
+        if (observation.kind !== "limit" && observation.kind !== "leaving") {
+            applyNewEvidence(context, observation);
+        }
+    }
     if (isLargeGroup(context) && input.reporterZone !== undefined && input.reporterZone !== context.settings.zone) {
         context.observationsToRelay.push(...news);
     }
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -1,4 +1,5 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
+import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { CallAttempt } from "./callAttempt.js";
 import type { ModelPool } from "./modelPool.js";
@@ -6,6 +7,8 @@
 /** A caller's request while it waits or runs. */
 export interface CallRow {
     metadata: CallMetadata;
+    /** What an end of a target that runs it may be attributed to. */
+    crashKeys: readonly Fingerprint[];
     /** Keys of the prompt parts in a target's cache. Each includes those of the parts before it. */
     promptKeys: string[];
     currentAttempt: CallAttempt | undefined;
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -63,9 +63,9 @@
     pausedUntilMs: number;
     lastSeenAtMs: number;
     /** Requests that the target has cut and that no probe has explained yet. */
-    cutRequests: { fingerprint: Fingerprint; atMs: number }[];
+    cutRequests: { keys: readonly Fingerprint[]; atMs: number }[];
     /** Requests whose attempts this instance has given up while they may have run, the latest last. */
-    abandonedRequests: { fingerprint: Fingerprint; atMs: number }[];
+    abandonedRequests: { keys: readonly Fingerprint[]; atMs: number }[];
     /** Start of the probe that is under way. */
     probedAtMs: number | undefined;
     promptCache: PromptCache;
