Blame a prompt part that was sound before by the number of ended targets alone

Cause: a part that targets had completed before counted only for ends that nothing else explained. Requests that were cut on two or three of its targets explained most of them, so that it took many more than six ends. Change: the cause on most ended targets comes first, whether it was completed before or not; never completed ones decide only a tie. Evidence: the new unit test failed before (three victims blamed, the part not) and passes; histories of parts that were sound before pass with and without the change.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashingParts.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashingParts.test.ts
@@ -26,6 +26,8 @@
     /** Prompt parts but the last of those requests, and of the sound ones. */
     crashingParts: readonly string[];
     soundParts: (index: number) => readonly string[];
+    /** Whether requests with the part were sound before. */
+    wasSound?: boolean;
 }
 
 /** Sends sound requests, and from a time on requests with the part, no two alike, at all instances. */
@@ -36,6 +38,9 @@
         if (elapsedMs % load.soundEveryMs === 0) {
             service.sendCall(instance(), `sound-${index}`, { kind: index % 20 === 0 ? "unsafe" : "safe" }, load.soundParts(index));
         }
+        if (!withCrashing && load.wasSound === true && elapsedMs % load.crashingEveryMs === 0) {
+            service.sendCall(instance(), `sound-${index}-before`, {}, load.crashingParts);
+        }
         if (withCrashing && elapsedMs % load.crashingEveryMs === 0) {
             service.sendCall(instance(), `${CRASHING}-${index}`, { kind: index % 20 === 0 ? "unsafe" : "safe" }, load.crashingParts);
         }
@@ -51,7 +56,8 @@
 
 /** Share of the sound requests sent in a span that were completed. */
 const servedRatio = ({ completions, arrivals, answers }: Service, fromMs: number, toMs: number): number => {
-    const isIn = (content: string): boolean => content.startsWith("sound-") && Number(content.slice(6)) >= fromMs && Number(content.slice(6)) < toMs;
+    const sentAtMs = (content: string): number => Number(content.split("-")[1]);
+    const isIn = (content: string): boolean => content.startsWith("sound-") && sentAtMs(content) >= fromMs && sentAtMs(content) < toMs;
     const sent = new Set([...arrivals, ...answers].map(each => each.content).filter(isIn));
     return new Set(completions.map(each => each.content).filter(isIn)).size / sent.size;
 };
@@ -70,6 +76,13 @@
             crashingParts: [CRASHING_PART, FIRST_PART],
             soundParts: () => [FIRST_PART],
         },
+        "with a part that was sound before": {
+            crashingEveryMs: 300,
+            soundEveryMs: 10,
+            crashingParts: [FIRST_PART, CRASHING_PART],
+            soundParts: index => [FIRST_PART, `5e55${index % 7}`],
+            wasSound: true,
+        },
         "with all other parts in common with sound ones, and rare": {
             crashingEveryMs: 1_000,
             soundEveryMs: 50,
@@ -123,9 +136,15 @@
         expect(judge([...together, ["r9", "part:x"]]).parts).to.deep.equal(["part:x"]);
     });
 
+    it("falls on a part that was sound before rather than on requests that were on some of its targets", () => {
+        const ends = repeat(6, index => [`r${index}`, `victim${Math.floor(index / 2)}`, "part:x"]);
+        expect(judge(ends, ["part:x"])).to.deep.equal({ requests: [], parts: ["part:x"] });
+    });
+
     it("falls on a part that targets have completed before only if nothing else explains six ends", () => {
         const ends = repeat(7, index => [`r${index}`, "part:first", "part:x"]);
         expect(judge(ends, ["part:first"]).parts).to.deep.equal(["part:x"]);
+        expect(judge(ends, ["part:first", "part:x"]).parts, "both").to.deep.equal(["part:first,part:x"]);
         expect(judge(ends.map(keys => keys.slice(0, 2)), ["part:first"]).parts).to.deep.equal(["part:first"]);
         expect(judge(ends.slice(0, 5).map(keys => keys.slice(0, 2)), ["part:first"]).parts).to.deep.equal([]);
     });
--- a/packages/medlarlb-decisions/src/gateway/crashes/findCrashingRequests.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/findCrashingRequests.ts
@@ -47,6 +47,12 @@
     return [...groups.values()];
 };
 
+/** Of causes that were on as many targets, those that targets have never completed come first. */
+const preferNew = (causes: [Fingerprint, number][], wasCompleted: (fingerprint: Fingerprint) => boolean): [Fingerprint, number][] => {
+    const isNew = causes.filter(([each]) => !wasCompleted(each));
+    return isNew.length > 0 ? isNew : causes;
+};
+
 /**
  * Finds the requests, and the parts of prompts, that end the targets which run them. `ends` holds the keys of the requests of
  * each ended target that it may have ended under, and `wasCompleted` tells those that targets have completed before. What was
@@ -70,11 +76,7 @@
             }
             return count >= CERTAIN_END_COUNT || (count >= LIKELY_END_COUNT && !hasRival(each, remaining, counts));
         };
-        const all = [...counts].filter(([each, count]) => count >= LIKELY_END_COUNT && isCause(each, count));
-        // A part that targets have completed is the cause only of ends that nothing else explains.
-        const causes = all.some(([each]) => !crashKeys.isPart(each) || !wasCompleted(each))
-            ? all.filter(([each]) => !crashKeys.isPart(each) || !wasCompleted(each))
-            : all;
+        const causes = [...counts].filter(([each, count]) => count >= LIKELY_END_COUNT && isCause(each, count));
         if (causes.length === 0) {
             // Two causes may have been on the same targets, so that one explains ends of the other.
             const suspects = [...countEnds(ends)]
@@ -82,7 +84,7 @@
             return { crashing, parts, suspects: new Set(suspects.map(([each]) => each)) };
         }
         const highest = causes.reduce((max, [, count]) => Math.max(max, count), 0);
-        const foremost = causes.filter(([, count]) => count === highest);
+        const foremost = preferNew(causes.filter(([, count]) => count === highest), wasCompleted);
         const requests = foremost.filter(([each]) => !crashKeys.isPart(each));
         requests.forEach(([each, count]) => crashing.set(each, count));
         if (requests.length === 0) {
