--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -1,6 +1,7 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
+import type { StoreLease } from "medlarlb-types/storeLease";
 import { directoryKeys } from "./directoryKeys.js";
 import { plannerEntry } from "./plannerEntry.js";
 
@@ -22,7 +23,7 @@
 }
 
 interface HeldLease {
-    lease: number;
+    lease: StoreLease;
     fence: number;
     /** Time of the monotonic clock until which the lease can't have expired in the store. */
     validUntilMs: number;
--- a/packages/medlarlb-daemon/src/gateway/createRegistration.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRegistration.ts
@@ -1,5 +1,6 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
+import type { StoreLease } from "medlarlb-types/storeLease";
 import { directoryKeys } from "./directoryKeys.js";
 
 /**
@@ -13,7 +14,7 @@
 
 /** Creates the registration of this instance in the store, through which the other instances discover it. */
 export const createRegistration = (store: MetadataStore, instanceId: InstanceId, zone: string) => {
-    let lease: number | undefined;
+    let lease: StoreLease | undefined;
     let timer: NodeJS.Timeout | undefined;
     let stopped = false;
 
@@ -30,7 +31,7 @@
         return change.isOk;
     };
 
-    const renew = async (currentLease: number): Promise<boolean> => {
+    const renew = async (currentLease: StoreLease): Promise<boolean> => {
         const renewed = await store.renewLease(currentLease);
         if (renewed.isErr && renewed.error.kind === "noLease") {
             lease = undefined;
--- a/packages/medlarlb-fakes/src/site/createMetadataStoreServer.ts
+++ b/packages/medlarlb-fakes/src/site/createMetadataStoreServer.ts
@@ -22,6 +22,9 @@
     remove: string[];
 }
 
+/** Lease ids may be any whole numbers. */
+const FIRST_LEASE = 2 ** 48;
+
 /** State of the store from which it may come back. */
 interface Copy {
     items: Item[];
@@ -35,7 +38,7 @@
     const leases = new Map<number, { ttlMs: number; timer: NodeJS.Timeout }>();
     const watchers = new Set<() => void>();
     let revision = 1;
-    let nextLease = 1;
+    let nextLease = FIRST_LEASE;
     /** Rises each time that the store comes back from a copy. */
     let era = 1;
 
@@ -163,7 +166,7 @@
         restore: (copy: Copy): void => {
             leases.forEach(({ timer }) => clearTimeout(timer));
             leases.clear();
-            nextLease = 1;
+            nextLease = FIRST_LEASE;
             items.clear();
             copy.items.forEach(item => items.set(item.key, item));
             changes = changes.filter(change => change.revision <= copy.revision);
--- a/packages/medlarlb-types/src/storeEras.ts
+++ b/packages/medlarlb-types/src/storeEras.ts
@@ -5,7 +5,7 @@
 const isEra = (era: number): boolean => Number.isInteger(era) && era >= 0 && era <= MAX_ERA;
 
 /**
- * Joins revisions and lease ids of the platform's store with the era in which the store gave them out. A store that comes
+ * Joins revisions of the platform's store with the era in which the store gave them out. A store that comes
  * back from an older copy begins a new era and gives them out again; joined, those of a later era are higher and never equal.
  * A store that names no era has only the era 0, whose numbers stay as they are.
  */
