Attribute the end of a target also to a request whose answer ended with its connection

Cause: an answer without a length ends with its connection, as does one whose target crashes. It counted as completed at once and cleared its request and parts of the blame. A stream cut inside an event was no cut but a garbled answer, and its target wasn't probed. Change: such a request is completed once its target begins to answer a later one, and one of the candidates if the target has ended. A stream that ends inside an event together with its connection is cut.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -26,7 +26,7 @@
     /** Called at most once in a while although bytes keep arriving. */
     onContact: () => void;
     /** `longestGapMs` is the longest pause between two parts of the answer. */
-    onFinished: (status: number, longestGapMs: number) => void;
+    onFinished: (status: number, longestGapMs: number, endedWithConnection: boolean) => void;
     onFailed: (failure: { ran: "no" | "unknown"; cause: FailureCause; reason: string; evidence: AnswerEvidence | undefined }) => void;
 }
 
@@ -191,7 +191,7 @@
         return (answerHeaders.contentLength ?? 0) > MAX_BUFFERED_BYTES ? startRelay() : "buffer";
     };
 
-    const handleEnd = (): void => {
+    const handleEnd = (endedWithConnection: boolean): void => {
         if (mode === "drop") {
             if (!hasFailed) {
                 reportRefusal();
@@ -199,7 +199,7 @@
             return;
         }
         if (mode === "events" && splitter.bufferedBytes() > 0) {
-            fail("unknown", "garbled", "the stream ended inside an event");
+            fail("unknown", endedWithConnection ? "cut" : "garbled", "the stream ended inside an event");
             return;
         }
         if (mode === "buffer" && status >= MIN_SERVER_ERROR_STATUS && metadata.route.kind === "safe" && metadata.route.maxAttempts > 1) {
@@ -211,7 +211,7 @@
         reportBegun();
         writer.writeHead(head(), mode === "buffer" ? buffered.length() : undefined);
         res.end(mode === "buffer" ? buffered.take() : undefined);
-        events.onFinished(status, arrivals.longestGapMs());
+        events.onFinished(status, arrivals.longestGapMs(), endedWithConnection);
     };
 
     return {
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -117,9 +117,9 @@
                     push({ kind: "begun", callId, attempt });
                 },
                 onContact: () => note({ kind: "contact", targetId, atMs: now() }),
-                onFinished: (status, longestGapMs) => {
+                onFinished: (status, longestGapMs, endedWithConnection) => {
                     metrics.answers.inc({ status, by: "target" });
-                    push({ kind: "finished", callId, attempt, status, longestGapMs });
+                    push({ kind: "finished", callId, attempt, status, longestGapMs, endedWithConnection });
                 },
                 onFailed: failure => push({ kind: "failed", callId, attempt, ...failure }),
             },
--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
@@ -2,6 +2,7 @@
 import { brandAs } from "medlarlb-types/brandAs";
 import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { Fingerprint } from "medlarlb-types/fingerprint";
+import type { RequestId } from "medlarlb-types/requestId";
 import { createGatewayDecisions } from "../createGatewayDecisions.js";
 import type { GatewayInput } from "../gatewayInput.js";
 import { createServiceCall } from "./support/createServiceCall.js";
@@ -121,6 +122,30 @@
         }
     });
 
+    it("is blamed for the end of its target although its answer seemed whole when it ended with the connection", () => {
+        const decisions = createGatewayDecisions(createSettings("i1", "z1"), () => 0.5);
+        const target = createVirtualService({ seed: 7, instances: 1, zones: 1, targets: 1 }).targets[0]?.entry() ?? expect.fail("no target");
+        const { targetId, startedAtMs } = target;
+        const call = (id: string, content: string, atMs: number): GatewayInput =>
+            ({ kind: "call", metadata: createServiceCall(brandAs(id), content, atMs, { kind: "unsafe", maxAttempts: 1 }) });
+        const finished = (id: string): GatewayInput[] => [
+            { kind: "begun", callId: brandAs(id), attempt: 1 },
+            { kind: "finished", callId: brandAs(id), attempt: 1, status: 200, longestGapMs: 0, endedWithConnection: true },
+        ];
+        decisions.step(1_000, [{ kind: "target", entry: target }, call("c1", "sound", 1_000)]);
+        decisions.step(1_040, finished("c1"));
+        expect([...decisions.view().crashes.ownCompletions.keys()], "not proved yet").to.deep.equal([]);
+        decisions.step(1_050, [call("c2", "crashing", 1_050)]);
+        decisions.step(1_090, finished("c2"));
+        expect([...decisions.view().crashes.ownCompletions.keys()], "it answered a later request").to.deep.equal(["sound"]);
+        decisions.step(1_300, [call("c3", "other", 1_300)]);
+        const failure = { kind: "failed", callId: brandAs<RequestId>("c3"), attempt: 1, ran: "no", cause: "connect", reason: "refused" } as const;
+        const commands = decisions.step(1_310, [failure]);
+        expect(commands.filter(each => each.kind === "probe")).to.have.length(1);
+        decisions.step(1_320, [{ kind: "probed", targetId, startedAtMs, state: "refused" }]);
+        expect([...decisions.view().crashes.ends.values()].map(each => [...each.fingerprints])).to.deep.equal([["crashing"]]);
+    });
+
     it("isn't a target that refused a connection but responds to a later request", () => {
         const decisions = createGatewayDecisions(createSettings("i1", "z1"), () => 0.5);
         const target = createVirtualService({ seed: 4, instances: 1, zones: 1, targets: 1 }).targets[0]?.entry() ?? expect.fail("no target");
--- a/packages/medlarlb-decisions/src/gateway/crashes/applyNewEvidence.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/applyNewEvidence.ts
@@ -9,7 +9,7 @@
     context.crashes.isChanged = true;
     shareCrashEvidence(context, listOwnCompletions(context, evidence));
     const target = evidence.kind === "ended" ? context.targets.get(evidence.targetId) : undefined;
-    if (evidence.kind === "ended" && target?.entry.startedAtMs === evidence.startedAtMs && target.abandonedRequests.length > 0) {
+    if (evidence.kind === "ended" && target?.entry.startedAtMs === evidence.startedAtMs && target.abandonedRequests.length + target.unprovedCompletions.length > 0) {
         reportEnd(context, target, []);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -54,8 +54,11 @@
     | { kind: "begun"; callId: RequestId; attempt: number }
     /** Further bytes of an answer have arrived from a target, the latest at `atMs`. It needs no step of its own. */
     | { kind: "contact"; targetId: TargetId; atMs: number }
-    /** An answer is complete. `longestGapMs` is the longest pause between its parts, in ms. */
-    | { kind: "finished"; callId: RequestId; attempt: number; status: number; longestGapMs: number }
+    /**
+     * An answer is complete. `longestGapMs` is the longest pause between its parts, in ms. With `endedWithConnection`, only the end
+     * of its connection shows that it is complete, which may also be the end of the target.
+     */
+    | { kind: "finished"; callId: RequestId; attempt: number; status: number; longestGapMs: number; endedWithConnection?: boolean }
     /** A target has sent an answer to another request before that to the call. */
     | { kind: "foreignAnswer"; callId: RequestId; targetId: TargetId; evidence: AnswerEvidence }
     /** An attempt has failed. `evidence` is missing if no answer had begun. */
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
@@ -1,5 +1,6 @@
 import type { GatewayInput } from "../gatewayInput.js";
 import { recordContact } from "../calls/recordContact.js";
+import { proveCompletions } from "../crashes/proveCompletions.js";
 import { recordResponse } from "../crashes/recordResponse.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { markTargetPools } from "../pools/markTargetPools.js";
@@ -39,6 +40,7 @@
     target.pendingTokens -= target.activeAttempts.has(input.callId) ? attempt.uncachedTokens : 0;
     recordContact(context, target, context.nowMs);
     recordResponse(context, target, attempt.sentAtMs);
+    proveCompletions(context, target, attempt.sentAtMs);
     markTargetPools(context, target);
     target.consecutiveNoResponse = 0;
     const tookMs = context.nowMs - attempt.sentAtMs;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -39,7 +39,7 @@
             forgetAdapterOrModel(context, target, row);
             break;
         case "connect":
-            if (target.abandonedRequests.length > 0) {
+            if (target.abandonedRequests.length > 0 || target.unprovedCompletions.length > 0) {
                 probeTarget(context, target);
             }
             recordNoResponse(context, target, input);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -2,6 +2,7 @@
 import { removeCall } from "../calls/removeCall.js";
 import { logEvent } from "../calls/logEvent.js";
 import { recordCompletion } from "../crashes/recordCompletion.js";
+import { recordUnprovedCompletion } from "../crashes/recordUnprovedCompletion.js";
 import type { GatewayInput } from "../gatewayInput.js";
 import { servicePaceMs } from "../calls/servicePaceMs.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -37,7 +38,10 @@
             updatePace(context, target, context.nowMs - attempt.sentAtMs);
         }
     }
-    if (input.status < MIN_FAILURE_STATUS) {
+    if (input.endedWithConnection === true && target !== undefined) {
+        recordUnprovedCompletion(context, target, row);
+    }
+    else if (input.status < MIN_FAILURE_STATUS) {
         recordCompletion(context, row.crashKeys);
     }
     const answerStartedAtMs = attempt.answerStartedAtMs ?? context.nowMs;
--- a/packages/medlarlb-decisions/src/gateway/inputs/restoreTargetState.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/restoreTargetState.ts
@@ -12,7 +12,7 @@
     }
     const { limitBucket, permits, permitRequestedAtMs, permitCompetitors, permitRequesters } = former;
     const { pausedUntilMs, backoffUntilMs, consecutiveNoResponse, failureRate, failureRateAtMs } = former;
-    const { cutRequests, abandonedRequests, probedAtMs } = former;
+    const { cutRequests, abandonedRequests, unprovedCompletions, probedAtMs } = former;
     Object.assign(target, {
         limitBucket,
         permits,
@@ -26,6 +26,7 @@
         failureRateAtMs,
         cutRequests,
         abandonedRequests,
+        unprovedCompletions,
         probedAtMs,
     } satisfies Partial<PoolTarget>);
 };
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -29,6 +29,7 @@
     lastSeenAtMs: nowMs,
     cutRequests: [],
     abandonedRequests: [],
+    unprovedCompletions: [],
     probedAtMs: undefined,
     promptCache: { parts: new Map(), tokens: 0 },
     lastUpdateOrderCount: 0,
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -66,6 +66,8 @@
     cutRequests: { keys: readonly Fingerprint[]; atMs: number }[];
     /** Requests whose attempts this instance has given up while they may have run, the latest last. */
     abandonedRequests: { keys: readonly Fingerprint[]; atMs: number }[];
+    /** Requests whose answers ended with their connections, until the target shows that it hasn't ended under them. */
+    unprovedCompletions: { keys: readonly Fingerprint[]; atMs: number }[];
     /** Start of the probe that is under way. */
     probedAtMs: number | undefined;
     promptCache: PromptCache;
--- a/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
@@ -167,7 +167,7 @@
                     setTimeout(() => request.resume(), 1);
                     return false;
                 },
-                onEnd: resolve,
+                onEnd: () => resolve(),
                 onFailure: ({ reason }) => reject(new Error(reason)),
             });
         });
@@ -186,7 +186,7 @@
                     setTimeout(() => request.resume(), 1);
                     return false;
                 },
-                onEnd: resolve,
+                onEnd: () => resolve(),
                 onFailure: ({ reason }) => reject(new Error(reason)),
             });
         });
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -99,9 +99,9 @@
             let ended = false;
             connection.send(message, {
                 ...handlers,
-                onEnd: () => {
+                onEnd: endedWithConnection => {
                     ended = true;
-                    handlers.onEnd();
+                    handlers.onEnd(endedWithConnection);
                 },
                 onFailure: failure => {
                     ended = true;
--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -98,7 +98,7 @@
         failed?.handlers.onFailure({ sent: failed.sent, malformed, reason });
     };
 
-    const complete = (completed: Exchange, isReusable: boolean): void => {
+    const complete = (completed: Exchange, isReusable: boolean, endedWithConnection: boolean): void => {
         if (exchange !== completed) {
             return;
         }
@@ -113,7 +113,7 @@
         else {
             close();
         }
-        completed.handlers.onEnd();
+        completed.handlers.onEnd(endedWithConnection);
     };
 
     const history = (): ConnectionHistory => ({ ageMs: now() - openedAtMs, carriedRequests });
@@ -163,7 +163,7 @@
         // immediate callback. An empty line between requests means nothing to a target that has closed the connection.
         const ended = exchange;
         socket.write("\r\n");
-        setImmediate(() => complete(ended, false));
+        setImmediate(() => complete(ended, false, true));
     };
 
     socket.once("connect", () => {
@@ -206,7 +206,10 @@
                             mayRead = handlers.onChunk(bytes) && mayRead;
                         }
                     },
-                    onComplete: surplus => complete(current, current.reusable && surplus === 0 && !current.reader.mayConfuseNextRequest()),
+                    onComplete: surplus => {
+                        const isReusable = current.reusable && surplus === 0 && !current.reader.mayConfuseNextRequest();
+                        complete(current, isReusable, false);
+                    },
                 }),
             };
             exchange = current;
--- a/packages/medlarlb-targets/src/pooledResponseHandlers.ts
+++ b/packages/medlarlb-targets/src/pooledResponseHandlers.ts
@@ -7,7 +7,8 @@
     onHead: (status: number, headers: Record<string, string | string[] | undefined>, connection: ConnectionHistory) => void;
     /** Returns whether the next chunk may follow at once. Otherwise delivery pauses until `resume` of the request is called. */
     onChunk: (chunk: Buffer) => boolean;
-    onEnd: () => void;
+    /** `endedWithConnection`: the answer has no length, so that only the end of its connection shows that it is whole. */
+    onEnd: (endedWithConnection: boolean) => void;
     /** `sent`: whether any byte of the request may have reached the target. `malformed`: whether the response wasn't valid HTTP. */
     onFailure: (failure: { sent: boolean; malformed: boolean; reason: string }) => void;
 }
