--- a/admin/observationMutations.mjs
+++ b/admin/observationMutations.mjs
@@ -9,14 +9,14 @@
 export const observationMutations = [
     {
         invariant: "gateway, crashing requests: a request isn't refused however many targets ended under it",
-        file: `${GATEWAY}/calls/routeCalls.ts`,
+        file: `${GATEWAY}/crashes/crashRefusal.ts`,
         from: "if (endedTargets !== undefined) {",
         to: "if (endedTargets === -1) {",
         check: CRASHES_TEST,
     },
     {
         invariant: "gateway, crashing requests: an instance keeps to itself which targets ended under a request",
-        file: `${GATEWAY}/observations/shareObservation.ts`,
+        file: `${GATEWAY}/observations/shareObservations.ts`,
         from: "to: listObservationRecipients(context),",
         to: "to: [],",
         check: CRASH_HISTORIES_TEST,
@@ -59,7 +59,7 @@
     {
         invariant: "gateway, crashing requests: a request is blamed for ends that another one explains",
         file: `${GATEWAY}/crashes/findCrashingRequests.ts`,
-        from: "unexplained = unexplained.filter(end => !foremost.some(([each]) => end.has(each)));",
+        from: "unexplained = unexplained.filter(end => !explaining.some(([each]) => end.has(each)));",
         to: "unexplained = unexplained.map(end => new Set([...end].filter(each => !crashing.has(each))));",
         check: CRASHES_TEST,
     },
@@ -108,8 +108,8 @@
     {
         invariant: "gateway, limits: an instance keeps the limit that it has read to itself",
         file: `${GATEWAY}/limits/applyLimit.ts`,
-        from: "shareObservation(context, {",
-        to: "void ({",
+        from: "shareObservations(context, [{",
+        to: "void ([{",
         check: LIMITS_TEST,
     },
     {
@@ -136,15 +136,15 @@
     {
         invariant: "gateway, leaving: the list's entry overrides what a target has said",
         file: `${GATEWAY}/inputs/applyTarget.ts`,
-        from: "const leaving = entry.leaving || existing.saidLeaving;",
+        from: "const leaving = isKnownLeaving(context, entry);",
         to: "const leaving = entry.leaving;",
         check: LEAVING_TEST,
     },
     {
         invariant: "gateway, leaving: an instance keeps to itself that a target leaves",
         file: `${GATEWAY}/leaving/applyLeaving.ts`,
-        from: "shareObservation(context, {",
-        to: "void ({",
+        from: "shareObservations(context, [{",
+        to: "void ([{",
         check: LEAVING_TEST,
     },
 ];
--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -4,6 +4,7 @@
 import { answerMutations } from "./answerMutations.mjs";
 import { endlessMutations } from "./endlessMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
+import { restoredMutations } from "./restoredMutations.mjs";
 import { retryMutations } from "./retryMutations.mjs";
 
 const DECISIONS = "packages/medlarlb-decisions/src";
@@ -234,6 +235,7 @@
     ...observationMutations,
     ...answerMutations,
     ...endlessMutations,
+    ...restoredMutations,
     ...retryMutations,
 ];
 
