--- a/admin/restoredMutations.mjs
+++ b/admin/restoredMutations.mjs
@@ -93,9 +93,9 @@
     },
     {
         invariant: "crashing parts: completions don't clear the parts of sound requests",
-        file: `${GATEWAY}/crashes/recordCompletion.ts`,
-        from: "for (const key of keys) {",
-        to: "for (const key of keys.slice(0, 1)) {",
+        file: `${GATEWAY}/inputs/applyFinished.ts`,
+        from: "recordCompletion(context, row.crashKeys);",
+        to: "recordCompletion(context, row.crashKeys.slice(0, 1));",
         check: PARTS_TEST,
     },
     {
