Keep only what holds of a target whose entry is gone

Cause: the whole rows of up to 1,024 former targets were kept, with prompt caches and loads that nothing reads again, and the fields that are carried over were listed where they are restored. Memory wasn't measured. Change: these fields make a type of their own and are picked once, when the entry goes.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/lapsedEntries.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/lapsedEntries.test.ts
@@ -26,6 +26,10 @@
         expect(lapseAfter(pause, { startedAtMs: startedAtMs + 1 }).pausedUntilMs, "after a restart").to.equal(0);
     });
 
+    it("is described by its new entry", () => {
+        expect(lapseAfter(limit, { slots: 3 }).entry.slots).to.equal(3);
+    });
+
     it("is still limited, without requests saved up", () => {
         const row = lapseAfter(limit);
         expect([row.requestLimit, row.limitBucket.tokens]).to.deep.equal([5, 0]);
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -16,6 +16,7 @@
 import type { RetryBudget } from "./retries/retryBudget.js";
 import type { CallCheck } from "./rows/callCheck.js";
 import type { CallRow } from "./rows/callRow.js";
+import type { FormerTarget } from "./rows/formerTarget.js";
 import type { ModelPool } from "./rows/modelPool.js";
 import type { PoolTarget } from "./rows/poolTarget.js";
 
@@ -29,7 +30,7 @@
     targets: Map<TargetId, PoolTarget>;
     targetsByService: Map<string, PoolTarget[]>;
     /** Targets whose entries are gone, the latest last. An entry may come back for the same process. */
-    formerTargets: Map<TargetId, PoolTarget>;
+    formerTargets: Map<TargetId, FormerTarget>;
     /** Processes of targets that leave, by `incarnationKey`, the latest last. Leaving ends only with the process. */
     leavingTargets: Set<string>;
     /** Targets that name a limit. */
