--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -34,6 +34,9 @@
     return {
         ...addresses,
         log,
+        /** Freezes the process until it is resumed, as if its machine stood still. */
+        freeze: (): void => void child.kill("SIGSTOP"),
+        resume: (): void => void child.kill("SIGCONT"),
         stop: (): void => {
             child.kill("SIGKILL");
             rmSync(folder, { recursive: true, force: true });
