Learn the entries of the store from other instances while it can't be reached

Cause: an instance takes entries of others only until it has read the store once. Changes that the watcher of its zone passes on after a return don't follow from what it knows, so it waits for its own read of the store, which doesn't come. Ruled out: that the watcher doesn't tell (its relays arrive, and are put off as having gaps). Change: while two calls in a row have failed, an instance asks two others each 700 ms for their entries, naming the revision that it knows. They answer only if they know a later one, so that an outage of the whole store costs two short messages a round and instance. The answer holds all entries as of a revision and is applied like a list of the store, removals too.

--- a/admin/restoredMutations.mjs
+++ b/admin/restoredMutations.mjs
@@ -3,6 +3,7 @@
 const GATEWAY = "packages/medlarlb-decisions/src/gateway";
 const DAEMON = "packages/medlarlb-daemon/src";
 const DIRECTORY_TEST = `${DAEMON}/__tests__/createDirectorySync.test.ts`;
+const FROM_PEERS_TEST = `${DAEMON}/__tests__/directoryFromPeers.test.ts`;
 const LEASE_TEST = `${DAEMON}/__tests__/createGatewayPlannerLease.test.ts`;
 const STORE_TEST = "platform/src/__tests__/storeClient.test.ts";
 const RESTORED_TEST = "packages/medlarlb-fakes/src/__tests__/restoredStore.test.ts";
@@ -56,6 +57,20 @@
         to: "isOwnLease ? now() : Math.min(now(), othersEndAtMs) + leaseMs",
         check: LEASE_TEST,
     },
+    {
+        invariant: "restored store: an instance that is cut off takes no entries from others",
+        file: `${DAEMON}/gateway/createDirectorySync.ts`,
+        from: "(isUnreachable() && peerRevision > revision)",
+        to: "(isUnreachable() && peerRevision < 0)",
+        check: FROM_PEERS_TEST,
+    },
+    {
+        invariant: "restored store: an instance that is cut off takes entries from others that are older than its own",
+        file: `${DAEMON}/gateway/createDirectorySync.ts`,
+        from: "(isUnreachable() && peerRevision > revision)",
+        to: "isUnreachable()",
+        check: FROM_PEERS_TEST,
+    },
     {
         invariant: "directory: a late message brings back what the store has removed",
         file: `${DAEMON}/gateway/createDirectorySync.ts`,
--- /dev/null
+++ b/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
@@ -0,0 +1,103 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { Result } from "true-myth";
+import { brandAs } from "medlarlb-types/brandAs";
+import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { MetadataStore } from "medlarlb-types/metadataStore";
+import type { StoreEntry } from "medlarlb-types/storeEntry";
+import { storeEras } from "medlarlb-types/storeEras";
+import type { StoreError } from "medlarlb-types/storeError";
+import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
+import { createDirectorySync } from "../../gateway/createDirectorySync.js";
+
+const watcher = brandAs<InstanceId>("a:1");
+const self = brandAs<InstanceId>("b:1");
+
+/** Creates a directory sync over a store that a test changes, restores and makes unreachable, and that follows the instance `a:1`. */
+export const createDirectoryFixture = () => {
+    const calls: string[] = [];
+    const events: string[] = [];
+    const relays: DirectoryRelay[] = [];
+    const contacts: number[] = [];
+    const instanceCounts: number[] = [];
+    let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
+    let reachable = true;
+    let hasLongHistory = false;
+    let isCompacted = false;
+    let listRevision: number | undefined;
+    const revision = (): number => Math.max(...items.map(item => item.revision));
+    const answer = <Value>(value: Value): Result<Value, StoreError> =>
+        (reachable ? Result.ok<Value, StoreError>(value) : Result.err<Value, StoreError>({ kind: "unknown", message: "no answer" }));
+    const store = {
+        list: async () => {
+            calls.push("list");
+            const listedRevision = listRevision ?? revision();
+            listRevision = undefined;
+            return answer({ items, revision: listedRevision });
+        },
+        watch: async (_prefix: string, after: number, waitMs: number) => {
+            calls.push(`watch ${after}`);
+            if (hasLongHistory) {
+                return Result.err<never, StoreError>({ kind: "tooLong", message: "too many changes" });
+            }
+            const changed = () => items.filter(item => item.revision > after);
+            await sleep(changed().length > 0 ? 0 : waitMs);
+            if (isCompacted || storeEras.eraOf(revision()) !== storeEras.eraOf(after)) {
+                isCompacted = false;
+                return Result.err<never, StoreError>({ kind: "compacted", message: "the history is gone" });
+            }
+            return answer({ items: changed(), revision: revision() });
+        },
+    } as unknown as MetadataStore;
+    const role = createWatchRole(self, performance.now());
+    role.setOrder([watcher, self], performance.now());
+    const sync = createDirectorySync({
+        store,
+        now: () => performance.now(),
+        configKey: "op/config",
+        targetPrefix: "servers/",
+        role,
+        relay: changes => relays.push(changes),
+        handlers: {
+            onConfig: text => events.push(text),
+            onTargetEntry: (id, text) => events.push(`${id} ${text}`),
+            onTargetGone: id => events.push(`${id} gone`),
+            onInstances: instances => instanceCounts.push(instances.length),
+            onPlanners: () => undefined,
+            onListContact: atMs => contacts.push(atMs),
+            onStoreRestored: () => events.push("store restored"),
+            onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
+        },
+    });
+    const relay = (after: number, entries: StoreEntry[]): void => {
+        const last = Math.max(after, ...entries.map(entry => entry.revision));
+        sync.applyRelay(watcher, { after, revision: last, items: entries, contactAgeMs: 0, outageEndedAgoMs: undefined });
+    };
+    return {
+        sync,
+        calls,
+        events,
+        relays,
+        contacts,
+        instanceCounts,
+        relay,
+        /** Has the store come back from a copy that has the given entries. */
+        restore: (entries: StoreEntry[]): void => {
+            items = entries.map(entry => ({ ...entry, revision: storeEras.join(2, entry.revision) }));
+        },
+        change: (entry: StoreEntry): void => {
+            items = [...items.filter(item => item.key !== entry.key), entry];
+        },
+        /** Has the store drop its history, and list a state of an earlier revision once. */
+        compact: (listedRevision: number): void => {
+            isCompacted = true;
+            listRevision = listedRevision;
+        },
+        setLongHistory: (value: boolean): void => {
+            hasLongHistory = value;
+        },
+        setReachable: (value: boolean): void => {
+            reachable = value;
+        },
+    };
+};
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -42,6 +42,8 @@
 const INTERIM_WATCH_PAUSE_MS = 500;
 /** Interval in ms at which an instance that follows another one checks whether it still can. */
 const FOLLOWING_CHECK_MS = 150;
+/** Number of consecutive failed calls from which the store counts as unreachable. */
+const UNREACHABLE_FAILURES = 2;
 /** Time in ms after the return of an older store within which instances register again. */
 const REGISTRATION_GRACE_MS = 2_500;
 
@@ -130,33 +132,37 @@
         }
     };
 
-    const readAll = async (): Promise<boolean> => {
-        const askedAtMs = now();
-        const list = await store.list("");
-        if (list.isErr) {
-            return recordFailure(list.error.message);
-        }
-        recordSuccess();
-        isListNeeded = false;
-        if (revision !== undefined && list.value.revision < revision) {
-            // Other instances have passed on all changes up to a later revision since the list was made.
-            return true;
-        }
-        const isRestored = revision !== undefined && storeEras.eraOf(list.value.revision) > storeEras.eraOf(revision);
+    /** Applies all entries of the store as of a revision. Known entries that they lack were removed. */
+    const applyAll = (items: StoreEntry[], listRevision: number, source: Source): void => {
+        const isRestored = revision !== undefined && storeEras.eraOf(listRevision) > storeEras.eraOf(revision);
         relistAtMs = Number.POSITIVE_INFINITY;
         if (isRestored) {
             outageEndedAtMs = now();
             relistAtMs = now() + REGISTRATION_GRACE_MS;
             handlers.onStoreRestored();
         }
-        const listedKeys = new Set(list.value.items.map(entry => entry.key));
+        const listedKeys = new Set(items.map(entry => entry.key));
         // An entry that isn't listed any more counts as removed. Its revision has to exceed the known one to be applied.
         const isKept = (key: string): boolean => listedKeys.has(key) || (isRestored && key.startsWith(directoryKeys.instance("")));
         const removed = [...entriesByKey.values()].filter(entry => !isKept(entry.key))
-            .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, list.value.revision) }));
+            .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, listRevision) }));
         revision = undefined; // Pages of the list may hold changes of any revision.
-        applyEntries([...list.value.items, ...removed], { source: "list", ageMs: now() - askedAtMs }, isRestored);
-        revision = list.value.revision;
+        applyEntries([...items, ...removed], source, isRestored);
+        revision = listRevision;
+    };
+
+    const readAll = async (): Promise<boolean> => {
+        const askedAtMs = now();
+        const list = await store.list("");
+        if (list.isErr) {
+            return recordFailure(list.error.message);
+        }
+        recordSuccess();
+        isListNeeded = false;
+        if (revision === undefined || list.value.revision >= revision) {
+            applyAll(list.value.items, list.value.revision, { source: "list", ageMs: now() - askedAtMs });
+        }
+        // Otherwise other instances have passed on all changes up to a later revision since the list was made.
         return true;
     };
 
@@ -182,17 +188,19 @@
         return true;
     };
 
-    /** Counts a failed call. The store counts as unreachable from the second consecutive failure on. */
+    const isUnreachable = (): boolean => consecutiveFailures >= UNREACHABLE_FAILURES;
+
+    /** Counts a failed call. */
     const recordFailure = (reason: string): boolean => {
         consecutiveFailures += 1;
-        if (consecutiveFailures === 2) {
+        if (consecutiveFailures === UNREACHABLE_FAILURES) {
             handlers.onReachabilityChange(false, reason);
         }
         return false;
     };
 
     const recordSuccess = (): void => {
-        if (consecutiveFailures >= 2) {
+        if (isUnreachable()) {
             outageEndedAtMs = now();
             handlers.onReachabilityChange(true, "the store answers again");
         }
@@ -227,12 +235,23 @@
 
     return {
         start: (): void => void followStore(),
-        items: (): StoreEntry[] => [...entriesByKey.values()],
-        /** Returns whether the store itself has been read. Entries from other instances are applied until then. */
-        hasReadStore: (): boolean => revision !== undefined,
-        applyPeerEntries: (from: InstanceId, entries: StoreEntry[]): void => {
-            if (revision === undefined) {
-                applyEntries(entries, { source: "peer", from, ageMs: undefined });
+        /** Returns all entries and their revision, or undefined if no revision after `since` is known. */
+        entriesSince: (since: number | undefined): { items: StoreEntry[]; revision: number | undefined } | undefined => {
+            const isNews = since === undefined || (revision !== undefined && revision > since);
+            return isNews ? { items: [...entriesByKey.values()], revision } : undefined;
+        },
+        /** Revision of the store up to which all changes are known. */
+        revision: (): number | undefined => revision,
+        /** Returns whether this instance has to learn the entries from others, since it can't read the store or hasn't yet. */
+        needsPeers: (): boolean => revision === undefined || isUnreachable(),
+        /** Applies the entries that another instance knows, with the revision of the whole if it tells one. */
+        applyPeerEntries: (from: InstanceId, entries: StoreEntry[], peerRevision: number | undefined): void => {
+            const source: Source = { source: "peer", from, ageMs: undefined };
+            if (revision === undefined && peerRevision === undefined) {
+                applyEntries(entries, source);
+            }
+            else if (peerRevision !== undefined && (revision === undefined || (isUnreachable() && peerRevision > revision))) {
+                applyAll(entries, peerRevision, source);
             }
         },
         /** Applies changes that another instance of this zone passes on. */
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -39,7 +39,7 @@
 import { createIngressServer } from "./createIngressServer.js";
 import { createLog } from "./createLog.js";
 import { createRegistration } from "./createRegistration.js";
-import { bootstrapFromPeers } from "./bootstrapFromPeers.js";
+import { pullFromPeers } from "./pullFromPeers.js";
 
 const MS_PER_SECOND = 1_000;
 /** Part of the grace period in ms that is reserved for the process to exit. */
@@ -138,7 +138,7 @@
             const revision = config?.version ?? 0;
             return { revision, base: 0, entries: [{ key: CONFIG_ENTRY_KEY, value: configText, revision }] };
         },
-        directoryItems: () => directory.items(),
+        directorySince: since => directory.entriesSince(since),
         onConfig: ({ entries }) => entries.forEach(entry => applyConfig(entry.value ?? "")),
         onGossip: entry => {
             observationGossip.receive(entry);
@@ -147,8 +147,8 @@
         onDemand: () => undefined,
         onGatewayMessage: (message, from) => {
             if (message.kind === "directory") {
-                logEvent("directoryFromPeer", { items: message.items.length, used: !directory.hasReadStore() });
-                directory.applyPeerEntries(from, message.items);
+                logEvent("directoryFromPeer", { from, items: message.items.length, revision: message.revision, used: directory.needsPeers() });
+                directory.applyPeerEntries(from, message.items, message.revision);
             }
             else if (message.kind === "directoryChange") {
                 directory.applyRelay(from, message.changes);
@@ -283,7 +283,7 @@
             ]);
             await peers.start();
             directory.start();
-            bootstrapFromPeers({ seeds: settings.peer.seeds, zone, peers, hasReadStore: directory.hasReadStore, random });
+            pullFromPeers({ seeds: settings.peer.seeds, zone, peers, directory, random });
             registration.start();
             logEvent("started", { zone, bootId });
         },
--- a/packages/medlarlb-daemon/src/gateway/bootstrapFromPeers.ts
+++ b/packages/medlarlb-daemon/src/gateway/pullFromPeers.ts
@@ -5,14 +5,14 @@
 import type { createPeerGroup } from "medlarlb-peers/createPeerGroup";
 import { sampleWithoutReplacement } from "medlarlb-peers/sampleWithoutReplacement";
 import { repeatEvery } from "../shared/repeatEvery.js";
+import type { createDirectorySync } from "./createDirectorySync.js";
 
-interface BootstrapOptions {
+interface PullOptions {
     /** Peer addresses of other instances, separated by commas. */
     seeds: string;
     zone: ZoneId;
     peers: Pick<ReturnType<typeof createPeerGroup>, "setListed" | "send" | "alive">;
-    /** Returns whether this instance has read the platform's store itself. */
-    hasReadStore: () => boolean;
+    directory: Pick<ReturnType<typeof createDirectorySync>, "needsPeers" | "revision">;
     random: () => number;
 }
 
@@ -22,19 +22,19 @@
 const REQUESTED_PEER_COUNT = 2;
 
 /**
- * Requests routes and targets from running instances, for an instance that starts while the store is unreachable. The
- * seed addresses serve as the list of instances until the store has been read.
+ * Requests routes and targets from running instances while this one can't read the store. The seed addresses serve as the list
+ * of instances until one is known. While no instance reaches the store, none knows a later revision and answers.
  */
-export const bootstrapFromPeers = ({ seeds, zone, peers, hasReadStore, random }: BootstrapOptions): void => {
+export const pullFromPeers = ({ seeds, zone, peers, directory, random }: PullOptions): void => {
     const seedIds = seeds.split(",").map(seed => seed.trim()).filter(seed => seed !== "").map(seed => brandAs<InstanceId>(seed));
     peers.setListed(seedIds.map((id): ListedInstance => ({ id, role: "daemon", zone, address: id, state: "live" })));
-    const stopRequests = repeatEvery(REQUEST_INTERVAL_MS, () => {
-        if (hasReadStore()) {
-            stopRequests();
+    repeatEvery(REQUEST_INTERVAL_MS, () => {
+        if (!directory.needsPeers()) {
             return;
         }
         // The first alive member is this instance itself.
         const candidates = [...new Set([...seedIds, ...peers.alive().slice(1).map(member => member.id)])];
-        sampleWithoutReplacement(candidates, REQUESTED_PEER_COUNT, random).forEach(id => peers.send(id, { kind: "pullDirectory" }));
+        const message = { kind: "pullDirectory", since: directory.revision() } as const;
+        sampleWithoutReplacement(candidates, REQUESTED_PEER_COUNT, random).forEach(id => peers.send(id, message));
     });
 };
--- a/packages/medlarlb-peers/src/createDataMessageHandler.ts
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -18,9 +18,13 @@
             case "demand":
                 options.onDemand(message.counts);
                 break;
-            case "pullDirectory":
-                reply({ kind: "directory", items: options.directoryItems?.() ?? [] });
+            case "pullDirectory": {
+                const directory = options.directorySince?.(message.since);
+                if (directory !== undefined) {
+                    reply({ kind: "directory", ...directory });
+                }
                 break;
+            }
             case "status":
             case "directory":
             case "directoryChange":
--- a/packages/medlarlb-peers/src/peerGroupOptions.ts
+++ b/packages/medlarlb-peers/src/peerGroupOptions.ts
@@ -27,8 +27,11 @@
     onDemand: (counts: DemandCount[]) => void;
     /** Handles messages of a gateway: load of other instances, placement updates of planners, and models that callers wait for. */
     onGatewayMessage?: (message: GatewayMessage, from: InstanceId) => void;
-    /** Returns the entries of the platform's store that this instance knows, for instances that can't reach the store. */
-    directoryItems?: () => StoreEntry[];
+    /**
+     * Returns the entries of the platform's store that this instance knows, for instances that can't reach the store, or undefined
+     * if it knows no revision after `since`.
+     */
+    directorySince?: (since: number | undefined) => { items: StoreEntry[]; revision: number | undefined } | undefined;
     decisionsAfter: (sequence: number) => { records: DecisionRecord[]; oldest: number };
     onClosed: (reason: string) => void;
     countBytes: (direction: "sent" | "received", bytes: number) => void;
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -38,9 +38,12 @@
     | { kind: "permit"; answer: PermitAnswer }
     /** Observations of targets, from an instance of `reporterZone`. */
     | { kind: "observations"; reporterZone: ZoneId; observations: TargetObservation[] }
-    /** Asks for the entries of the platform's store that the receiver knows; `directory` answers it. */
-    | { kind: "pullDirectory" }
-    | { kind: "directory"; items: StoreEntry[] }
+    /**
+     * Asks for the entries of the platform's store that the receiver knows, which `directory` answers, unless it knows no revision
+     * after `since`. Entries without a revision of the whole are those of an instance that hasn't read the store, or is older.
+     */
+    | { kind: "pullDirectory"; since?: number | undefined }
+    | { kind: "directory"; items: StoreEntry[]; revision?: number | undefined }
     /** Changes of the platform's store, from the instance that watches it for its zone. */
     | { kind: "directoryChange"; changes: DirectoryRelay }
     /** Asks a planner for a model or an adapter that a caller waits for. */
