Hold removals back only after an outage of the store, not of the instance that tells of it

Cause: after an outage removals wait for 2.2 s, because entries that lapsed may reappear. An instance that stood still, or lost only its own way to the store, takes that for an outage of the store when it reads again, and as the watcher of its zone tells the others, which believe it although they have read the store meanwhile. The class: an observation of one's own way is passed on as one of the store. Change: instances also tell when their outage began, and another believes them only if no answer of the store that it knows of lies within. Instances of earlier versions don't tell it and are believed as before. Evidence: "doesn't wait with removals because of an outage that only the watcher had" failed before ('e1 gone' is missing) and passes; four tests of the record; two breaks of the guard are caught.

--- a/admin/restoredMutations.mjs
+++ b/admin/restoredMutations.mjs
@@ -5,6 +5,7 @@
 const DIRECTORY_TEST = `${DAEMON}/__tests__/createDirectorySync.test.ts`;
 const FROM_PEERS_TEST = `${DAEMON}/__tests__/directoryFromPeers.test.ts`;
 const LEASE_TEST = `${DAEMON}/__tests__/createGatewayPlannerLease.test.ts`;
+const OUTAGES_TEST = `${GATEWAY}/__tests__/createStoreOutages.test.ts`;
 const STORE_TEST = "platform/src/__tests__/storeClient.test.ts";
 const RESTORED_TEST = "packages/medlarlb-fakes/src/__tests__/restoredStore.test.ts";
 const LEAVING_TEST = `${GATEWAY}/__tests__/leaving.test.ts`;
@@ -71,6 +72,20 @@
         to: "isUnreachable()",
         check: FROM_PEERS_TEST,
     },
+    {
+        invariant: "directory: an outage that only another instance had holds removals back",
+        file: `${GATEWAY}/directory/createStoreOutages.ts`,
+        from: "if (!hasAnswered && endedAtMs",
+        to: "if (endedAtMs",
+        check: OUTAGES_TEST,
+    },
+    {
+        invariant: "directory: an outage of the store of which another instance tells isn't believed",
+        file: `${GATEWAY}/directory/createStoreOutages.ts`,
+        from: "if (!hasAnswered && endedAtMs",
+        to: "if (hasAnswered && endedAtMs",
+        check: OUTAGES_TEST,
+    },
     {
         invariant: "directory: a late message brings back what the store has removed",
         file: `${DAEMON}/gateway/createDirectorySync.ts`,
--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -120,6 +120,24 @@
         expect(events).to.not.include("e1 gone");
     });
 
+    it("doesn't wait with removals because of an outage that only the watcher had, since it read the store itself meanwhile", async () => {
+        const { events } = createFixture();
+        sync.start();
+        await sleep(2_500);
+        const passOn = (after: number, entry: StoreEntry): void => sync.applyRelay(watcher, {
+            after,
+            revision: entry.revision,
+            items: [entry],
+            contactAgeMs: 0,
+            outageEndedAgoMs: 100,
+            outageBeganAgoMs: 2_400,
+        });
+        passOn(5, { key: "servers/e1", value: "entry", revision: 6 });
+        passOn(6, { key: "servers/e1", value: undefined, revision: 7 });
+        await sleep(200);
+        expect(events).to.deep.equal(["config 1", "e1 entry", "e1 gone"]);
+    });
+
     describe("doesn't bring back a target that the store has removed", () => {
         const entry: StoreEntry = { key: "servers/e1", value: "entry", revision: 7 };
 
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -7,6 +7,7 @@
 import { storeEras } from "medlarlb-types/storeEras";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
 import type { ZoneId } from "medlarlb-types/zoneId";
+import { createStoreOutages } from "medlarlb-decisions/gateway/directory/createStoreOutages";
 import type { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDelay } from "../shared/createDelay.js";
 import type { DirectoryHandlers } from "./directoryHandlers.js";
@@ -63,8 +64,8 @@
     let neededRevision = 0;
     let stopped = false;
     let consecutiveFailures = 0;
-    let outageEndedAtMs = Number.NEGATIVE_INFINITY;
-    const targetReports = createTargetReports({ now, targetPrefix, handlers, outageEndedAtMs: () => outageEndedAtMs });
+    const outages = createStoreOutages();
+    const targetReports = createTargetReports({ now, targetPrefix, handlers, outageEndedAtMs: outages.endedAtMs });
     /** Times of the check before the last and of the last one. */
     let checkTimesMs: [number, number] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
@@ -120,14 +121,15 @@
     /** Passes on changes that this instance has read itself. */
     const relayChanges = (after: number, items: StoreEntry[], askedAtMs: number): void => {
         if (role.shouldRelay(now())) {
-            const sinceOutageMs = now() - outageEndedAtMs;
+            const outage = outages.latest();
             relay({
                 after,
                 revision: revision ?? after,
                 items,
                 contactAgeMs: 0,
                 readAgeMs: now() - askedAtMs,
-                outageEndedAgoMs: Number.isFinite(sinceOutageMs) ? sinceOutageMs : undefined,
+                outageEndedAgoMs: outage === undefined ? undefined : now() - outage.endedAtMs,
+                outageBeganAgoMs: outage === undefined || !Number.isFinite(outage.beganAtMs) ? undefined : now() - outage.beganAtMs,
             });
         }
     };
@@ -137,7 +139,7 @@
         const isRestored = revision !== undefined && storeEras.eraOf(listRevision) > storeEras.eraOf(revision);
         relistAtMs = Number.POSITIVE_INFINITY;
         if (isRestored) {
-            outageEndedAtMs = now();
+            outages.recordEnd(now());
             relistAtMs = now() + REGISTRATION_GRACE_MS;
             handlers.onStoreRestored();
         }
@@ -163,6 +165,7 @@
             applyAll(list.value.items, list.value.revision, { source: "list", ageMs: now() - askedAtMs });
         }
         // Otherwise other instances have passed on all changes up to a later revision since the list was made.
+        outages.recordContact(now());
         return true;
     };
 
@@ -184,6 +187,7 @@
         applyEntries(changes.value.items, { source: "watch", ageMs: now() - askedAtMs });
         revision = Math.max(revision ?? after, changes.value.revision);
         handlers.onListContact(askedAtMs);
+        outages.recordContact(now());
         relayChanges(after, changes.value.items, askedAtMs);
         return true;
     };
@@ -201,7 +205,7 @@
 
     const recordSuccess = (): void => {
         if (isUnreachable()) {
-            outageEndedAtMs = now();
+            outages.recordEnd(now());
             handlers.onReachabilityChange(true, "the store answers again");
         }
         consecutiveFailures = 0;
@@ -270,9 +274,11 @@
                 pause.end();
                 return;
             }
-            if (changes.outageEndedAgoMs !== undefined) {
-                outageEndedAtMs = Math.max(outageEndedAtMs, now() - changes.outageEndedAgoMs);
+            const { outageBeganAgoMs, outageEndedAgoMs } = changes;
+            if (outageEndedAgoMs !== undefined) {
+                outages.recordTold(outageBeganAgoMs === undefined ? undefined : now() - outageBeganAgoMs, now() - outageEndedAgoMs);
             }
+            outages.recordContact(now() - changes.contactAgeMs);
             applyEntries(changes.items, { source: "relay", from, ageMs: changes.readAgeMs });
             revision = Math.max(revision, changes.revision);
             if (changes.readAgeMs !== undefined) {
--- a/packages/medlarlb-types/src/directoryRelay.ts
+++ b/packages/medlarlb-types/src/directoryRelay.ts
@@ -12,4 +12,6 @@
     readAgeMs?: number | undefined;
     /** Time in ms since the store answered the sender again after an outage; undefined if it had none. */
     outageEndedAgoMs: number | undefined;
+    /** Time in ms since the latest answer before that outage; older instances leave it out. */
+    outageBeganAgoMs?: number | undefined;
 }
