--- a/packages/medlarlb-fakes/src/__tests__/crashingParts.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/crashingParts.test.ts
@@ -11,7 +11,7 @@
 
 describe("Two gateway processes whose targets end under requests with one part in their prompts", () => {
     const store = createMetadataStoreServer();
-    const engines = ["e1", "e2", "e3", "e4", "e5"].map(createUserEngineServer);
+    const engines = ["e1", "e2", "e3", "e4", "e5"].map(id => createUserEngineServer(id));
     const gateways: Awaited<ReturnType<typeof startGatewayProcess>>[] = [];
     let sequence = 0;
 
--- a/packages/medlarlb-fakes/src/__tests__/cutOffOverReturn.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/cutOffOverReturn.test.ts
@@ -17,7 +17,7 @@
 
 describe("A gateway process that is cut off from the store while it comes back from an older copy", () => {
     const store = createMetadataStoreServer();
-    const engines = ["e1", "e2", "e3"].map(createUserEngineServer);
+    const engines = ["e1", "e2", "e3"].map(id => createUserEngineServer(id));
     const addresses = new Map<string, string>();
     let relay: Awaited<ReturnType<typeof createTcpRelay>> | undefined;
     const gateways: Awaited<ReturnType<typeof startGatewayProcess>>[] = [];
--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -214,7 +214,7 @@
     });
 
     it("sends a request under which two targets have ended to no other target, from another instance neither", async () => {
-        const ending = ["e3", "e4", "e5"].map(createUserEngineServer);
+        const ending = ["e3", "e4", "e5"].map(id => createUserEngineServer(id));
         extraEngines.push(...ending);
         for (const engine of ending) {
             registerEngine(engine.id, await listenOnFreePort(engine.server), "ready", "other");
--- a/packages/medlarlb-fakes/src/__tests__/restoredStore.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/restoredStore.test.ts
@@ -23,7 +23,7 @@
 
 describe("Two gateway processes whose store comes back from an older copy", () => {
     const store = createMetadataStoreServer();
-    const engines = ["e1", "e2", "e3"].map(createUserEngineServer);
+    const engines = ["e1", "e2", "e3"].map(id => createUserEngineServer(id));
     const addresses = new Map<string, string>();
     const gateways: Awaited<ReturnType<typeof startGatewayProcess>>[] = [];
     let sequence = 0;
--- a/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
@@ -9,20 +9,26 @@
  * - `leaving`: answers, and says in all answers that it leaves.
  * - `cut`: resets the connection after the run has started.
  * - `cutStream`: resets each stream in the middle of its second event.
+ * - `cutSome`: resets every second stream, further on each time, in the middle of an event.
  * - `failing`: answers with status 500.
  * - `failingResume`: as `cutStream`, and answers a resumed stream with status 500.
  * - `other`: answers with the id of another request.
  * - `ending`: ends, as a process that crashes does, when it has started a request whose path ends with `CRASHING_PATH_END`.
  */
-type EngineBehavior = "ending" | "leaving" | "normal" | "pausing" | "full" | "cut" | "cutStream" | "failing" | "failingResume" | "other";
+type EngineBehavior = "ending" | "leaving" | "normal" | "pausing" | "full" | "cut" | "cutStream" | "cutSome" | "failing" | "failingResume" | "other";
 
 const CRASHING_PATH_END = "/crash";
 const PAUSE_SECONDS = 5;
-const EVENT_COUNT = 5;
-const EVENT_INTERVAL_MS = 20;
+
+interface EngineOptions {
+    /** Version of its software, which the events of its streams name. */
+    softwareVersion?: string;
+    eventCount?: number;
+    eventIntervalMs?: number;
+}
 
 /** Creates a stand-in for an engine of the users' platform. It answers with its id and stamp, streams events, and counts orders. */
-export const createUserEngineServer = (id: string) => {
+export const createUserEngineServer = (id: string, { softwareVersion, eventCount = 5, eventIntervalMs = 20 }: EngineOptions = {}) => {
     /** Requests that the engine has run. */
     const runs: { requestId: string; method: string; path: string; body: string }[] = [];
     let behavior: EngineBehavior = "normal";
@@ -30,25 +36,31 @@
     let limitPerSecond: number | undefined;
     let orderCount = 0;
     let refusals = 0;
+    let streamCount = 0;
+    let version = softwareVersion;
 
     /** Sends the events of a stream from `firstEvent` on. */
     const sendEventStream = (res: ServerResponse, firstEvent: number): void => {
         let event = firstEvent;
+        streamCount += 1;
+        const runVersion = version === undefined ? "" : ` of ${version}`;
+        const cutAtEvent = streamCount % 2 === 0 ? firstEvent + 1 + streamCount % 5 : Number.POSITIVE_INFINITY;
         res.writeHead(200, { "content-type": "text/event-stream" });
         const timer = setInterval(() => {
-            if (["cutStream", "failingResume"].includes(behavior) && event > firstEvent) {
+            const isCutEarly = ["cutStream", "failingResume"].includes(behavior) && event > firstEvent;
+            if (isCutEarly || (behavior === "cutSome" && event >= cutAtEvent)) {
                 clearInterval(timer);
                 res.write(`id: ${event}\nda`);
                 res.socket?.resetAndDestroy();
                 return;
             }
-            res.write(`id: ${event}\ndata: event ${event}\n\n`);
+            res.write(`id: ${event}\ndata: event ${event}${runVersion}\n\n`);
             event += 1;
-            if (event > EVENT_COUNT) {
+            if (event > eventCount) {
                 clearInterval(timer);
                 res.end();
             }
-        }, EVENT_INTERVAL_MS);
+        }, eventIntervalMs);
         res.on("close", () => clearInterval(timer));
     };
 
@@ -127,6 +139,11 @@
         setBehavior: (next: EngineBehavior): void => {
             behavior = next;
         },
+        /** Has the engine serve with another version of its software, as after a restart: its streams are cut. */
+        restart: (nextVersion: string): void => {
+            version = nextVersion;
+            server.closeAllConnections();
+        },
         /** Has the engine name a limit in all answers; `undefined` ends it. */
         setLimit: (perSecond: number | undefined): void => {
             limitPerSecond = perSecond;
