Continue a stream only at the software version that began it

Callers got streams whose events came from two software versions of a service, which don't fit together (ORDER), within one answer and over their own tries, whether an engine ended, a connection broke or a caller left. Cause: nothing knew of versions. The holder of a run's copy, the target of a retry and that of a stream which a caller takes up were chosen as for a new request. The class: a choice that an earlier one binds is made anew, by a part that doesn't know the earlier one. Change: the version of the process that sends the first event is kept with the call, and only targets of it may send further events, keep copies, or continue from them. For a caller that takes the stream up elsewhere, the instance keeps the beginning by the id that callers name in Resumes and, while a service has or lately had several versions, tells two others that the id's hash names, in two zones. The instance that is asked asks all others (in a large group those two of each zone that may know), again after 50, 150 and 400 ms; without an answer it goes on only if the service has had one version for as long as the stream can last, by a list as new as the request. What can't go on is refused at once with its reason: the version is gone, in doubt (another process came up under the engine's id), unknown after 800 ms, or the route leads elsewhere. If no engine of the version holds the model, one is chosen to load it. Streams that go on and new ones no longer wait for each other.

--- a/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -86,6 +86,12 @@
             case "answerPermit":
                 peers.send(command.to, { kind: "permit", answer: command.answer });
                 break;
+            case "shareOrigins":
+                peers.send(command.to, { kind: "streamOrigins", origins: command.origins });
+                break;
+            case "askOrigin":
+                sendToAll(command.to, { kind: "originWanted", requestId: command.requestId });
+                break;
             case "shareStatus":
                 sendToAll(command.to, { kind: "status", status: command.status });
                 break;
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -156,7 +156,7 @@
             else if (message.kind === "wanted") {
                 push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
             }
-            else if (message.kind === "permitWanted") {
+            else if (message.kind === "permitWanted" || message.kind === "originWanted") {
                 push({ ...message, from });
             }
             else if (message.kind === "observations") {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -12,7 +12,7 @@
 
 const callId = brandAs<RequestId>("c1");
 
-const createTestGateway = (route: Partial<Route>) => {
+const createTestGateway = (route: Partial<Route>, softwareVersions = ["v1", "v1", "v1"]) => {
     let nowMs = 1_000;
     const decisions = createGatewayDecisions(createSettings("i1", "z"), () => 0.5);
     joinGroup(decisions, { kind: "instances", count: 1, listed: [brandAs("i1")], planners: new Map(), members: [], zoneOrder: [] }, nowMs);
@@ -37,7 +37,7 @@
             service: "llm",
             address: `10.0.0.${index}:80`,
             zone: "z" as never,
-            softwareVersion: "v1",
+            softwareVersion: softwareVersions[index],
             slots: 64,
             leaving: false,
             startedAtMs: 0,
@@ -123,6 +123,35 @@
         expect(listStatuses(commands)).to.deep.equal([502]);
     });
 
+    it("has the copy of a stream's state kept, and the stream resumed, only by an engine of its software version", () => {
+        const { step, call, createFailure, repeatStep, listSends } = createTestGateway({}, ["v1", "v2", "v1"]);
+        const first = call();
+        const copyTo = { "10.0.0.0:80": "10.0.0.2:80", "10.0.0.1:80": undefined, "10.0.0.2:80": "10.0.0.0:80" }[first.address];
+        expect(first.copyToAddress).to.equal(copyTo);
+        step({ kind: "begun", callId, attempt: 1 });
+        const sends = listSends([...step(createFailure(1, "unknown", "cut")), ...repeatStep()]);
+        expect(sends.map(send => send.address)).to.deep.equal(copyTo === undefined ? [] : [copyTo]);
+    });
+
+    it("has no copy of a stream's state kept where only engines of other software versions hold the model", () => {
+        expect(createTestGateway({}, ["v1", "v2", "v3"]).call().copyToAddress).to.equal(undefined);
+    });
+
+    it("ends a resumable stream at once when no target of the software version that began it is left", () => {
+        const { step, call, createFailure, repeatStep, listSends, listStatuses } = createTestGateway({ resumable: true, maxAttempts: 3 }, ["v1", "v2", "v3"]);
+        call();
+        step({ kind: "begun", callId, attempt: 1 });
+        const commands = [...step(createFailure(1, "unknown", "cut")), ...repeatStep()];
+        expect(listSends(commands)).to.deep.equal([]);
+        expect(listStatuses(commands)).to.deep.equal([502]);
+    });
+
+    it("sends a resumable stream that broke before its first event to a target of any software version", () => {
+        const { step, call, createFailure, repeatStep, listSends } = createTestGateway({ resumable: true, maxAttempts: 3 }, ["v1", "v2", "v3"]);
+        call();
+        expect(listSends([...step(createFailure(1, "unknown", "cut")), ...repeatStep()])).to.have.length(1);
+    });
+
     it("sends a resumable stream to no more targets than its route allows", () => {
         const { step, call, createFailure, repeatStep, listSends, listStatuses } = createTestGateway({ resumable: true, maxAttempts: 2 });
         call();
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -32,6 +32,9 @@
 import { markTargetPools } from "./pools/markTargetPools.js";
 import { recordListContact } from "./retries/recordListContact.js";
 import { updateGroupView } from "./retries/updateGroupView.js";
+import { applyOriginRequest } from "./streams/applyOriginRequest.js";
+import { applyStreamOrigins } from "./streams/applyStreamOrigins.js";
+import { recordListing } from "./streams/recordListing.js";
 
 type Handlers = { [Kind in GatewayInput["kind"]]: (context: GatewayContext, input: Extract<GatewayInput, { kind: Kind }>) => void };
 
@@ -83,7 +86,12 @@
         updateGroupView(context, listed, members.map(each => each.id));
         markAllPools(context);
     },
-    listContact: (context, { atMs }) => recordListContact(context, atMs),
+    listContact: (context, { atMs }) => {
+        recordListContact(context, atMs);
+        recordListing(context, atMs);
+    },
+    streamOrigins: (context, { origins }) => applyStreamOrigins(context, origins),
+    originWanted: (context, { from, requestId }) => applyOriginRequest(context, from, requestId),
     probed: applyProbed,
     observations: applyObservations,
     stop: context => {
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseCopyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseCopyTarget.ts
@@ -1,6 +1,7 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { isSameVersion } from "../streams/isSameVersion.js";
 import { hasRequestedModel } from "./hasRequestedModel.js";
 import { isUsable } from "./isUsable.js";
 import { countInFlight } from "./countInFlight.js";
@@ -11,8 +12,9 @@
 const MAX_OCCUPANCY_RATIO = 0.7;
 
 /**
- * Chooses the engine that keeps a copy of the state of a long stream that can't be repeated. The stream resumes there if
- * its own engine fails. The chosen engine holds the model and has the fewest requests; one in the same zone is preferred.
+ * Chooses the engine that keeps a copy of the state of a long stream that can't be repeated. The stream resumes there if its own
+ * engine fails. The chosen engine is of the same software version, holds the model and has the fewest requests; one in the same
+ * zone is preferred.
  */
 export const chooseCopyTarget = (context: GatewayContext, row: CallRow, target: PoolTarget): PoolTarget | undefined => {
     const { metadata } = row;
@@ -24,7 +26,8 @@
     let best: { target: PoolTarget; cost: number } | undefined;
     for (const each of context.targetsByService.get(metadata.service) ?? []) {
         const isUnlimited = each.requestLimit === undefined && isUsable(each, context.nowMs);
-        const isCandidate = each !== target && isUnlimited && hasRequestedModel(each, metadata, false);
+        const isCandidate = each !== target && isUnlimited && hasRequestedModel(each, metadata, false)
+            && isSameVersion(each.entry.softwareVersion, target.entry.softwareVersion);
         const running = isCandidate ? countInFlight(each, context.nowMs) : Number.POSITIVE_INFINITY;
         const cost = running + (each.entry.zone === target.entry.zone ? 0 : each.entry.slots);
         if (running < each.entry.slots * MAX_OCCUPANCY_RATIO && (best === undefined || cost < best.cost)) {
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -7,6 +7,7 @@
 import { hasRequestedModel } from "./hasRequestedModel.js";
 import { isUsable } from "./isUsable.js";
 import { isZoneUnreachable } from "./isZoneUnreachable.js";
+import { mayServe } from "./mayServe.js";
 import { predictLatency } from "./predictLatency.js";
 
 interface Choice {
@@ -87,8 +88,7 @@
     suspects.has(row.metadata.fingerprint) && [...target.activeAttempts.values()].some(each => suspects.has(each.fingerprint));
 
 const mayRunCall = (context: GatewayContext, row: CallRow, target: PoolTarget): boolean =>
-    isUsable(target, context.nowMs) && !row.excludedTargets.has(target.entry.targetId) && hasRequestedModel(target, row.metadata, false)
-    && !hasOtherSuspect(context, row, target);
+    isUsable(target, context.nowMs) && mayServe(row, target) && !hasOtherSuspect(context, row, target);
 
 const pickByPolicy = (
     context: GatewayContext,
--- a/packages/medlarlb-decisions/src/gateway/calls/requestModelFromPlanner.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/requestModelFromPlanner.ts
@@ -10,9 +10,12 @@
 /** Time in ms for which a call asks the planner of one zone before it turns to that of the next zone. */
 const NEXT_ZONE_DELAY_MS = 800;
 
-/** Requests the model or adapter that a call waits for from the planner of a zone. */
+/** Requests the model or adapter that a call waits for from the planner of a zone, on a certain engine if one is named. */
 export const requestModelFromPlanner = (context: GatewayContext, row: CallRow, targetId: TargetId | undefined): void => {
-    const { service, model, adapter } = row.metadata;
+    const { service, model } = row.metadata;
+    // An engine loads an adapter only beside its model.
+    const isHeld = targetId === undefined || context.targets.get(targetId)?.models.has(model ?? "") === true;
+    const adapter = isHeld ? row.metadata.adapter : undefined;
     const isRecentlyRequested = row.adapterTargetId === targetId && context.nowMs - row.modelRequestedAtMs < REPEAT_INTERVAL_MS;
     if (model === undefined || isRecentlyRequested) {
         return;
--- a/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
@@ -2,6 +2,7 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { endRetryWait } from "../retries/endRetryWait.js";
+import { mayContinueStream } from "../streams/mayContinueStream.js";
 import { takeRetryToken } from "../retries/takeRetryToken.js";
 import { endCurrentAttempt } from "./endCurrentAttempt.js";
 import { isUsable } from "./isUsable.js";
@@ -17,7 +18,7 @@
     const copyTargetId = row.currentAttempt?.copyTargetId;
     const target = copyTargetId === undefined ? undefined : context.targets.get(copyTargetId);
     const isRefused = crashRefusal(context, row) !== undefined;
-    if (isRefused || !row.delivered || target === undefined || !isUsable(target, context.nowMs)) {
+    if (isRefused || !row.delivered || target === undefined || !isUsable(target, context.nowMs) || !mayContinueStream(row, target)) {
         return false;
     }
     if (!takeRetryToken(context, row.metadata.service)) {
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -13,6 +13,10 @@
 import { requestModelFromPlanner } from "./requestModelFromPlanner.js";
 import { sendCall } from "./sendCall.js";
 import { sortByUrgency } from "./sortByUrgency.js";
+import { moveToService } from "../streams/moveToService.js";
+import { refuseStream } from "../streams/refuseStream.js";
+import { requestModelAtVersion } from "../streams/requestModelAtVersion.js";
+import { resolveOrigin } from "../streams/resolveOrigin.js";
 
 /**
  * Longest predicted wait at an engine for which a call is sent, in ms. Once a call waits at the engine, a refusal can no
@@ -83,29 +87,63 @@
 };
 
 /**
- * Sends or refuses one waiting call, or leaves it waiting. `queueMsByPool` holds the predicted work of the calls that were
- * left waiting before it.
+ * Returns whether it is settled who may go on with a call's stream. Until then the call waits; one that nobody may go on with is
+ * refused at once.
  */
-const routeCall = (context: GatewayContext, row: CallRow, pool: ModelPool, queueMsByPool: Map<ModelPool, number>): void => {
+const isStreamReady = (context: GatewayContext, row: CallRow, pool: ModelPool): boolean => {
+    const resolution = resolveOrigin(context, row);
+    const refusal = resolution === "known" ? refuseStream(context, row) : resolution?.reason;
+    if (refusal !== undefined) {
+        failCall(context, row, refusal);
+        return false;
+    }
+    if (resolution === undefined) {
+        checkAgainAfter(context, pool, MAX_CHECK_INTERVAL_MS);
+        return false;
+    }
+    if (row.origin !== undefined && row.origin.service !== row.metadata.service) {
+        moveToService(context, row, row.origin.service);
+        return false;
+    }
+    return true;
+};
+
+/** Leaves a call that no target can run now waiting until its model is loaded, or refuses it if that takes too long. */
+const waitForTarget = (context: GatewayContext, row: CallRow, pool: ModelPool): void => {
+    requestModelFromPlanner(context, row, requestModelAtVersion(context, row));
+    const { model } = row.metadata;
+    const hasNoTargets = model === undefined && pool.targets.size === 0;
+    if (hasNoTargets || context.nowMs + (model === undefined ? 0 : EXPECTED_LOAD_MS / 4) > row.nextEventDeadlineAtMs) {
+        failCall(context, row, hasNoTargets ? "the service has no target" : "no target can take it in time", EXPECTED_LOAD_MS);
+    }
+};
+
+/** Returns whether a call may be sent now. One that has to wait for more than a target waits, and one that may never be is refused. */
+const mayBeSent = (context: GatewayContext, row: CallRow, pool: ModelPool): boolean => {
     const refusal = crashRefusal(context, row);
     if (refusal !== undefined) {
         failCall(context, row, refusal);
-        return;
+        return false;
     }
     if (context.nowMs < row.notBeforeMs) {
         checkAgainAfter(context, pool, row.notBeforeMs - context.nowMs);
-        return;
+        return false;
     }
-    const { metadata } = row;
-    const choice = chooseTarget(context, row);
-    if (choice === undefined && (waitForPermit(context, row, pool) || waitForPauseEnd(context, row, pool))) {
+    return isStreamReady(context, row, pool);
+};
+
+/**
+ * Sends or refuses one waiting call, or leaves it waiting. `queueMsByPool` holds the predicted work of the calls that were
+ * left waiting before it.
+ */
+const routeCall = (context: GatewayContext, row: CallRow, pool: ModelPool, queueMsByPool: Map<string, number>): void => {
+    if (!mayBeSent(context, row, pool)) {
         return;
     }
+    const choice = chooseTarget(context, row);
     if (choice === undefined) {
-        requestModelFromPlanner(context, row, undefined);
-        const hasNoTargets = metadata.model === undefined && pool.targets.size === 0;
-        if (hasNoTargets || context.nowMs + (metadata.model === undefined ? 0 : EXPECTED_LOAD_MS / 4) > row.nextEventDeadlineAtMs) {
-            failCall(context, row, hasNoTargets ? "the service has no target" : "no target can take it in time", EXPECTED_LOAD_MS);
+        if (!waitForPermit(context, row, pool) && !waitForPauseEnd(context, row, pool)) {
+            waitForTarget(context, row, pool);
         }
         return;
     }
@@ -113,7 +151,9 @@
         requestModelFromPlanner(context, row, choice.target.entry.targetId);
         return;
     }
-    const ownQueueMs = queueMsByPool.get(pool) ?? 0;
+    // Streams that go on wait for one software version only, beside those that any target may begin.
+    const queue = `${pool.key}/${row.origin?.softwareVersion ?? ""}`;
+    const ownQueueMs = queueMsByPool.get(queue) ?? 0;
     const queuedMs = ownQueueMs + peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
     if (ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice)) {
         dequeueCall(context, row);
@@ -121,7 +161,7 @@
         return;
     }
     awaitPermit(context, row, pool);
-    queueMsByPool.set(pool, ownQueueMs + choice.prediction.uncachedTokens * choice.target.msPerWorkUnit);
+    queueMsByPool.set(queue, ownQueueMs + choice.prediction.uncachedTokens * choice.target.msPerWorkUnit);
     if (context.nowMs + queuedMs + choice.prediction.answerMs > row.nextEventDeadlineAtMs) {
         failCall(context, row, "the predicted wait passes the deadline", queuedMs + choice.prediction.waitMs);
         return;
@@ -161,7 +201,7 @@
         pool.nextCheckAtMs = context.nowMs + MAX_CHECK_INTERVAL_MS;
     }
     const rows = sortByUrgency(context, pools.flatMap(pool => pool.waiting), MAX_ENGINE_WAIT_MS);
-    const queueMsByPool = new Map<ModelPool, number>();
+    const queueMsByPool = new Map<string, number>();
     for (const row of rows.slice(0, MAX_WAITING_SCANNED)) {
         if (row.pool !== undefined) {
             routeCall(context, row, row.pool, queueMsByPool);
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -23,6 +23,7 @@
     row.attempts += 1;
     row.currentAttempt = {
         targetId: target.entry.targetId,
+        softwareVersion: target.entry.softwareVersion,
         fingerprint: metadata.fingerprint,
         attempt: row.attempts,
         uncachedTokens: prediction.uncachedTokens,
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -3,6 +3,7 @@
 import type { PermitAnswer } from "medlarlb-types/permitAnswer";
 import type { PlacementOrder } from "medlarlb-types/placementOrder";
 import type { RequestId } from "medlarlb-types/requestId";
+import type { StreamOrigin } from "medlarlb-types/streamOrigin";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
@@ -37,6 +38,9 @@
     /** Asks the planner of a limited target's zone for a permit to send it a request, or answers an instance that asks. */
     | { kind: "requestPermit"; to: InstanceId; targetId: TargetId }
     | { kind: "answerPermit"; to: InstanceId; answer: PermitAnswer }
+    /** Tells an instance who began streams, or asks instances who began one. */
+    | { kind: "shareOrigins"; to: InstanceId; origins: StreamOrigin[] }
+    | { kind: "askOrigin"; to: InstanceId[]; requestId: string }
     | { kind: "order"; targetId: TargetId; address: string; order: PlacementOrder }
     /** Requests an engine's report. */
     | { kind: "report"; targetId: TargetId; address: string }
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -19,6 +19,8 @@
 import type { FormerTarget } from "./rows/formerTarget.js";
 import type { ModelPool } from "./rows/modelPool.js";
 import type { PoolTarget } from "./rows/poolTarget.js";
+import type { KnownOrigin } from "./streams/knownOrigin.js";
+import type { VersionTable } from "./streams/versionTable.js";
 
 /** Settings and tables that each decision function of the gateway gets, and the commands of the current step. */
 export interface GatewayContext {
@@ -33,6 +35,11 @@
     formerTargets: Map<TargetId, FormerTarget>;
     /** Processes of targets that leave, by `incarnationKey`, the latest last. Leaving ends only with the process. */
     leavingTargets: Set<string>;
+    /** Origins of streams that callers may take up, by the id of the request that brought the first event, the latest last. */
+    streamOrigins: Map<string, KnownOrigin>;
+    formerVersions: VersionTable;
+    /** Time since which, without a long gap, and up to which this instance has known the store's list. */
+    listing: { sinceMs: number; contactAtMs: number } | undefined;
     /** Targets that name a limit. */
     limitedTargets: Set<PoolTarget>;
     calls: Map<RequestId, CallRow>;
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -9,6 +9,7 @@
 import type { PlacementOrderOutcome } from "medlarlb-types/placementOrderOutcome";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
+import type { StreamOrigin } from "medlarlb-types/streamOrigin";
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
@@ -67,6 +68,9 @@
     | { kind: "probed"; targetId: TargetId; startedAtMs: number; state: ListeningState }
     /** Observations of other instances. `reporterZone` is undefined if they came by gossip, which spreads by itself. */
     | { kind: "observations"; observations: TargetObservation[]; reporterZone: ZoneId | undefined; ageMs: number }
+    /** Another instance tells who began streams, or asks it of one. */
+    | { kind: "streamOrigins"; origins: StreamOrigin[] }
+    | { kind: "originWanted"; from: InstanceId; requestId: string }
     /** This instance stops. Calls that still wait are refused now, so that callers can use another instance. */
     | { kind: "stop" }
     | InstancesInput
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
@@ -6,6 +6,7 @@
 import { markTargetPools } from "../pools/markTargetPools.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { CallRow } from "../rows/callRow.js";
+import { recordStreamStart } from "../streams/recordStreamStart.js";
 
 /** Weight of a new sample in the moving average of a target's time per prompt token. That of the service uses a quarter of it. */
 const NEW_SAMPLE_WEIGHT = 0.15;
@@ -31,6 +32,7 @@
     if (row === undefined || attempt === undefined || attempt.attempt !== input.attempt) {
         return;
     }
+    recordStreamStart(context, row, attempt);
     const target = context.targets.get(attempt.targetId);
     row.delivered = row.metadata.route.kind === "streaming";
     attempt.answerStartedAtMs = context.nowMs;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -25,6 +25,8 @@
         nextEventDeadlineAtMs: metadata.firstEventDeadlineAtMs,
         modelRequestedAtMs: Number.NEGATIVE_INFINITY,
         adapterTargetId: undefined,
+        origin: undefined,
+        originAsks: 0,
         notBeforeMs: 0,
     };
     context.calls.set(metadata.callId, row);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -10,6 +10,10 @@
 import { setTargetModels } from "../pools/setTargetModels.js";
 import { createPoolTarget } from "../rows/createPoolTarget.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { doubtOrigins } from "../streams/doubtOrigins.js";
+import { listRecentVersions } from "../streams/listRecentVersions.js";
+import { recordFormerVersion } from "../streams/recordFormerVersion.js";
+import { tellUntoldOrigins } from "../streams/tellUntoldOrigins.js";
 import { indexTargets } from "./indexTargets.js";
 import { restoreTargetState } from "./restoreTargetState.js";
 
@@ -24,11 +28,13 @@
     new Map(entry.models.map(model => [model.name, new Set(model.adapters)]));
 
 const isSameIncarnation = (one: TargetEntry, other: TargetEntry): boolean =>
-    one.startedAtMs === other.startedAtMs && one.address === other.address && one.service === other.service;
+    one.startedAtMs === other.startedAtMs && one.address === other.address && one.service === other.service
+    && one.softwareVersion === other.softwareVersion;
 
 const addTarget = (context: GatewayContext, entry: TargetEntry, origin: EntryOrigin | undefined): PoolTarget => {
     const isEngine = context.config?.services.get(entry.service)?.engine !== undefined || entry.models.length > 0;
     const msPerWorkUnit = context.serviceMsPerWorkUnit.get(entry.service) ?? (isEngine ? INITIAL_MS_PER_TOKEN : INITIAL_MS_PER_REQUEST);
+    const versions = listRecentVersions(context, entry.service, Number.POSITIVE_INFINITY);
     const target = createPoolTarget(entry, msPerWorkUnit, context.nowMs);
     target.leaving = isKnownLeaving(context, entry);
     context.targets.set(entry.targetId, target);
@@ -39,6 +45,12 @@
     if (former !== undefined && isSameIncarnation(former.entry, entry)) {
         restoreTargetState(context, target, former);
     }
+    else {
+        doubtOrigins(context, entry.targetId);
+    }
+    if (versions.size > 0 && !versions.has(entry.softwareVersion)) {
+        tellUntoldOrigins(context, entry.service);
+    }
     logEvent(context, "targetFound", {
         target: entry.targetId,
         service: entry.service,
@@ -70,6 +82,7 @@
     if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
         if (existing !== undefined) {
             context.targets.delete(entry.targetId);
+            recordFormerVersion(context, existing.entry);
             leavePools(context, existing);
             dropManagedEngine(context, entry.targetId);
         }
--- a/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/removeTarget.ts
@@ -4,6 +4,7 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { dropManagedEngine } from "../placement/dropManagedEngine.js";
 import { leavePools } from "../pools/leavePools.js";
+import { recordFormerVersion } from "../streams/recordFormerVersion.js";
 import { indexTargets } from "./indexTargets.js";
 import { rememberFormerTarget } from "./rememberFormerTarget.js";
 
@@ -13,6 +14,7 @@
     if (target !== undefined) {
         context.targets.delete(targetId);
         rememberFormerTarget(context, target);
+        recordFormerVersion(context, target.entry);
         leavePools(context, target);
         dropManagedEngine(context, targetId);
         indexTargets(context);
--- a/packages/medlarlb-decisions/src/gateway/limits/awaitPermit.ts
+++ b/packages/medlarlb-decisions/src/gateway/limits/awaitPermit.ts
@@ -1,5 +1,5 @@
-import { hasRequestedModel } from "../calls/hasRequestedModel.js";
 import { isUsable } from "../calls/isUsable.js";
+import { mayServe } from "../calls/mayServe.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { ModelPool } from "../rows/modelPool.js";
@@ -17,8 +17,7 @@
     let perSecond = 0;
     let isHeldBack = false;
     for (const target of context.limitedTargets) {
-        const isCandidate = pool.targets.has(target) && isUsable(target, context.nowMs)
-            && !row.excludedTargets.has(target.entry.targetId) && hasRequestedModel(target, row.metadata, false);
+        const isCandidate = pool.targets.has(target) && isUsable(target, context.nowMs) && mayServe(row, target);
         if (isCandidate && !hasPermit(context, target)) {
             isHeldBack = true;
             perSecond += permitSource(context, target).kind === "none" ? 0 : (target.requestLimit ?? 0) / target.permitCompetitors;
--- a/packages/medlarlb-decisions/src/gateway/placement/applyModelRequest.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/applyModelRequest.ts
@@ -2,7 +2,7 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { findDemand } from "./findDemand.js";
 
-/** Records that callers wait for a model, or for an adapter on an engine that holds its model. */
+/** Records that callers wait for a model, on a certain engine if one is named, or for an adapter on an engine that holds its model. */
 export const applyModelRequest = (
     context: GatewayContext,
     service: string,
@@ -19,6 +19,12 @@
         return;
     }
     const managed = context.managedEngines.get(targetId);
+    if (managed !== undefined && adapter === undefined) {
+        managed.requestedModel = { model, atMs: context.nowMs };
+        context.nextPlanMs = context.nowMs;
+        context.placementChanged = true;
+        return;
+    }
     const isRequested = managed?.requestedAdapters.some(each => each.model === model && each.adapter === adapter);
     if (managed !== undefined && adapter !== undefined && isRequested === false) {
         managed.requestedAdapters.push({ model, adapter });
--- a/packages/medlarlb-decisions/src/gateway/placement/managedEngine.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/managedEngine.ts
@@ -35,6 +35,8 @@
     loadingAdapters: { model: string; adapter: string; doneAtMs: number }[];
     /** Model to load as soon as there is memory for it. */
     nextModel: string | undefined;
+    /** Model that callers wait for on this engine, whose streams no engine of another software version may go on with. */
+    requestedModel: { model: string; atMs: number } | undefined;
     /** Requested adapters that aren't ordered yet, the earliest first. */
     requestedAdapters: { model: string; adapter: string }[];
     reportRequestedAtMs: number | undefined;
--- a/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/planModels.ts
@@ -1,4 +1,5 @@
 import type { EngineProfile } from "medlarlb-types/engineProfile";
+import type { TargetId } from "medlarlb-types/targetId";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { ManagedEngine } from "./managedEngine.js";
 import { createPlacementTable } from "./createPlacementTable.js";
@@ -15,6 +16,8 @@
 interface LoadCandidate {
     model: string;
     value: number;
+    /** Engine on which callers wait for it; undefined if any will do. */
+    targetId: TargetId | undefined;
 }
 
 interface PlannedLoad {
@@ -38,6 +41,9 @@
 /** Cost of each run that an unload has to wait for, in requests per second. */
 const COST_PER_ACTIVE_RUN = 0.5;
 const MS_PER_SECOND = 1_000;
+/** Value of a load for which callers wait on a certain engine, in requests per second, and time in ms for which the request holds. */
+const REQUESTED_LOAD_VALUE = 3;
+const REQUESTED_LOAD_VALID_MS = 1_000;
 
 const canTakeOrder = (managed: ManagedEngine): boolean =>
     managed.synced && managed.pending === undefined && managed.running === undefined && managed.nextModel === undefined;
@@ -54,12 +60,22 @@
         const isForZone = replicas > 0 || load.waiting > 0 || rankZonesForModel(context, service, model)[0] === context.settings.zone;
         const value = isForZone ? replicaValue(load, replicas, replicasInZone) : 0;
         if (value >= MIN_LOAD_VALUE) {
-            candidates.push({ model, value });
+            candidates.push({ model, value, targetId: undefined });
         }
     }
     return candidates.sort((one, other) => other.value - one.value);
 };
 
+/** Lists the models for which callers wait on certain engines. */
+const listRequestedLoads = (context: GatewayContext): LoadCandidate[] =>
+    [...context.managedEngines.values()].flatMap(({ targetId, requestedModel, models }) => {
+        if (requestedModel === undefined || models.has(requestedModel.model)) {
+            return [];
+        }
+        const isValid = context.nowMs - requestedModel.atMs <= REQUESTED_LOAD_VALID_MS;
+        return isValid ? { model: requestedModel.model, value: REQUESTED_LOAD_VALUE, targetId } : [];
+    });
+
 /** Returns the value of keeping one replica of a model: 0 for a model that the configuration no longer names. */
 const retentionValue = (table: PlacementTable, model: string): number => {
     const row = table.get(model);
@@ -127,7 +143,8 @@
 ): PlannedLoad | undefined => {
     let best: PlannedLoad | undefined;
     const requiredMb = profile.models.get(candidate.model)?.weightsMb ?? Number.POSITIVE_INFINITY;
-    for (const duty of context.managedEngines.values()) {
+    const isChoosable = (duty: ManagedEngine): boolean => (candidate.targetId ?? duty.targetId) === duty.targetId;
+    for (const duty of [...context.managedEngines.values()].filter(isChoosable)) {
         // A new order replaces an unsettled one of the same engine.
         const isStoreLoadAllowed = storeLoads + (isLoadUnsettled(duty, context.nowMs) ? 1 : 0) > 0;
         if (!canLoadModel(context, service, duty, candidate.model) || (!isStoreLoadAllowed && isFromStore(duty, candidate.model))) {
@@ -151,7 +168,7 @@
 /** Decides which models the engines of this zone load and unload next, for one service. */
 export const planModels = (context: GatewayContext, service: string, profile: EngineProfile): void => {
     const table = createPlacementTable(context, service, profile);
-    for (const candidate of listLoadCandidates(context, service, table)) {
+    for (const candidate of [...listRequestedLoads(context), ...listLoadCandidates(context, service, table)]) {
         const plannedLoad = findBestLoad(context, service, profile, table, candidate, storeLoadsLeft(context, profile));
         if (plannedLoad === undefined) {
             continue;
--- a/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/syncManagedEngines.ts
@@ -17,6 +17,7 @@
     unsettledLoad: undefined,
     loadingAdapters: [],
     nextModel: undefined,
+    requestedModel: undefined,
     requestedAdapters: [],
     reportRequestedAtMs: undefined,
     nextReportMs: 0,
--- a/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
@@ -4,6 +4,8 @@
 /** One attempt of a call on a target. */
 export interface CallAttempt {
     targetId: TargetId;
+    /** Software version of the process that the request was sent to; undefined if it isn't known. */
+    softwareVersion: string | undefined;
     fingerprint: Fingerprint;
     /** Number of the attempt, from 1. Events with a lower number belong to an earlier attempt and are ignored. */
     attempt: number;
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -32,6 +32,10 @@
     modelRequestedAtMs: number;
     /** Engine on which the adapter was last requested. */
     adapterTargetId: TargetId | undefined;
+    /** Service and software version that began the stream, once its first event or another instance has told. */
+    origin: { service: string; softwareVersion: string | undefined } | undefined;
+    /** Number of times that others were asked who began it. */
+    originAsks: number;
     /** Earliest time of the next attempt. */
     notBeforeMs: number;
 }
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/streams/resolveOrigin.ts
@@ -0,0 +1,38 @@
+import type { GatewayContext } from "../gatewayContext.js";
+import { logEvent } from "../calls/logEvent.js";
+import type { CallRow } from "../rows/callRow.js";
+import { askForOrigin } from "./askForOrigin.js";
+import { expireOrigins } from "./expireOrigins.js";
+import { findOnlyVersion } from "./findOnlyVersion.js";
+
+/** Times in ms after its arrival at which others are asked who began a call's stream. A message about it may be on its way. */
+const ASK_TIMES_MS = [0, 50, 150, 400];
+/** Time in ms after its arrival at which a call is refused whose origin nobody knows. */
+const MAX_WAIT_MS = 800;
+
+/** Finds out who began the stream that a caller takes up, or returns why it can't go on, or undefined while that isn't known. */
+export const resolveOrigin = (context: GatewayContext, row: CallRow): "known" | { reason: string } | undefined => {
+    const { resumedStream, service, route, arrivedAtMs, callerRequestId } = row.metadata;
+    if (resumedStream === undefined || row.origin !== undefined) {
+        return "known";
+    }
+    const { requestId } = resumedStream;
+    expireOrigins(context);
+    const known = requestId === undefined ? undefined : context.streamOrigins.get(requestId);
+    const onlyVersion = known === undefined ? findOnlyVersion(context, service, arrivedAtMs - route.timeoutMs, arrivedAtMs) : undefined;
+    if (known !== undefined || onlyVersion !== undefined) {
+        row.origin = { service: known?.service ?? service, softwareVersion: known === undefined ? onlyVersion : known.softwareVersion };
+        const source = known === undefined ? "the only version" : "its beginning";
+        logEvent(context, "originFound", { request: callerRequestId, resumes: requestId, ...row.origin, source });
+        return "known";
+    }
+    const waitedMs = context.nowMs - arrivedAtMs;
+    if (waitedMs >= MAX_WAIT_MS) {
+        return { reason: "nobody knows the software version that began this stream; begin it anew" };
+    }
+    if (requestId !== undefined && waitedMs >= (ASK_TIMES_MS[row.originAsks] ?? Number.POSITIVE_INFINITY)) {
+        row.originAsks += 1;
+        askForOrigin(context, requestId);
+    }
+    return undefined;
+};
--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -135,6 +135,7 @@
         service,
         address: `127.0.0.1:${port}`,
         zone: "a",
+        version: "v1",
         slots,
         state: "ready",
         models: [],
--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -35,7 +35,7 @@
 
     /** Writes the entry of an engine into the metadata store. */
     const registerEngine = (id: string, address: string, state = "ready", service = "s"): void =>
-        store.put(`servers/${id}`, JSON.stringify({ service, address, zone: "a", slots: 8, state, models: [], seq: 1 }));
+        store.put(`servers/${id}`, JSON.stringify({ service, address, zone: "a", version: "v1", slots: 8, state, models: [], seq: 1 }));
 
     /** Starts a gateway on free ports and waits until it reaches an engine. Without `readLog` its output pipe is left to fill up. */
     const startGateway = async (readLog: boolean): Promise<void> => {
--- a/packages/medlarlb-peers/src/createDataMessageHandler.ts
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -1,7 +1,24 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
+import type { GatewayMessage } from "./gatewayMessage.js";
 import type { PeerGroupOptions } from "./peerGroupOptions.js";
 import type { PeerMessage } from "./peerMessage.js";
 
+const gatewayMessageKinds: ReadonlySet<string> = new Set<GatewayMessage["kind"]>([
+    "status",
+    "directory",
+    "directoryChange",
+    "digest",
+    "news",
+    "wanted",
+    "observations",
+    "permitWanted",
+    "permit",
+    "streamOrigins",
+    "originWanted",
+]);
+
+const isGatewayMessage = (message: PeerMessage): message is GatewayMessage => gatewayMessageKinds.has(message.kind);
+
 /** Creates the handler of the messages that carry data of the instances rather than of the group. */
 export const createDataMessageHandler = (
     options: PeerGroupOptions,
@@ -25,23 +42,16 @@
                 }
                 break;
             }
-            case "status":
-            case "directory":
-            case "directoryChange":
-            case "digest":
-            case "news":
-            case "wanted":
-            case "observations":
-            case "permitWanted":
-            case "permit":
-                options.onGatewayMessage?.(message, peerId);
-                break;
             case "pullDecisions":
                 reply({ kind: "decisions", sequence: message.sequence, bootId: options.self.bootId, ...options.decisionsAfter(message.after) });
                 break;
             case "decisions":
                 completePull(message);
                 break;
+            default:
+                if (isGatewayMessage(message)) {
+                    options.onGatewayMessage?.(message, peerId);
+                }
         }
     };
 };
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -8,6 +8,7 @@
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { PermitAnswer } from "medlarlb-types/permitAnswer";
 import type { PlacementUpdate } from "medlarlb-types/placementUpdate";
+import type { StreamOrigin } from "medlarlb-types/streamOrigin";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { MemberInfo } from "./memberInfo.js";
@@ -44,6 +45,9 @@
      */
     | { kind: "pullDirectory"; since?: number | undefined }
     | { kind: "directory"; items: StoreEntry[]; revision?: number | undefined }
+    /** Who began streams that their callers may take up at any instance, and the question for it. */
+    | { kind: "streamOrigins"; origins: StreamOrigin[] }
+    | { kind: "originWanted"; requestId: string }
     /** Changes of the platform's store, from the instance that watches it for its zone. */
     | { kind: "directoryChange"; changes: DirectoryRelay }
     /** Asks a planner for a model or an adapter that a caller waits for. */
