Test who may go on with a stream, one decision at a time, and in random histories

streamOrigins.test.ts: eleven cases of what one instance knows. streamHistories.test.ts: streams over virtual time at 6, 63 and 195 instances, with targets that come back at other versions, resets, instances that restart, pause and are cut off, messages that overtake each other, and callers that take streams up anywhere.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -6,6 +6,7 @@
 import { observationMutations } from "./observationMutations.mjs";
 import { restoredMutations } from "./restoredMutations.mjs";
 import { retryMutations } from "./retryMutations.mjs";
+import { streamMutations } from "./streamMutations.mjs";
 
 const DECISIONS = "packages/medlarlb-decisions/src";
 const LEDGERS_TEST = `${DECISIONS}/__tests__/ledgers.test.ts`;
@@ -237,6 +238,7 @@
     ...endlessMutations,
     ...restoredMutations,
     ...retryMutations,
+    ...streamMutations,
 ];
 
 const only = process.argv[2];
--- /dev/null
+++ b/admin/streamMutations.mjs
@@ -0,0 +1,87 @@
+// Breaks of the guards on who may go on with a stream.
+const GATEWAY = "packages/medlarlb-decisions/src/gateway";
+const CALLS_TEST = `${GATEWAY}/__tests__/calls.test.ts`;
+const ORIGINS_TEST = `${GATEWAY}/__tests__/streamOrigins.test.ts`;
+const HISTORIES_TEST = `${GATEWAY}/__tests__/streamHistories.test.ts`;
+const PROCESS_TEST = "packages/medlarlb-fakes/src/__tests__/streamVersions.test.ts";
+
+export const streamMutations = [
+    {
+        invariant: "streams: any target continues a stream",
+        file: `${GATEWAY}/streams/mayContinueStream.ts`,
+        from: "origin === undefined ||",
+        to: "origin === undefined || origin.service !== \"\" ||",
+        check: HISTORIES_TEST,
+    },
+    {
+        invariant: "streams: an engine of another version keeps the copy of a run",
+        file: `${GATEWAY}/calls/chooseCopyTarget.ts`,
+        from: "&& isSameVersion(each.entry.softwareVersion, target.entry.softwareVersion)",
+        to: "",
+        check: CALLS_TEST,
+    },
+    {
+        invariant: "streams: targets without a version count as of one version",
+        file: `${GATEWAY}/streams/isSameVersion.ts`,
+        from: "one !== undefined && one === other",
+        to: "one === other",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: the only version listed now is taken for the only one lately",
+        file: `${GATEWAY}/streams/listRecentVersions.ts`,
+        from: "if (context.nowMs - listedUntilMs <= withinMs) {",
+        to: "if (context.nowMs - listedUntilMs < 0 && withinMs > 0) {",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: a list that is older than the request proves that there is one version",
+        file: `${GATEWAY}/streams/findOnlyVersion.ts`,
+        from: "listing.sinceMs > sinceMs || listing.contactAtMs < listedAtMs",
+        to: "listing.sinceMs > sinceMs || listing.contactAtMs > listedAtMs + 1e9",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: the beginning isn't told to others",
+        file: `${GATEWAY}/streams/recordStreamStart.ts`,
+        from: "tellOrigins(context, [requestId]);",
+        to: "",
+        check: PROCESS_TEST,
+        build: true,
+    },
+    {
+        invariant: "streams: beginnings aren't told when another version is listed",
+        file: `${GATEWAY}/inputs/applyTarget.ts`,
+        from: "tellUntoldOrigins(context, entry.service);",
+        to: "",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: another process under a target's id leaves no doubt",
+        file: `${GATEWAY}/inputs/applyTarget.ts`,
+        from: "doubtOrigins(context, entry.targetId);",
+        to: "",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: of two beginnings that contradict each other the first is believed",
+        file: `${GATEWAY}/streams/keepOrigin.ts`,
+        from: "known.softwareVersion = undefined;",
+        to: "",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: one that nobody can go on with waits until its deadline",
+        file: `${GATEWAY}/streams/refuseStream.ts`,
+        from: "return isLeft ? undefined :",
+        to: "return isLeft || origin.service !== \"\" ? undefined :",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: others are asked once only, when the message about the beginning may be on its way",
+        file: `${GATEWAY}/streams/resolveOrigin.ts`,
+        from: "const ASK_TIMES_MS = [0, 50, 150, 400];",
+        to: "const ASK_TIMES_MS = [0];",
+        check: ORIGINS_TEST,
+    },
+];
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualService.ts
@@ -3,14 +3,13 @@
 import { brandAs } from "medlarlb-types/brandAs";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { Route } from "medlarlb-types/route";
-import { createGatewayDecisions } from "../../createGatewayDecisions.js";
 import type { GatewayCommand } from "../../gatewayCommand.js";
 import type { GatewayInput } from "../../gatewayInput.js";
 import { createServiceCall } from "./createServiceCall.js";
-import { createSettings } from "./createSettings.js";
 import type { VirtualAnswer } from "./virtualAnswer.js";
 import type { VirtualArrival } from "./virtualArrival.js";
 import { createVirtualClock } from "./createVirtualClock.js";
+import { createVirtualInstance } from "./createVirtualInstance.js";
 import { createVirtualGossip } from "./createVirtualGossip.js";
 import { createVirtualTarget } from "./createVirtualTarget.js";
 import { describeGroup } from "./describeGroup.js";
@@ -63,22 +62,7 @@
         onStarted: entry => after(LISTED_AFTER_MS, () => instances.forEach(each => give(each, { kind: "target", entry }))),
     }));
 
-    const createInstance = (index: number, boot: number): VirtualServiceInstance => {
-        const settings = createSettings(`i${index}`, `z${index % zones}`);
-        return {
-            index,
-            zone: settings.zone,
-            settings,
-            decisions: createGatewayDecisions(settings, random),
-            inputs: [],
-            known: [],
-            toldAtMs: new Map(),
-            isPaused: false,
-            isCut: false,
-            boot,
-            disturbedAtMs: Number.NEGATIVE_INFINITY,
-        };
-    };
+    const createInstance = (index: number, boot: number): VirtualServiceInstance => createVirtualInstance(index, boot, zones, random);
     const instances = Array.from({ length: options.instances }, (_, index) => createInstance(index, 0));
     const find = (id: string): VirtualServiceInstance | undefined => instances.find(each => each.settings.instanceId === id);
 
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualStreamRun.ts
@@ -0,0 +1,6 @@
+/** A stream that a target sends. */
+export interface VirtualStreamRun {
+    isOpen: boolean;
+    onEvent: (version: string, index: number) => void;
+    onCut: () => void;
+}
