--- a/admin/streamMutations.mjs
+++ b/admin/streamMutations.mjs
@@ -25,7 +25,7 @@
         file: `${GATEWAY}/streams/isSameVersion.ts`,
         from: "one !== undefined && one === other",
         to: "one === other",
-        check: ORIGINS_TEST,
+        check: CALLS_TEST,
     },
     {
         invariant: "streams: the only version listed now is taken for the only one lately",
--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -12,7 +12,7 @@
 
 const callId = brandAs<RequestId>("c1");
 
-const createTestGateway = (route: Partial<Route>, softwareVersions = ["v1", "v1", "v1"]) => {
+const createTestGateway = (route: Partial<Route>, softwareVersions: (string | undefined)[] = ["v1", "v1", "v1"]) => {
     let nowMs = 1_000;
     const decisions = createGatewayDecisions(createSettings("i1", "z"), () => 0.5);
     joinGroup(decisions, { kind: "instances", count: 1, listed: [brandAs("i1")], planners: new Map(), members: [], zoneOrder: [] }, nowMs);
@@ -133,8 +133,9 @@
         expect(sends.map(send => send.address)).to.deep.equal(copyTo === undefined ? [] : [copyTo]);
     });
 
-    it("has no copy of a stream's state kept where only engines of other software versions hold the model", () => {
+    it("has no copy of a stream's state kept where only engines of other software versions, or of none, hold the model", () => {
         expect(createTestGateway({}, ["v1", "v2", "v3"]).call().copyToAddress).to.equal(undefined);
+        expect(createTestGateway({}, [undefined, undefined, undefined]).call().copyToAddress).to.equal(undefined);
     });
 
     it("ends a resumable stream at once when no target of the software version that began it is left", () => {
