--- a/packages/medlarlb-peers/src/frameCodec.ts
+++ b/packages/medlarlb-peers/src/frameCodec.ts
@@ -57,6 +57,12 @@
     "contactAgeMs",
     "outageEndedAgoMs",
     "readAgeMs",
+    "outageBeganAgoMs",
+    "since",
+    "origins",
+    "requestId",
+    "softwareVersion",
+    "keptForMs",
 ] as const;
 
 /** Encodes and decodes the messages in the frames between instances. */
