Date what is read after a standstill by the time before it, if it is a completion

Cause: a completion that waited for a paused instance was dated by its waking, 0.8 s after it was made, so that it cleared an end that came later; the instance relayed it to its zone as new. The class: what is read late is taken for what has just happened.

--- a/packages/medlarlb-decisions/src/gateway/crashes/recordCompletion.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordCompletion.ts
@@ -1,6 +1,7 @@
 import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { GatewayContext } from "../gatewayContext.js";
 import { dropOldest } from "./dropOldest.js";
+import { inputsAtMs } from "./inputsAtMs.js";
 import { isCompletionNeeded } from "./isCompletionNeeded.js";
 import { shareCrashEvidence } from "./shareCrashEvidence.js";
 
@@ -10,11 +11,12 @@
 /** Records that a request was completed. If targets seem to have ended under it, the others are told that it isn't the cause. */
 export const recordCompletion = (context: GatewayContext, keys: readonly Fingerprint[]): void => {
     const { ownCompletions } = context.crashes;
+    const completedAtMs = inputsAtMs(context);
     for (const key of keys) {
         ownCompletions.delete(key);
-        ownCompletions.set(key, context.nowMs);
+        ownCompletions.set(key, completedAtMs);
     }
     dropOldest(ownCompletions, MAX_OWN_COMPLETIONS);
-    const needed = keys.filter(key => isCompletionNeeded(context.crashes, key, context.nowMs));
-    shareCrashEvidence(context, needed.map(fingerprint => ({ kind: "completed", fingerprint, agoMs: 0 })));
+    const needed = keys.filter(key => isCompletionNeeded(context.crashes, key, completedAtMs));
+    shareCrashEvidence(context, needed.map(fingerprint => ({ kind: "completed", fingerprint, agoMs: context.nowMs - completedAtMs })));
 };
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -11,6 +11,7 @@
     settings,
     random,
     nowMs: 0,
+    standstill: undefined,
     commands: [],
     config: undefined,
     targets: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
@@ -4,6 +4,7 @@
 import { nextCallCheck } from "./calls/nextCallCheck.js";
 import { routeCalls } from "./calls/routeCalls.js";
 import { judgeCrashes } from "./crashes/judgeCrashes.js";
+import { noteStandstill } from "./crashes/noteStandstill.js";
 import { createGatewayContext } from "./createGatewayContext.js";
 import type { GatewayCommand } from "./gatewayCommand.js";
 import type { GatewayInput } from "./gatewayInput.js";
@@ -21,6 +22,7 @@
     const context = createGatewayContext(settings, random);
     return {
         step: (nowMs: number, inputs: readonly GatewayInput[]): GatewayCommand[] => {
+            noteStandstill(context, nowMs);
             context.nowMs = nowMs;
             context.commands = [];
             for (const input of inputs) {
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -27,6 +27,8 @@
     settings: GatewaySettings;
     random: RandomSource;
     nowMs: number;
+    /** Latest time for which this process has stood still. */
+    standstill: { beganAtMs: number; endedAtMs: number } | undefined;
     commands: GatewayCommand[];
     config: RoutingConfig | undefined;
     targets: Map<TargetId, PoolTarget>;
--- a/packages/medlarlb-decisions/src/gateway/observations/applyObservations.ts
+++ b/packages/medlarlb-decisions/src/gateway/observations/applyObservations.ts
@@ -1,5 +1,6 @@
 import type { TargetObservation } from "medlarlb-types/targetObservation";
 import { applyNewEvidence } from "../crashes/applyNewEvidence.js";
+import { inputsAtMs } from "../crashes/inputsAtMs.js";
 import { CRASH_EVIDENCE_TTL_MS } from "../crashes/crashEvidenceTtlMs.js";
 import { mergeCrashEvidence } from "../crashes/mergeCrashEvidence.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -24,7 +25,10 @@
     if (input.ageMs >= CRASH_EVIDENCE_TTL_MS) {
         return;
     }
-    const news = input.observations.filter(each => mergeObservation(context, each, input.ageMs));
+    // A completion that came in a standstill may be from before it. Taken for newer than it is, it would clear later ends.
+    const readLateMs = context.nowMs - inputsAtMs(context);
+    const observations = input.observations.map(each => (each.kind === "completed" ? { ...each, agoMs: each.agoMs + readLateMs } : each));
+    const news = observations.filter(each => mergeObservation(context, each, input.ageMs));
     // All of a message is known before anything follows from it.
     for (const observation of news) {
         if (observation.kind !== "limit" && observation.kind !== "leaving") {
