Keep the origin of a stream for callers that wait longer than their route allows

Cause: origins were kept until the call's deadline, the earlier one of the caller's and the route's. A caller that still waits when the route's time-out has passed takes the stream up then, and was refused although its engines serve. What two callers of keepOrigin did alike is one function, and so is the id by which callers name a stream.

--- a/admin/streamMutations.mjs
+++ b/admin/streamMutations.mjs
@@ -44,7 +44,7 @@
     {
         invariant: "streams: the beginning isn't told to others",
         file: `${GATEWAY}/streams/recordStreamStart.ts`,
-        from: "tellOrigins(context, [requestId]);",
+        from: "tellOrigins(context, [untoldId]);",
         to: "",
         check: PROCESS_TEST,
         build: true,
@@ -73,8 +73,8 @@
     {
         invariant: "streams: one that nobody can go on with waits until its deadline",
         file: `${GATEWAY}/streams/refuseStream.ts`,
-        from: "return isLeft ? undefined :",
-        to: "return isLeft || origin.service !== \"\" ? undefined :",
+        from: "return isLeft\n        ? undefined",
+        to: "return isLeft || origin.service !== \"\"\n        ? undefined",
         check: ORIGINS_TEST,
     },
     {
--- a/packages/medlarlb-decisions/src/gateway/streams/doubtOrigins.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/doubtOrigins.ts
@@ -1,7 +1,7 @@
 import type { TargetId } from "medlarlb-types/targetId";
 import type { GatewayContext } from "../gatewayContext.js";
 import { logEvent } from "../calls/logEvent.js";
-import { keepOrigin } from "./keepOrigin.js";
+import { keepOwnOrigin } from "./keepOwnOrigin.js";
 import { tellOrigins } from "./tellOrigins.js";
 
 /**
@@ -9,19 +9,15 @@
  * their events before its entry said so.
  */
 export const doubtOrigins = (context: GatewayContext, targetId: TargetId): void => {
-    for (const row of context.calls.values()) {
-        const { currentAttempt: attempt, metadata } = row;
-        if (attempt?.targetId === targetId) {
-            attempt.softwareVersion = undefined;
-            if (row.origin !== undefined && attempt.answerStartedAtMs !== undefined) {
-                row.origin = { service: row.origin.service, softwareVersion: undefined };
-                const requestId = metadata.resumedStream === undefined ? metadata.callerRequestId : metadata.resumedStream.requestId;
-                logEvent(context, "originInDoubt", { request: metadata.callerRequestId, resumes: metadata.resumedStream?.requestId, target: targetId });
-                if (metadata.route.resumable && requestId !== undefined) {
-                    keepOrigin(context, requestId, { ...row.origin, untilMs: metadata.deadlineAtMs, isTold: false });
-                    tellOrigins(context, [requestId]);
-                }
-            }
+    const openCalls = [...context.calls.values()].filter(each => each.currentAttempt?.targetId === targetId);
+    for (const row of openCalls) {
+        const { currentAttempt: attempt, metadata: { callerRequestId, resumedStream } } = row;
+        Object.assign(attempt ?? {}, { softwareVersion: undefined });
+        if (row.origin !== undefined && attempt?.answerStartedAtMs !== undefined) {
+            row.origin = { service: row.origin.service, softwareVersion: undefined };
+            logEvent(context, "originInDoubt", { request: callerRequestId, resumes: resumedStream?.requestId, target: targetId });
+            const untoldId = keepOwnOrigin(context, row);
+            tellOrigins(context, untoldId === undefined ? [] : [untoldId]);
         }
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/streams/recordStreamStart.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/recordStreamStart.ts
@@ -1,9 +1,8 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallAttempt } from "../rows/callAttempt.js";
 import type { CallRow } from "../rows/callRow.js";
-import { expireOrigins } from "./expireOrigins.js";
 import { findOnlyVersion } from "./findOnlyVersion.js";
-import { keepOrigin } from "./keepOrigin.js";
+import { keepOwnOrigin } from "./keepOwnOrigin.js";
 import { tellOrigins } from "./tellOrigins.js";
 
 /** Age in ms of the contact with the store's list up to which a service of one version counts as such for all instances. */
@@ -14,20 +13,15 @@
  * they all see one version only, they need no message.
  */
 export const recordStreamStart = (context: GatewayContext, row: CallRow, attempt: CallAttempt): void => {
-    const { route, service, callerRequestId, resumedStream, deadlineAtMs } = row.metadata;
+    const { route, service } = row.metadata;
     if (route.kind !== "streaming") {
         return;
     }
     row.origin ??= { service, softwareVersion: attempt.softwareVersion };
-    const requestId = resumedStream === undefined ? callerRequestId : resumedStream.requestId;
-    if (!route.resumable || requestId === undefined) {
-        return;
-    }
-    expireOrigins(context);
-    const isNews = keepOrigin(context, requestId, { ...row.origin, untilMs: deadlineAtMs, isTold: false });
+    const untoldId = keepOwnOrigin(context, row);
     const { nowMs } = context;
     const onlyVersion = findOnlyVersion(context, service, nowMs - route.timeoutMs, nowMs - MAX_CONTACT_AGE_MS);
-    if (onlyVersion === undefined && (isNews || context.streamOrigins.get(requestId)?.isTold === false)) {
-        tellOrigins(context, [requestId]);
+    if (onlyVersion === undefined && untoldId !== undefined) {
+        tellOrigins(context, [untoldId]);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/streams/refuseStream.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/refuseStream.ts
@@ -16,5 +16,7 @@
     }
     const isLeft = (context.targetsByService.get(origin.service) ?? []).some(({ entry, leaving }) =>
         !leaving && !excludedTargets.has(entry.targetId) && isSameVersion(entry.softwareVersion, origin.softwareVersion));
-    return isLeft ? undefined : `no target of software version ${origin.softwareVersion}, which began this stream, is left for it; begin it anew`;
+    return isLeft
+        ? undefined
+        : `no target of software version ${origin.softwareVersion}, which began this stream, is left for it; begin it anew`;
 };
