Tell the beginnings of streams when a version is listed again, too

Callers would have been refused whose streams began while a service had one version, after another that it had had long before was listed again (a roll-back), if the instance that began them was killed, or in a large group. Cause: whether a version is new was asked of all that were ever listed, not of those that are. Found by reading the change once more. Change: of those listed now. Evidence: "is told when a version is listed again" failed before; both guards' breaks are caught; 37 tests pass.

--- a/admin/streamMutations.mjs
+++ b/admin/streamMutations.mjs
@@ -3,6 +3,7 @@
 const CALLS_TEST = `${GATEWAY}/__tests__/calls.test.ts`;
 const ORIGINS_TEST = `${GATEWAY}/__tests__/streamOrigins.test.ts`;
 const HISTORIES_TEST = `${GATEWAY}/__tests__/streamHistories.test.ts`;
+const PLACEMENT_TEST = `${GATEWAY}/__tests__/placement.test.ts`;
 const PROCESS_TEST = "packages/medlarlb-fakes/src/__tests__/streamVersions.test.ts";
 
 export const streamMutations = [
@@ -77,6 +78,20 @@
         to: "return isLeft || origin.service !== \"\"\n        ? undefined",
         check: ORIGINS_TEST,
     },
+    {
+        invariant: "streams: a version that was listed long before counts as listed",
+        file: `${GATEWAY}/inputs/applyTarget.ts`,
+        from: "listRecentVersions(context, entry.service, 0)",
+        to: "listRecentVersions(context, entry.service, Number.POSITIVE_INFINITY)",
+        check: ORIGINS_TEST,
+    },
+    {
+        invariant: "streams: the model of a stream is loaded on any engine, not on one of its version",
+        file: `${GATEWAY}/calls/routeCalls.ts`,
+        from: "requestModelFromPlanner(context, row, requestModelAtVersion(context, row));",
+        to: "requestModelFromPlanner(context, row, undefined);",
+        check: PLACEMENT_TEST,
+    },
     {
         invariant: "streams: others are asked once only, when the message about the beginning may be on its way",
         file: `${GATEWAY}/streams/resolveOrigin.ts`,
--- a/packages/medlarlb-decisions/src/gateway/__tests__/placement.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/placement.test.ts
@@ -107,4 +107,19 @@
             expect([...deployment.runs.values()].filter(count => count > 1), `seed ${seed}`).to.deep.equal([]);
         }
     });
+
+    it("loads the model of a stream on an engine of the version that began it, if only another version's engine holds it", () => {
+        const route = { resumable: true, maxAttempts: 2 };
+        const deployment = createVirtualDeployment({ seed: 8, zones: 1, enginesPerZone: 2, models: 6, softwareVersions: ["v1", "v2"], route });
+        deployment.run(500);
+        deployment.instances[0]?.inputs.push({
+            kind: "streamOrigins",
+            origins: [{ requestId: "r1", service: "llm", softwareVersion: "v2", keptForMs: 6_000 }],
+        });
+        const heldByOther = deployment.engines[0]?.entry().models[0]?.name ?? "";
+        const callId = deployment.sendCall(0, heldByOther, { resumes: "r1" });
+        deployment.run(4_000);
+        expect(deployment.outcomes().find(each => each.callId === callId)?.status).to.equal(200);
+        expect(deployment.engines[1]?.entry().models.map(model => model.name)).to.include(heldByOther);
+    });
 });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
@@ -153,6 +153,15 @@
         expect(listTold(one.step(one.entryOf(4, { softwareVersion: "v2" }))), "once another version is listed").to.have.length(2);
     });
 
+    it("is told when a version is listed again that the service had long before", () => {
+        const { step, wait, entryOf, createCall } = createInstance(["v1", "v2"]);
+        step({ kind: "targetGone", targetId: brandAs("t0") });
+        wait(7_000);
+        step(createCall());
+        expect(listTold(step(begun)), "while the service has one version").to.deep.equal([]);
+        expect(listTold(step(entryOf(0)))).to.have.length(2);
+    });
+
     it("is told to holders that an instance asks which sees a few other members, in a large group", () => {
         const members = createMembers(3, 21);
         const { step, createCall } = createInstance(["v1", "v2"], { members });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
@@ -27,6 +27,8 @@
     msPerToken?: number[];
     /** Number of models that each engine has on its disk besides the loaded ones. */
     modelsOnDisk?: number;
+    /** Software versions of the engines, which take them in turn. */
+    softwareVersions?: string[];
     /** Draws how an order is delayed and which outcome its sender gets, if not the engine's own. */
     drawOrderFault?: (random: () => number) => { delayMs: number; answer: PlacementOrderOutcome | undefined };
 }
@@ -68,7 +70,7 @@
 /** Simulates instances with their decisions, and model engines in zones, over virtual time. The same seed repeats a run exactly. */
 export const createVirtualDeployment = (options: DeploymentOptions) => {
     const { seed, zones, enginesPerZone, models, policy = "predict", route = {}, storeLoadMs = 1_200, modelsOnDisk = 0 } = options;
-    const { msPerToken = [MS_PER_TOKEN], instancesPerZone = 1 } = options;
+    const { msPerToken = [MS_PER_TOKEN], instancesPerZone = 1, softwareVersions = ["v1"] } = options;
     const generator = xoroshiro128plus(seed);
     let draws = 0;
     const random = (): number => {
@@ -102,6 +104,7 @@
         models: Array.from({ length: MODELS_PER_ENGINE }, (__, offset) => `m${(index * MODELS_PER_ENGINE + offset) % models}`),
         profile,
         msPerToken: msPerToken[index % msPerToken.length] ?? MS_PER_TOKEN,
+        softwareVersion: softwareVersions[index % softwareVersions.length] ?? "",
         onDisk: Array.from({ length: modelsOnDisk }, () => `m${Math.floor(random() * models)}`),
     }));
     const instances = Array.from({ length: zones * instancesPerZone }, (_, index) => {
@@ -252,7 +255,8 @@
         runs,
         outcomes: (): Outcome[] => [...outcomes.values()],
         /** Sends a caller's request for a model to an instance. The first instances are one of each zone, and its planner. */
-        sendCall: (instance: number, model: string, { tokens = 1_800, adapter }: { tokens?: number; adapter?: string } = {}): string => {
+        sendCall: (instance: number, model: string, options: { tokens?: number; adapter?: string; resumes?: string } = {}): string => {
+            const { tokens = 1_800, adapter, resumes } = options;
             sequence += 1;
             const callId = brandAs<RequestId>(`c${sequence}`);
             outcomes.set(callId, { callId, model, arrivedAtMs: nowMs, firstMs: undefined, status: 0, heldMs: 0, retryAfterMs: undefined });
@@ -266,6 +270,7 @@
                     service: "llm",
                     model,
                     adapter,
+                    resumedStream: resumes === undefined ? undefined : { requestId: resumes },
                     promptTokens: tokens,
                     outputTokens: 24,
                     expectedTokens: 24,
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualEngine.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualEngine.ts
@@ -16,6 +16,7 @@
     msPerToken: number;
     /** Models on the engine's disk besides the loaded ones. */
     onDisk: string[];
+    softwareVersion?: string;
 }
 
 /** Time of an unload in ms. Unloads don't wait for runs here. */
@@ -27,7 +28,7 @@
  * Simulates a model engine over virtual time. It processes prompts one after the other, carries out one order at a time if the
  * order's condition holds, and fails the test when an order would exceed its memory or its adapter slots.
  */
-export const createVirtualEngine = ({ id, zone, models, profile, msPerToken, onDisk: extraOnDisk }: EngineOptions) => {
+export const createVirtualEngine = ({ id, zone, models, profile, msPerToken, onDisk: extraOnDisk, softwareVersion = "v1" }: EngineOptions) => {
     const loadedModels = new Map(models.map(name => [name, { name, adapters: new Set<string>() }]));
     const onDisk = new Set([...models, ...extraOnDisk]);
     const history: { atMs: number; report: EngineReport }[] = [];
@@ -146,7 +147,7 @@
             service: "llm",
             address: `10.0.0.${id.replace(/\D/g, "")}:80`,
             zone: brandAs<ZoneId>(zone),
-            softwareVersion: "v1",
+            softwareVersion,
             slots: profile.slots,
             leaving: false,
             startedAtMs: 0,
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -34,7 +34,7 @@
 const addTarget = (context: GatewayContext, entry: TargetEntry, origin: EntryOrigin | undefined): PoolTarget => {
     const isEngine = context.config?.services.get(entry.service)?.engine !== undefined || entry.models.length > 0;
     const msPerWorkUnit = context.serviceMsPerWorkUnit.get(entry.service) ?? (isEngine ? INITIAL_MS_PER_TOKEN : INITIAL_MS_PER_REQUEST);
-    const versions = listRecentVersions(context, entry.service, Number.POSITIVE_INFINITY);
+    const versions = listRecentVersions(context, entry.service, 0);
     const target = createPoolTarget(entry, msPerWorkUnit, context.nowMs);
     target.leaving = isKnownLeaving(context, entry);
     context.targets.set(entry.targetId, target);
