--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualStreams.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualStreams.ts
@@ -168,7 +168,6 @@
                     }
                 })),
             };
-            call.run = each;
             startRun(target, stream.versions.length, each);
         });
     };
@@ -218,7 +217,7 @@
                 stream.refusals.push(refusal);
             }
         };
-        openCalls.set(callId, { stream, attempt, latest: 0, run: undefined, end });
+        openCalls.set(callId, { stream, attempt, latest: 0, end });
         const resumedStream = stream.firstId === undefined ? undefined : { requestId: stream.firstId };
         const { boot } = instance;
         after(DELAY_MS, () => reach(instance, boot, () =>
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualStreamCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/virtualStreamCall.ts
@@ -1,5 +1,4 @@
 import type { VirtualStream } from "./virtualStream.js";
-import type { VirtualStreamRun } from "./virtualStreamRun.js";
 
 /** A caller's attempt that an instance has. */
 export interface VirtualStreamCall {
@@ -7,7 +6,6 @@
     attempt: VirtualStream["attempts"][number];
     /** Number of the latest attempt at a target. */
     latest: number;
-    run: VirtualStreamRun | undefined;
     /** Called when the instance breaks the connection, or refuses with a reason. */
     end: (refusal: string | undefined) => void;
 }
--- a/packages/medlarlb-decisions/src/gateway/streams/doubtOrigins.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/doubtOrigins.ts
@@ -12,7 +12,9 @@
     const openCalls = [...context.calls.values()].filter(each => each.currentAttempt?.targetId === targetId);
     for (const row of openCalls) {
         const { currentAttempt: attempt, metadata: { callerRequestId, resumedStream } } = row;
-        Object.assign(attempt ?? {}, { softwareVersion: undefined });
+        if (attempt !== undefined) {
+            attempt.softwareVersion = undefined;
+        }
         if (row.origin !== undefined && attempt?.answerStartedAtMs !== undefined) {
             row.origin = { service: row.origin.service, softwareVersion: undefined };
             logEvent(context, "originInDoubt", { request: callerRequestId, resumes: resumedStream?.requestId, target: targetId });
--- a/packages/medlarlb-decisions/src/gateway/streams/knownOrigin.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/knownOrigin.ts
@@ -5,6 +5,6 @@
     softwareVersion: string | undefined;
     /** Time until which the caller may take the stream up. */
     untilMs: number;
-    /** Whether other instances have been told by this one. */
+    /** Whether other instances know it: this one has told them, or they told this one. */
     isTold: boolean;
 }
