--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -1,5 +1,6 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { callPriority } from "../workspaces/callPriority.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { chooseCopyTarget } from "./chooseCopyTarget.js";
 import { logEvent } from "./logEvent.js";
@@ -51,7 +52,7 @@
         attempt: row.attempts,
         deadlineMs: metadata.deadlineAtMs - context.nowMs,
         predictedMs: prediction.answerMs,
-        priority: engine === undefined ? undefined : Math.min(MAX_PRIORITY, metadata.route.priority),
+        priority: engine === undefined ? undefined : Math.min(MAX_PRIORITY, callPriority(metadata)),
         copyToAddress: copyTarget?.entry.address,
         fromCopy,
     });
--- a/packages/medlarlb-decisions/src/gateway/calls/sortByUrgency.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sortByUrgency.ts
@@ -1,5 +1,6 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
+import { callPriority } from "../workspaces/callPriority.js";
 
 interface SortKey {
     row: CallRow;
@@ -22,7 +23,7 @@
  */
 export const sortByUrgency = (context: GatewayContext, rows: readonly CallRow[], engineWaitMs: number): CallRow[] =>
     rows.map((row): SortKey => {
-        const { latencyTargetAtMs, route } = row.metadata;
+        const { latencyTargetAtMs } = row.metadata;
         const isLate = context.nowMs + answerDelayMs(context, row, engineWaitMs) > latencyTargetAtMs;
-        return { row, isLate, priority: route.priority, latencyTargetAtMs };
+        return { row, isLate, priority: callPriority(row.metadata), latencyTargetAtMs };
     }).sort(compareKeys).map(each => each.row);
--- a/packages/medlarlb-types/src/route.ts
+++ b/packages/medlarlb-types/src/route.ts
@@ -19,6 +19,8 @@
     maxAttempts: number;
     /** Whether a broken stream may continue at another target. */
     resumable: boolean;
+    /** Whether its requests need no key where the configuration has workspaces. */
+    public?: boolean | undefined;
     /** Services that share the route's requests, by weight. */
     destinations: { service: string; weight: number }[];
 }
