Send a second attempt of slow requests that may be repeated

Change: with the setting policy.extraWorkRatio (0, the default, turns it off), such a request gets a second attempt at another target after the quantile of the service's recent answers that the allowed extra work implies. The first answer to begin is passed on, the other attempt is cancelled at once.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -3,6 +3,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { answerMutations } from "./answerMutations.mjs";
 import { endlessMutations } from "./endlessMutations.mjs";
+import { hedgingMutations } from "./hedgingMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
 import { restoredMutations } from "./restoredMutations.mjs";
 import { retryMutations } from "./retryMutations.mjs";
@@ -237,6 +238,7 @@
     ...answerMutations,
     ...endlessMutations,
     ...restoredMutations,
+    ...hedgingMutations,
     ...retryMutations,
     ...streamMutations,
 ];
--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -39,6 +39,8 @@
     /** Id of the last event that the caller received, if this attempt continues a stream. */
     lastDeliveredId: string | undefined;
     onDelivered: (eventId: string) => void;
+    /** Called before the first part of the answer is passed on. Returns whether another attempt of the request hasn't answered first. */
+    claimAnswer: () => boolean;
     /** Returns the exchange with the target, to pause or abort it. */
     exchange: () => ReturnType<ReturnType<typeof createConnectionPool>["send"]> | undefined;
 }
@@ -90,12 +92,18 @@
         fail("unknown", cause, reason);
     };
 
-    const reportBegun = (): void => {
-        if (hasBegun) {
-            return;
+    /** Reports the first part of the answer. Returns whether the caller gets this answer, and not that of another attempt. */
+    const beginAnswer = (): boolean => {
+        if (!hasBegun && !options.claimAnswer()) {
+            hasFailed = true;
+            options.exchange()?.abort();
+            return false;
         }
-        hasBegun = true;
-        events.onBegun();
+        if (!hasBegun) {
+            hasBegun = true;
+            events.onBegun();
+        }
+        return true;
     };
 
     const head = () => ({ status, headers: answerHeaders?.forwarded ?? [] });
@@ -106,7 +114,9 @@
         if (events === undefined || events.length === 0) {
             return true;
         }
-        reportBegun();
+        if (!beginAnswer()) {
+            return true;
+        }
         const id = splitter.lastId(events);
         if (id !== undefined) {
             lastEventId = id;
@@ -208,7 +218,9 @@
             fail("unknown", "error", `the target answered ${status}`);
             return;
         }
-        reportBegun();
+        if (!beginAnswer()) {
+            return;
+        }
         writer.writeHead(head(), mode === "buffer" ? buffered.length() : undefined);
         res.end(mode === "buffer" ? buffered.take() : undefined);
         events.onFinished(status, arrivals.longestGapMs(), endedWithConnection);
@@ -257,7 +269,9 @@
             if (mode === "drop") {
                 return true;
             }
-            reportBegun();
+            if (!beginAnswer()) {
+                return true;
+            }
             writer.writeHead(head(), answerHeaders?.contentLength);
             // The memory of a chunk is used again for the next one.
             return writer.write(Buffer.concat([buffered.take(), chunk]));
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -26,8 +26,10 @@
 
 interface OpenCall {
     call: IngressCall;
-    attempt: number;
-    exchange: PooledRequest | undefined;
+    /** Requests to targets by the number of their attempt. Two run at once while a slow one has a second attempt. */
+    exchanges: Map<number, PooledRequest>;
+    /** Attempt whose answer the caller gets. */
+    answering: number | undefined;
     lastDeliveredId: string | undefined;
 }
 
@@ -41,12 +43,12 @@
 
     const accept = (call: IngressCall): void => {
         const { callId } = call.metadata;
-        openCalls.set(callId, { call, attempt: 0, exchange: undefined, lastDeliveredId: call.lastEventId });
+        openCalls.set(callId, { call, exchanges: new Map(), answering: undefined, lastDeliveredId: call.lastEventId });
         call.res.once("close", () => {
             const openCall = openCalls.get(callId);
             openCalls.delete(callId);
             if (openCall !== undefined && !call.res.writableFinished) {
-                openCall.exchange?.abort();
+                openCall.exchanges.forEach(each => each.abort());
                 push({ kind: "callerLeft", callId });
             }
         });
@@ -78,6 +80,25 @@
         metrics.predictionErrorMs.observe(now() - sentAtMs - predictedMs);
     };
 
+    /**
+     * Lets the first attempt that has something to pass on answer the caller, and cancels the other at once. Returns whether it is
+     * this one. After an attempt has failed, the one that goes on with its stream may answer.
+     */
+    const claimAnswer = (openCall: OpenCall, attempt: number): boolean => {
+        const { answering, exchanges } = openCall;
+        if (answering !== undefined && answering !== attempt && exchanges.has(answering)) {
+            return false;
+        }
+        openCall.answering = attempt;
+        for (const [other, exchange] of exchanges) {
+            if (other !== attempt) {
+                exchange.abort();
+                exchanges.delete(other);
+            }
+        }
+        return true;
+    };
+
     const send = (command: SendCommand): void => {
         const { callId, attempt, targetId } = command;
         const openCall = openCalls.get(callId);
@@ -87,7 +108,6 @@
         const { call } = openCall;
         const sentAtMs = now();
         metrics.waitMs.observe(sentAtMs - call.metadata.arrivedAtMs);
-        openCall.attempt = attempt;
         const headers = adapter.createTargetHeaders(call.req.rawHeaders, {
             targetId,
             deadlineMs: command.deadlineMs,
@@ -105,7 +125,8 @@
             onDelivered: id => {
                 openCall.lastDeliveredId = id;
             },
-            exchange: () => openCall.exchange,
+            exchange: () => openCall.exchanges.get(attempt),
+            claimAnswer: () => claimAnswer(openCall, attempt),
             events: {
                 onLoad: load => push({ kind: "load", targetId, ...load }),
                 onLeaving: () => push({ kind: "targetLeaving", targetId, source: "answer" }),
@@ -121,10 +142,14 @@
                     metrics.answers.inc({ status, by: "target" });
                     push({ kind: "finished", callId, attempt, status, longestGapMs, endedWithConnection });
                 },
-                onFailed: failure => push({ kind: "failed", callId, attempt, ...failure }),
+                onFailed: failure => {
+                    openCall.exchanges.delete(attempt);
+                    push({ kind: "failed", callId, attempt, ...failure });
+                },
             },
         });
-        openCall.exchange = pool.send(command.address, { method: call.req.method ?? "GET", path: call.req.url ?? "/", headers, body: call.body, requestId: call.metadata.callerRequestId }, relay);
+        const message = { method: call.req.method ?? "GET", path: call.req.url ?? "/", headers, body: call.body, requestId: call.metadata.callerRequestId };
+        openCall.exchanges.set(attempt, pool.send(command.address, message, relay));
     };
 
     const answer = ({ callId, status, retryAfterMs, reason }: AnswerCommand): void => {
@@ -133,7 +158,7 @@
             return;
         }
         openCalls.delete(callId);
-        openCall.exchange?.abort();
+        openCall.exchanges.forEach(each => each.abort());
         const { call } = openCall;
         const { res } = call;
         metrics.answers.inc({ status, by: "gateway" });
@@ -162,9 +187,8 @@
         answer,
         abort: (callId: RequestId, attempt: number): void => {
             const openCall = openCalls.get(callId);
-            if (openCall?.attempt === attempt) {
-                openCall.exchange?.abort();
-            }
+            openCall?.exchanges.get(attempt)?.abort();
+            openCall?.exchanges.delete(attempt);
         },
         openCount: (): number => openCalls.size,
     };
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -31,6 +31,7 @@
 import { waitUntil } from "../shared/waitUntil.js";
 import { createCallProxy } from "./createCallProxy.js";
 import { createControlClients } from "./createControlClients.js";
+import { createDecisionSettings } from "./createDecisionSettings.js";
 import { createCommandExecutor } from "./createCommandExecutor.js";
 import { createObservationGossip } from "./createObservationGossip.js";
 import { createDirectorySync } from "./createDirectorySync.js";
@@ -72,16 +73,7 @@
     let stopping = false;
     let closing = false;
 
-    const decisions = createGatewayDecisions({
-        instanceId,
-        zone,
-        policy: settings.policy.routing,
-        retryRatio: settings.limits.retryRatio,
-        retryWindowMs: settings.limits.retryWindowSeconds * MS_PER_SECOND,
-        retryExtra: settings.limits.retryExtra,
-        storeLoadWindowMs: settings.limits.storeLoadWindowSeconds * MS_PER_SECOND,
-        storeLoadFactor: settings.limits.storeLoadFactor,
-    }, random);
+    const decisions = createGatewayDecisions(createDecisionSettings(instanceId, zone, settings), random);
     const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => executeCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
@@ -13,6 +13,13 @@
     { section: "store", key: "address", kind: "address", remedy: "write the address of the platform's store, such as address = 10.0.0.2:8142" },
     { section: "metrics", key: "address", kind: "address", remedy: "write the address of the metrics page, such as address = 10.0.0.4:9100" },
     { section: "policy", key: "routing", kind: "routingPolicy", defaultValue: "predict", remedy: "write predict, or one of the baselines twoChoices and random" },
+    {
+        section: "policy",
+        key: "extraWorkRatio",
+        kind: "number",
+        defaultValue: "0",
+        remedy: "write the second attempts of slow requests as a share of the targets' work, such as 0.05, or 0 for none",
+    },
     limit("graceSeconds", "write the time in s that a planned stop may take", "8"),
     limit("leaseMs", "write the shortest time in ms between the orders of two successive planners of a zone", "3000"),
     limit("retryRatio", "write the retries as a share of the requests of a service, such as 0.2", "0.2"),
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingsFile.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingsFile.ts
@@ -6,7 +6,7 @@
     peer: { address: string; seeds: string; key: string };
     store: { address: string };
     metrics: { address: string };
-    policy: { routing: "predict" | "twoChoices" | "random" };
+    policy: { routing: "predict" | "twoChoices" | "random"; extraWorkRatio: number };
     limits: {
         graceSeconds: number;
         leaseMs: number;
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
@@ -9,6 +9,7 @@
     retryRatio: 0.2,
     retryWindowMs: 10_000,
     retryExtra: 56,
+    extraWorkRatio: 0,
     storeLoadWindowMs: 5_000,
     storeLoadFactor: 1.1,
 });
--- a/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/expireCalls.ts
@@ -1,5 +1,6 @@
 import { recordAbandoned } from "../crashes/recordAbandoned.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { startHedge } from "../hedging/startHedge.js";
 import type { CallRow } from "../rows/callRow.js";
 import { failCall } from "./failCall.js";
 import { firstEventTimeoutAtMs } from "./firstEventTimeoutAtMs.js";
@@ -15,8 +16,8 @@
     else if (context.nowMs >= metadata.deadlineAtMs) {
         row.mayHaveRun ||= attempt !== undefined;
         recordAbandoned(context, row);
-        if (attempt !== undefined) {
-            context.commands.push({ kind: "abort", callId: metadata.callId, attempt: attempt.attempt });
+        for (const each of [attempt, row.hedge].filter(running => running !== undefined)) {
+            context.commands.push({ kind: "abort", callId: metadata.callId, attempt: each.attempt });
         }
         failCall(context, row, "the time of the request is over");
     }
@@ -25,12 +26,19 @@
         recordAbandoned(context, row);
         retryCall(context, row, { ran: "unknown", cause: "silent", reason: "no answer came in time" });
     }
+    else if (context.nowMs >= row.hedgeAtMs) {
+        startHedge(context, row);
+        scheduleCallCheck(context, row);
+    }
     else {
         scheduleCallCheck(context, row);
     }
 };
 
-/** Ends calls whose deadline has passed, and retries repeatable calls whose target exceeds the first-event time-out. */
+/**
+ * Ends calls whose deadline has passed, sends second attempts of slow ones, and retries repeatable calls whose target exceeds the
+ * first-event time-out.
+ */
 export const expireCalls = (context: GatewayContext): void => {
     for (let next = nextCallCheck(context); next !== undefined && next.atMs <= context.nowMs; next = nextCallCheck(context)) {
         context.callChecks.pop();
--- a/packages/medlarlb-decisions/src/gateway/calls/firstEventTimeoutAtMs.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/firstEventTimeoutAtMs.ts
@@ -9,12 +9,12 @@
 
 /**
  * Returns the time at which the current attempt of a call is abandoned for another one unless its answer has started; infinity
- * for a call that can't be repeated.
+ * for a call that can't be repeated, or has a second attempt.
  */
-export const firstEventTimeoutAtMs = ({ currentAttempt: attempt, metadata, possibleRuns }: CallRow): number => {
+export const firstEventTimeoutAtMs = ({ currentAttempt: attempt, hedge, metadata, possibleRuns }: CallRow): number => {
     const isRepeatable = metadata.route.kind === "safe" || metadata.route.resumable;
     if (
-        attempt === undefined || attempt.answerStartedAtMs !== undefined
+        attempt === undefined || attempt.answerStartedAtMs !== undefined || hedge !== undefined
         || !isRepeatable || possibleRuns + 1 >= metadata.route.maxAttempts
     ) {
         return Number.POSITIVE_INFINITY;
--- a/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/resumeCall.ts
@@ -34,6 +34,6 @@
     });
     endCurrentAttempt(context, row);
     row.mayHaveRun = true;
-    sendCall(context, row, target, predictLatency(context, target, row), true);
+    sendCall(context, row, target, predictLatency(context, target, row), "fromCopy");
     return true;
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/scheduleCallCheck.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/scheduleCallCheck.ts
@@ -7,6 +7,6 @@
     const { metadata, currentAttempt } = row;
     const atMs = currentAttempt === undefined
         ? Math.min(row.nextEventDeadlineAtMs, metadata.deadlineAtMs)
-        : Math.min(firstEventTimeoutAtMs(row), metadata.deadlineAtMs);
+        : Math.min(firstEventTimeoutAtMs(row), row.hedgeAtMs, metadata.deadlineAtMs);
     context.callChecks.push({ row, atMs });
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -1,3 +1,5 @@
+import { scheduleHedge } from "../hedging/scheduleHedge.js";
+import type { CallAttempt } from "../rows/callAttempt.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { callPriority } from "../workspaces/callPriority.js";
@@ -11,18 +13,19 @@
 /** Highest priority number that is sent to engines. */
 const MAX_PRIORITY = 9;
 
-/** Starts an attempt of a call on a target. */
+/** Starts an attempt of a call on a target: a new one, one that resumes from a copy, or a second one beside the current. */
 export const sendCall = (
     context: GatewayContext,
     row: CallRow,
     target: PoolTarget,
     prediction: ReturnType<typeof predictLatency>,
-    fromCopy = false,
+    kind: "new" | "fromCopy" | "hedge" = "new",
 ): void => {
     const { metadata } = row;
     const copyTarget = chooseCopyTarget(context, row, target);
+    const fromCopy = kind === "fromCopy";
     row.attempts += 1;
-    row.currentAttempt = {
+    const attempt: CallAttempt = {
         targetId: target.entry.targetId,
         softwareVersion: target.entry.softwareVersion,
         fingerprint: metadata.fingerprint,
@@ -37,8 +40,10 @@
         copyTargetId: copyTarget?.entry.targetId,
     };
     target.permits.shift();
-    target.activeAttempts.set(metadata.callId, row.currentAttempt);
+    row[kind === "hedge" ? "hedge" : "currentAttempt"] = attempt;
+    target.activeAttempts.set(metadata.callId, attempt);
     target.pendingTokens += prediction.uncachedTokens;
+    scheduleHedge(context, row);
     scheduleCallCheck(context, row);
     const engine = context.config?.services.get(metadata.service)?.engine;
     if (engine !== undefined) {
--- a/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
@@ -1,12 +1,11 @@
 import type { GatewayContext } from "../gatewayContext.js";
+import type { CallAttempt } from "../rows/callAttempt.js";
 import type { CallRow } from "../rows/callRow.js";
 
 /** Number of abandoned requests that are kept of a target. */
 const MAX_ABANDONED = 128;
 
-/** Records that the current attempt of a call is given up without an answer. Its target may still run it, and end under it. */
-export const recordAbandoned = (context: GatewayContext, row: CallRow): void => {
-    const { currentAttempt: attempt } = row;
+const record = (context: GatewayContext, row: CallRow, attempt: CallAttempt | undefined): void => {
     const target = attempt === undefined ? undefined : context.targets.get(attempt.targetId);
     if (target === undefined || attempt?.answerStartedAtMs !== undefined) {
         return;
@@ -16,3 +15,9 @@
         target.abandonedRequests.shift();
     }
 };
+
+/** Records that attempts of a call are given up without an answer. Their targets may still run them, and end under them. */
+export const recordAbandoned = (context: GatewayContext, row: CallRow, ...attempts: CallAttempt[]): void => {
+    const abandoned = attempts.length > 0 ? attempts : [row.currentAttempt, row.hedge];
+    abandoned.forEach(attempt => record(context, row, attempt));
+};
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -33,6 +33,8 @@
     observationsToRelay: [],
     retryBudgets: new Map(),
     groupView: createGroupView(),
+    extraWorkBudgets: new Map(),
+    answerTimes: new Map(),
     instanceCount: 1,
     planners: new Map(),
     members: [],
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -10,6 +10,7 @@
 import type { CrashTable } from "./crashes/crashTable.js";
 import type { GatewayCommand } from "./gatewayCommand.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import type { AnswerTimes } from "./hedging/answerTimes.js";
 import type { DemandTable } from "./placement/demandTable.js";
 import type { ManagedEngine } from "./placement/managedEngine.js";
 import type { GroupView } from "./retries/groupView.js";
@@ -62,6 +63,9 @@
     observationsToRelay: TargetObservation[];
     retryBudgets: Map<string, RetryBudget>;
     groupView: GroupView;
+    /** Work and second attempts by service, and how long its answers took; empty without second attempts. */
+    extraWorkBudgets: Map<string, RetryBudget>;
+    answerTimes: Map<string, AnswerTimes>;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
     /** Other instances that respond to this one. */
--- a/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
@@ -13,6 +13,8 @@
     retryWindowMs: number;
     /** Allowed retries of a service in a window in addition to that share, over all instances. */
     retryExtra: number;
+    /** Second attempts of slow requests, as a share of the work of a service's targets, over all instances; 0 for none. */
+    extraWorkRatio: number;
     /** Window of the limit on loads from the weight store, in ms. */
     storeLoadWindowMs: number;
     /** Factor by which loads in a window may exceed the store's rate. */
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
@@ -5,6 +5,8 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { markTargetPools } from "../pools/markTargetPools.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { recordAnswerTime } from "../hedging/recordAnswerTime.js";
+import { settleHedge } from "../hedging/settleHedge.js";
 import type { CallRow } from "../rows/callRow.js";
 import { recordStreamStart } from "../streams/recordStreamStart.js";
 
@@ -28,11 +30,15 @@
 /** Records that an answer has started, and updates the pace of its target. */
 export const applyAnswerStarted = (context: GatewayContext, input: Extract<GatewayInput, { kind: "begun" }>): void => {
     const row = context.calls.get(input.callId);
+    if (row !== undefined) {
+        settleHedge(context, row, input.attempt);
+    }
     const attempt = row?.currentAttempt;
     if (row === undefined || attempt === undefined || attempt.attempt !== input.attempt) {
         return;
     }
     recordStreamStart(context, row, attempt);
+    recordAnswerTime(context, row.metadata.service, attempt);
     const target = context.targets.get(attempt.targetId);
     row.delivered = row.metadata.route.kind === "streaming";
     attempt.answerStartedAtMs = context.nowMs;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -3,6 +3,7 @@
 import { enqueueCall } from "../calls/enqueueCall.js";
 import { crashKeys } from "../crashes/crashKeys.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { countWork } from "../hedging/countWork.js";
 import { createRetryBudget } from "../retries/createRetryBudget.js";
 import { countRequest } from "../retries/countRequest.js";
 import type { CallRow } from "../rows/callRow.js";
@@ -15,6 +16,8 @@
         crashKeys: crashKeys.list(metadata),
         promptKeys: createPromptKeys(metadata),
         currentAttempt: undefined,
+        hedge: undefined,
+        hedgeAtMs: Number.POSITIVE_INFINITY,
         pool: undefined,
         peersAheadRatio: context.random(),
         attempts: 0,
@@ -34,6 +37,7 @@
     const budget = context.retryBudgets.get(metadata.service) ?? createRetryBudget();
     context.retryBudgets.set(metadata.service, budget);
     countRequest(budget, context.settings.retryWindowMs, context.nowMs);
+    countWork(context, metadata);
     if (metadata.model !== undefined) {
         const { service, model, promptTokens } = metadata;
         addArrivals(context.arrivals, [{ service, model, tokens: promptTokens, requests: 1 }]);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -7,6 +7,8 @@
 import type { GatewayInput } from "../gatewayInput.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { setTargetModels } from "../pools/setTargetModels.js";
+import { failHedgedAttempt } from "../hedging/failHedgedAttempt.js";
+import type { CallAttempt } from "../rows/callAttempt.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { CallRow } from "../rows/callRow.js";
 import { recordOutcome } from "./recordOutcome.js";
@@ -65,33 +67,41 @@
     }
 };
 
-/** Records a failed attempt on its target, and resumes, retries or ends the call. */
+const recordAttemptCut = (context: GatewayContext, row: CallRow, attempt: CallAttempt, target: PoolTarget | undefined): void => {
+    logEvent(context, "attemptCut", {
+        request: row.metadata.callerRequestId,
+        fingerprint: row.metadata.fingerprint,
+        sharedParts: row.metadata.promptParts.slice(0, -1).map(part => part.id),
+        target: attempt.targetId,
+        attempt: attempt.attempt,
+        sinceSentMs: Math.round(context.nowMs - attempt.sentAtMs),
+        answerStarted: attempt.answerStartedAtMs !== undefined,
+        leaving: target?.leaving,
+    });
+    if (target !== undefined) {
+        recordCut(context, row, target);
+    }
+};
+
+/** Records a failed attempt on its target, and resumes, retries or ends the call unless its other attempt still runs. */
 export const applyFailed = (context: GatewayContext, input: Failed): void => {
     const row = context.calls.get(input.callId);
-    if (row === undefined || row.currentAttempt === undefined || row.currentAttempt.attempt !== input.attempt) {
+    const attempt = [row?.currentAttempt, row?.hedge].find(each => each?.attempt === input.attempt);
+    if (row === undefined || attempt === undefined) {
         return;
     }
-    const target = context.targets.get(row.currentAttempt.targetId);
+    const target = context.targets.get(attempt.targetId);
     if (target !== undefined && input.cause === "full") {
-        recordResponse(context, target, row.currentAttempt.sentAtMs);
+        recordResponse(context, target, attempt.sentAtMs);
     }
     if (target !== undefined) {
         updateFailedTarget(context, row, target, input);
     }
     if (input.cause === "cut") {
-        logEvent(context, "attemptCut", {
-            request: row.metadata.callerRequestId,
-            fingerprint: row.metadata.fingerprint,
-            sharedParts: row.metadata.promptParts.slice(0, -1).map(part => part.id),
-            target: row.currentAttempt.targetId,
-            attempt: input.attempt,
-            sinceSentMs: Math.round(context.nowMs - row.currentAttempt.sentAtMs),
-            answerStarted: row.currentAttempt.answerStartedAtMs !== undefined,
-            leaving: target?.leaving,
-        });
-        if (target !== undefined) {
-            recordCut(context, row, target);
-        }
+        recordAttemptCut(context, row, attempt, target);
+    }
+    if (failHedgedAttempt(context, row, input.attempt, input.ran)) {
+        return;
     }
     if (input.cause === "cut" && resumeCall(context, row, input.reason)) {
         return;
--- a/packages/medlarlb-decisions/src/gateway/retries/takeRetryToken.ts
+++ b/packages/medlarlb-decisions/src/gateway/retries/takeRetryToken.ts
@@ -1,37 +1,11 @@
 import type { GatewayContext } from "../gatewayContext.js";
-import { BUCKET_MS } from "./bucketMs.js";
 import { countFixedTokens } from "./countFixedTokens.js";
 import { createRetryBudget } from "./createRetryBudget.js";
 import { currentBucket } from "./currentBucket.js";
+import { isWithinBudget } from "./isWithinBudget.js";
 import { logRetryShare } from "./logRetryShare.js";
-import type { RetryBudget } from "./retryBudget.js";
 import { USED_BUDGET_RATIO } from "./usedBudgetRatio.js";
 
-/** Returns whether one more retry leaves each window that ends from now on within a ratio of the requests and a fixed number. */
-const isWithinBudget = (budget: RetryBudget, windowMs: number, nowMs: number, ratio: number, fixedTokens: number): boolean => {
-    const { buckets, waiting } = budget;
-    let retries = waiting + 1;
-    let requests = 0;
-    let counted = buckets.length;
-    for (let index = buckets.length - 1; index >= 0; index -= 1) {
-        const bucket = buckets[index];
-        if (bucket === undefined || bucket.startMs + BUCKET_MS <= nowMs - windowMs) {
-            return true;
-        }
-        retries += bucket.retries;
-        // Windows that begin within this bucket: the requests of the window before them count from its beginning.
-        const requestsSinceMs = bucket.startMs + BUCKET_MS - windowMs;
-        for (let next = buckets[counted - 1]; next !== undefined && next.startMs >= requestsSinceMs; next = buckets[counted - 1]) {
-            requests += next.requests;
-            counted -= 1;
-        }
-        if (retries > ratio * requests + fixedTokens) {
-            return false;
-        }
-    }
-    return true;
-};
-
 /**
  * Takes one token from this instance's share of a service's retry budget, and returns whether one was left. In each window an
  * instance retries as often as its own requests in that window and the one before allow, on average of the two, and as it has
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -12,6 +12,10 @@
     /** Keys of the prompt parts in a target's cache. Each includes those of the parts before it. */
     promptKeys: string[];
     currentAttempt: CallAttempt | undefined;
+    /** Second attempt that runs beside the current one until an answer of either begins. */
+    hedge: CallAttempt | undefined;
+    /** Time at which a second attempt is sent unless the answer has begun. */
+    hedgeAtMs: number;
     /** Pool in which the call waits. */
     pool: ModelPool | undefined;
     /** Share of the requests waiting at other instances that counts as ahead of this one, 0 to 1, drawn at random. */
--- a/packages/medlarlb-fakes/src/__tests__/support/createGatewaySettings.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/createGatewaySettings.ts
@@ -7,8 +7,12 @@
     store: string;
 }
 
-/** Creates the text of a gateway's settings file. */
-export const createGatewaySettings = ({ caller, readiness, peer, metrics, store }: Addresses, seeds = ""): string => [
+/** Creates the text of a gateway's settings file. `policy` are lines of the section of that name. */
+export const createGatewaySettings = (
+    { caller, readiness, peer, metrics, store }: Addresses,
+    seeds = "",
+    policy: readonly string[] = [],
+): string => [
     "[instance]",
     "zone = a",
     "[caller]",
@@ -23,6 +27,8 @@
     `address = ${store}`,
     "[metrics]",
     `address = ${metrics}`,
+    "[policy]",
+    ...policy,
     "[limits]",
     "graceSeconds = 6",
     // An instance has its part of the retry budget one and a half windows after its start.
--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -11,7 +11,7 @@
 const GATEWAY_SCRIPT = "packages/medlarlb-daemon/lib/gatewayMain.js";
 
 /** Starts a gateway process on free ports and waits until it is ready. Its log is kept as one record a line. */
-export const startGatewayProcess = async (storeAddress: string) => {
+export const startGatewayProcess = async (storeAddress: string, policy: readonly string[] = []) => {
     const folder = mkdtempSync(join(tmpdir(), "medlarlb-gateway-"));
     const findAddress = async (): Promise<string> => `127.0.0.1:${await findFreePort()}`;
     const addresses = {
@@ -22,7 +22,7 @@
         store: storeAddress,
     };
     const path = join(folder, "settings.ini");
-    writeFileSync(path, createGatewaySettings(addresses));
+    writeFileSync(path, createGatewaySettings(addresses, "", policy));
     const child = spawn(process.execPath, [GATEWAY_SCRIPT], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "pipe", "inherit"] });
     const log: Record<string, unknown>[] = [];
     createInterface({ input: child.stdout }).on("line", line => log.push(JSON.parse(line) as Record<string, unknown>));
--- a/packages/medlarlb-fakes/src/bench/measureSteps.ts
+++ b/packages/medlarlb-fakes/src/bench/measureSteps.ts
@@ -118,6 +118,7 @@
         retryRatio: 0.2,
         retryWindowMs: 10_000,
         retryExtra: 56,
+        extraWorkRatio: 0,
         storeLoadWindowMs: 5_000,
         storeLoadFactor: 1.1,
     }, () => 0.5);
