Divide workspaces' quotas over all instances (not yet tested under load)

Cause: a workspace's quota holds over all instances, and no part of the gateway charged requests for it.

Change: instances accrue shares by the store's list of instances, lend them to the hub of their zone with their status, and get grants on request. A request is charged before it is queued. Without workspaces nothing is lent or asked.

--- a/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -86,6 +86,12 @@
             case "answerPermit":
                 peers.send(command.to, { kind: "permit", answer: command.answer });
                 break;
+            case "askQuota":
+                peers.send(command.to, { kind: "quotaWanted", sequence: command.sequence, wants: command.wants });
+                break;
+            case "grantQuota":
+                peers.send(command.to, { kind: "quotaGranted", sequence: command.sequence, grants: command.grants });
+                break;
             case "shareOrigins":
                 peers.send(command.to, { kind: "streamOrigins", origins: command.origins });
                 break;
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -40,6 +40,7 @@
 import { createLog } from "./createLog.js";
 import { createRegistration } from "./createRegistration.js";
 import { pullFromPeers } from "./pullFromPeers.js";
+import { readDecisionSettings } from "./readDecisionSettings.js";
 
 const MS_PER_SECOND = 1_000;
 /** Part of the grace period in ms that is reserved for the process to exit. */
@@ -72,16 +73,7 @@
     let stopping = false;
     let closing = false;
 
-    const decisions = createGatewayDecisions({
-        instanceId,
-        zone,
-        policy: settings.policy.routing,
-        retryRatio: settings.limits.retryRatio,
-        retryWindowMs: settings.limits.retryWindowSeconds * MS_PER_SECOND,
-        retryExtra: settings.limits.retryExtra,
-        storeLoadWindowMs: settings.limits.storeLoadWindowSeconds * MS_PER_SECOND,
-        storeLoadFactor: settings.limits.storeLoadFactor,
-    }, random);
+    const decisions = createGatewayDecisions(readDecisionSettings(settings), random);
     const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => executeCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
@@ -156,7 +148,8 @@
             else if (message.kind === "wanted") {
                 push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
             }
-            else if (message.kind === "permitWanted" || message.kind === "originWanted") {
+            else if (message.kind === "permitWanted" || message.kind === "originWanted"
+                || message.kind === "quotaWanted" || message.kind === "quotaGranted") {
                 push({ ...message, from });
             }
             else if (message.kind === "observations") {
@@ -255,7 +248,14 @@
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
-    const registration = createRegistration(store, instanceId, zone);
+    const registration = createRegistration({
+        store,
+        instanceId,
+        zone,
+        now,
+        wallNow: Date.now,
+        onRegistered: (validUntilMs, wasListed) => loop.note({ kind: "registered", validUntilMs, wasListed }),
+    });
 
     const { orderMs } = metrics;
     const executeCommand = createCommandExecutor({
--- a/packages/medlarlb-daemon/src/gateway/createRegistration.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRegistration.ts
@@ -3,6 +3,17 @@
 import type { StoreLease } from "medlarlb-types/storeLease";
 import { directoryKeys } from "./directoryKeys.js";
 
+interface RegistrationOptions {
+    store: MetadataStore;
+    instanceId: InstanceId;
+    zone: string;
+    /** Monotonic clock in ms; `wallNow` is the wall clock in ms. */
+    now: () => number;
+    wallNow: () => number;
+    /** Called after each registration and renewal with the time until which the entry is certainly in the store's list. */
+    onRegistered: (validUntilMs: number, wasListed: boolean) => void;
+}
+
 /**
  * Time to live in ms of an instance's entry, and the interval in ms of its renewal. The other instances detect by probes that
  * an instance is gone, so that its entry may stay for a while.
@@ -11,32 +22,77 @@
 const RENEWAL_INTERVAL_MS = 10_000;
 /** Delay in ms before a failed registration or renewal is retried. */
 const RETRY_DELAY_MS = 500;
+/** Part of the lease in ms that this instance doesn't rely on, since its clock may stop while the machine is suspended. */
+const SUSPENSION_MARGIN_MS = 8_000;
+/** Age in ms of an entry from which all instances know of it or have no share of the quotas any more: 14.5 s and a clock step. */
+const KNOWN_TO_ALL_MS = 15_000;
+
+/** Returns since when an entry has been in the list, by the wall clock of its address; undefined if it doesn't tell. */
+const readSinceMs = (value: string | undefined): number | undefined => {
+    try {
+        const { sinceMs } = JSON.parse(value ?? "") as { sinceMs?: unknown };
+        return typeof sinceMs === "number" ? sinceMs : undefined;
+    }
+    catch {
+        // An entry in another format is replaced as one of unknown age.
+        return undefined;
+    }
+};
 
 /** Creates the registration of this instance in the store, through which the other instances discover it. */
-export const createRegistration = (store: MetadataStore, instanceId: InstanceId, zone: string) => {
+export const createRegistration = ({ store, instanceId, zone, now, wallNow, onRegistered }: RegistrationOptions) => {
+    const key = directoryKeys.instance(instanceId);
     let lease: StoreLease | undefined;
     let timer: NodeJS.Timeout | undefined;
     let stopped = false;
 
+    const reportValid = (sentAtMs: number, wasListed: boolean): void => {
+        if (!stopped) {
+            onRegistered(sentAtMs + LEASE_TTL_MS - SUSPENSION_MARGIN_MS, wasListed);
+        }
+    };
+
+    const put = (granted: StoreLease, sinceMs: number, conditions: { key: string; revision: number }[]) =>
+        store.change({ conditions, puts: [{ key, value: JSON.stringify({ zone, sinceMs }), lease: granted }], removes: [] });
+
+    /** Replaces the entry of an earlier process at this address, or one whose registration got no answer. */
+    const replaceEntry = async (granted: StoreLease): Promise<{ isOk: boolean; wasListed: boolean }> => {
+        const found = await store.list(key);
+        if (found.isErr) {
+            return { isOk: false, wasListed: false };
+        }
+        const entry = found.value.items.find(each => each.key === key);
+        const sinceMs = readSinceMs(entry?.value) ?? wallNow();
+        const change = await put(granted, sinceMs, [{ key, revision: entry?.revision ?? 0 }]);
+        return { isOk: change.isOk, wasListed: entry !== undefined && wallNow() - sinceMs >= KNOWN_TO_ALL_MS };
+    };
+
     const register = async (): Promise<boolean> => {
+        const sentAtMs = now();
         const granted = await store.grantLease(LEASE_TTL_MS);
         if (granted.isErr) {
             return false;
         }
-        const put = { key: directoryKeys.instance(instanceId), value: JSON.stringify({ zone }), lease: granted.value };
-        const change = await store.change({ conditions: [], puts: [put], removes: [] });
-        if (change.isOk) {
+        const change = await put(granted.value, wallNow(), [{ key, revision: 0 }]);
+        const isReplaced = change.isErr && change.error.kind === "conflict";
+        const outcome = isReplaced ? await replaceEntry(granted.value) : { isOk: change.isOk, wasListed: false };
+        if (outcome.isOk) {
             lease = granted.value;
+            reportValid(sentAtMs, outcome.wasListed);
         }
-        return change.isOk;
+        return outcome.isOk;
     };
 
     const renew = async (currentLease: StoreLease): Promise<boolean> => {
+        const sentAtMs = now();
         const renewed = await store.renewLease(currentLease);
         if (renewed.isErr && renewed.error.kind === "noLease") {
             lease = undefined;
             return register();
         }
+        if (renewed.isOk) {
+            reportValid(sentAtMs, true);
+        }
         return renewed.isOk;
     };
 
@@ -61,6 +117,8 @@
             }
         },
         stop: async (): Promise<void> => {
+            // The others divide the quotas without this instance as soon as its entry is gone.
+            onRegistered(Number.NEGATIVE_INFINITY, true);
             stopped = true;
             clearTimeout(timer);
             if (lease !== undefined) {
--- a/packages/medlarlb-daemon/src/settings/checkSetting.ts
+++ b/packages/medlarlb-daemon/src/settings/checkSetting.ts
@@ -10,6 +10,7 @@
     routingPolicy: value => ["predict", "twoChoices", "random"].includes(value),
     url: value => URL.canParse(value) && value.startsWith("http"),
     number: value => value.trim() !== "" && Number.isFinite(Number(value)) && Number(value) >= 0,
+    optionalNumber: value => value.trim() === "" || checks.number(value),
     secret: value => value.length >= MIN_SECRET_LENGTH,
 };
 
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
@@ -1,6 +1,7 @@
 import type { SettingRule } from "./settingRule.js";
 
-const limit = (key: string, remedy: string, defaultValue: string): SettingRule => ({ section: "limits", key, kind: "number", defaultValue, remedy });
+const limit = (key: string, remedy: string, defaultValue: string, kind: "number" | "optionalNumber" = "number"): SettingRule =>
+    ({ section: "limits", key, kind, defaultValue, remedy });
 
 /** Rules of the settings of an instance that reads its routes from the platform's store. */
 export const gatewaySettingRules: readonly SettingRule[] = [
@@ -20,4 +21,7 @@
     limit("retryExtra", "write how many retries a service may make in a window in addition to the share", "50"),
     limit("storeLoadWindowSeconds", "write the window of the limit on loads from the weight store in s", "5"),
     limit("storeLoadFactor", "write the factor by which loads may exceed the store's rate, such as 1.1", "1.1"),
+    limit("quotaWindowSeconds", "write the window of workspaces' quotas in s", "8", "optionalNumber"),
+    limit("quotaOverage", "write the part by which use in a window may exceed rate and burst, such as 0.1", "0.1", "optionalNumber"),
+    limit("quotaSlack", "write the use in a window that is allowed in addition", "0", "optionalNumber"),
 ];
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingsFile.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingsFile.ts
@@ -15,5 +15,8 @@
         retryExtra: number;
         storeLoadWindowSeconds: number;
         storeLoadFactor: number;
+        quotaWindowSeconds: number;
+        quotaOverage: number;
+        quotaSlack: number;
     };
 }
--- a/packages/medlarlb-daemon/src/settings/parseSettings.ts
+++ b/packages/medlarlb-daemon/src/settings/parseSettings.ts
@@ -45,6 +45,14 @@
         return [{ line: findLine(text, rule.section, rule.key), key: `${rule.section}.${rule.key}`, message, remedy: rule.remedy }];
     });
 
+const numberKinds: ReadonlySet<SettingRule["kind"]> = new Set(["number", "optionalNumber"]);
+
+/** Returns the text of a setting. A template may leave an optional number empty, which counts as its default. */
+const readValue = (rule: SettingRule, sections: Sections): string => {
+    const value = String(sections[rule.section]?.[rule.key] ?? rule.defaultValue);
+    return rule.kind === "optionalNumber" && value.trim() === "" ? String(rule.defaultValue) : value;
+};
+
 /**
  * Parses an INI text by the given rules and returns the settings, or all faults at once, each with its line and remedy.
  * `Parsed` has to be the type that the rules describe.
@@ -57,8 +65,8 @@
     }
     const settings: Record<string, Record<string, string | number>> = {};
     for (const rule of rules) {
-        const value = String(sections[rule.section]?.[rule.key] ?? rule.defaultValue);
-        settings[rule.section] = { ...settings[rule.section], [rule.key]: rule.kind === "number" ? Number(value) : value };
+        const value = readValue(rule, sections);
+        settings[rule.section] = { ...settings[rule.section], [rule.key]: numberKinds.has(rule.kind) ? Number(value) : value };
     }
     return Result.ok(settings as unknown as Parsed);
 };
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
@@ -11,4 +11,7 @@
     retryExtra: 56,
     storeLoadWindowMs: 5_000,
     storeLoadFactor: 1.1,
+    quotaWindowMs: 8_000,
+    quotaOverage: 0.1,
+    quotaSlack: 0,
 });
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -30,6 +30,10 @@
 import { applyModelRequest } from "./placement/applyModelRequest.js";
 import { markAllPools } from "./pools/markAllPools.js";
 import { markTargetPools } from "./pools/markTargetPools.js";
+import { applyQuotaGranted } from "./quotas/applyQuotaGranted.js";
+import { applyQuotaWanted } from "./quotas/applyQuotaWanted.js";
+import { applyRegistered } from "./quotas/applyRegistered.js";
+import { updateSharers } from "./quotas/updateSharers.js";
 import { recordListContact } from "./retries/recordListContact.js";
 import { updateGroupView } from "./retries/updateGroupView.js";
 import { applyOriginRequest } from "./streams/applyOriginRequest.js";
@@ -84,6 +88,7 @@
         context.members = members;
         context.zoneOrder = zoneOrder;
         updateGroupView(context, listed, members.map(each => each.id));
+        updateSharers(context, listed, members.map(each => each.id));
         markAllPools(context);
     },
     listContact: (context, { atMs }) => {
@@ -99,6 +104,9 @@
             failCall(context, row, "this instance stops", 0);
         }
     },
+    registered: applyRegistered,
+    quotaWanted: (context, { from, sequence, wants }) => applyQuotaWanted(context, from, sequence, wants),
+    quotaGranted: (context, { from, sequence, grants }) => applyQuotaGranted(context, from, sequence, grants),
     status: (context, { status }) => applyStatus(context, status),
     digest: (context, { digest }) => applyLoadDigest(context, digest),
     news: (context, { news }) => {
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -13,6 +13,7 @@
 import { requestModelFromPlanner } from "./requestModelFromPlanner.js";
 import { sendCall } from "./sendCall.js";
 import { sortByUrgency } from "./sortByUrgency.js";
+import { renewCharge } from "../quotas/renewCharge.js";
 import { moveToService } from "../streams/moveToService.js";
 import { refuseStream } from "../streams/refuseStream.js";
 import { requestModelAtVersion } from "../streams/requestModelAtVersion.js";
@@ -156,6 +157,10 @@
     const ownQueueMs = queueMsByPool.get(queue) ?? 0;
     const queuedMs = ownQueueMs + peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
     if (ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice)) {
+        if (!renewCharge(context, row)) {
+            checkAgainAfter(context, pool, MAX_CHECK_INTERVAL_MS);
+            return;
+        }
         dequeueCall(context, row);
         sendCall(context, row, choice.target, choice.prediction);
         return;
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -3,6 +3,7 @@
 import { createCrashTable } from "./crashes/createCrashTable.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import { createQuotaTable } from "./quotas/createQuotaTable.js";
 import { createGroupView } from "./retries/createGroupView.js";
 import type { CallCheck } from "./rows/callCheck.js";
 
@@ -33,6 +34,7 @@
     observationsToRelay: [],
     retryBudgets: new Map(),
     groupView: createGroupView(),
+    quotas: createQuotaTable(settings.instanceId, random),
     instanceCount: 1,
     planners: new Map(),
     members: [],
--- a/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
@@ -11,6 +11,8 @@
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { planPlacement } from "./placement/planPlacement.js";
+import { askHub } from "./quotas/askHub.js";
+import { checkQuotas } from "./quotas/checkQuotas.js";
 import { sendStatus } from "./status/sendStatus.js";
 
 /**
@@ -30,7 +32,9 @@
             }
             judgeCrashes(context);
             expireCalls(context);
+            checkQuotas(context);
             routeCalls(context);
+            askHub(context);
             planPlacement(context);
             sendStatus(context);
             return context.commands;
@@ -38,6 +42,7 @@
         nextStepAtMs: (): number => Math.min(
             context.nextPoolCheckMs,
             context.nextStatusMs,
+            context.quotas.nextCheckMs,
             nextCallCheck(context)?.atMs ?? Number.POSITIVE_INFINITY,
             context.fence === undefined ? Number.POSITIVE_INFINITY : context.nextPlacementCheckMs,
         ),
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -2,6 +2,8 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { PermitAnswer } from "medlarlb-types/permitAnswer";
 import type { PlacementOrder } from "medlarlb-types/placementOrder";
+import type { QuotaGrant } from "medlarlb-types/quotaGrant";
+import type { QuotaWant } from "medlarlb-types/quotaWant";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { StreamOrigin } from "medlarlb-types/streamOrigin";
 import type { TargetId } from "medlarlb-types/targetId";
@@ -38,6 +40,9 @@
     /** Asks the planner of a limited target's zone for a permit to send it a request, or answers an instance that asks. */
     | { kind: "requestPermit"; to: InstanceId; targetId: TargetId }
     | { kind: "answerPermit"; to: InstanceId; answer: PermitAnswer }
+    /** Asks a hub for tokens of quotas, or answers an instance that asks. */
+    | { kind: "askQuota"; to: InstanceId; sequence: number; wants: QuotaWant[] }
+    | { kind: "grantQuota"; to: InstanceId; sequence: number; grants: QuotaGrant[] }
     /** Tells an instance who began streams, or asks instances who began one. */
     | { kind: "shareOrigins"; to: InstanceId; origins: StreamOrigin[] }
     | { kind: "askOrigin"; to: InstanceId[]; requestId: string }
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -12,6 +12,7 @@
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { DemandTable } from "./placement/demandTable.js";
 import type { ManagedEngine } from "./placement/managedEngine.js";
+import type { QuotaTable } from "./quotas/quotaTable.js";
 import type { GroupView } from "./retries/groupView.js";
 import type { RetryBudget } from "./retries/retryBudget.js";
 import type { CallCheck } from "./rows/callCheck.js";
@@ -62,6 +63,7 @@
     observationsToRelay: TargetObservation[];
     retryBudgets: Map<string, RetryBudget>;
     groupView: GroupView;
+    quotas: QuotaTable;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
     /** Other instances that respond to this one. */
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -7,6 +7,8 @@
 import type { ListeningState } from "medlarlb-types/listeningState";
 import type { PermitAnswer } from "medlarlb-types/permitAnswer";
 import type { PlacementOrderOutcome } from "medlarlb-types/placementOrderOutcome";
+import type { QuotaGrant } from "medlarlb-types/quotaGrant";
+import type { QuotaWant } from "medlarlb-types/quotaWant";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
 import type { StreamOrigin } from "medlarlb-types/streamOrigin";
@@ -76,6 +78,14 @@
     | InstancesInput
     /** The store's list of instances was as the latest `instances` at a time. It needs no step of its own. */
     | { kind: "listContact"; atMs: number }
+    /**
+     * The entry of this instance is certainly in the store's list until a time, as of its latest registration or renewal.
+     * `wasListed` tells whether it was so before, by this process or an earlier one at its address.
+     */
+    | { kind: "registered"; validUntilMs: number; wasListed: boolean }
+    /** Another instance asks this hub for tokens of quotas, or a hub has answered. */
+    | { kind: "quotaWanted"; from: InstanceId; sequence: number; wants: QuotaWant[] }
+    | { kind: "quotaGranted"; from: InstanceId; sequence: number; grants: QuotaGrant[] }
     | { kind: "status"; status: InstanceStatus }
     /** Load digest from the planner of this zone, in a large group. */
     | { kind: "digest"; digest: LoadDigest }
--- a/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
@@ -17,4 +17,10 @@
     storeLoadWindowMs: number;
     /** Factor by which loads in a window may exceed the store's rate. */
     storeLoadFactor: number;
+    /** Window of workspaces' quotas, in ms. */
+    quotaWindowMs: number;
+    /** Part by which the use in a window may exceed rate and burst. */
+    quotaOverage: number;
+    /** Use in a window that is allowed in addition, in the quota's unit. */
+    quotaSlack: number;
 }
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -1,19 +1,17 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
 import { createPromptKeys } from "../calls/createPromptKeys.js";
-import { enqueueCall } from "../calls/enqueueCall.js";
 import { crashKeys } from "../crashes/crashKeys.js";
 import type { GatewayContext } from "../gatewayContext.js";
-import { createRetryBudget } from "../retries/createRetryBudget.js";
-import { countRequest } from "../retries/countRequest.js";
+import { admitCall } from "../quotas/admitCall.js";
 import type { CallRow } from "../rows/callRow.js";
-import { addArrivals } from "../status/addArrivals.js";
 
-/** Queues a caller's request and counts it for the retry budget and the arrivals. */
+/** Queues a caller's request, as soon as its workspace's quota allows. */
 export const applyCall = (context: GatewayContext, metadata: CallMetadata): void => {
     const row: CallRow = {
         metadata,
         crashKeys: crashKeys.list(metadata),
         promptKeys: createPromptKeys(metadata),
+        charge: undefined,
         currentAttempt: undefined,
         pool: undefined,
         peersAheadRatio: context.random(),
@@ -30,12 +28,5 @@
         notBeforeMs: 0,
     };
     context.calls.set(metadata.callId, row);
-    enqueueCall(context, row);
-    const budget = context.retryBudgets.get(metadata.service) ?? createRetryBudget();
-    context.retryBudgets.set(metadata.service, budget);
-    countRequest(budget, context.settings.retryWindowMs, context.nowMs);
-    if (metadata.model !== undefined) {
-        const { service, model, promptTokens } = metadata;
-        addArrivals(context.arrivals, [{ service, model, tokens: promptTokens, requests: 1 }]);
-    }
+    admitCall(context, row);
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { markAllPools } from "../pools/markAllPools.js";
 import { recordDemand } from "../placement/recordDemand.js";
+import { applyLentShare } from "../quotas/applyLentShare.js";
 import { addArrivals } from "../status/addArrivals.js";
 import { isLargeGroup } from "../status/isLargeGroup.js";
 
@@ -34,6 +35,7 @@
         context.zoneStatuses.set(instanceId, { status, atMs: context.nowMs });
         addArrivals(context.zoneArrivals, status.arrivals);
     }
+    applyLentShare(context, status);
     recordDemand(context, status);
     markAllPools(context);
 };
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
@@ -0,0 +1,71 @@
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { QuotaGrant } from "medlarlb-types/quotaGrant";
+import type { QuotaWant } from "medlarlb-types/quotaWant";
+import type { GatewayContext } from "../gatewayContext.js";
+import { answerWant } from "./answerWant.js";
+import { askOtherHubs } from "./askOtherHubs.js";
+import { countPooled } from "./countPooled.js";
+import { findQuotaRow } from "./findQuotaRow.js";
+import { grantWant } from "./grantWant.js";
+import { noteCost } from "./noteCost.js";
+import { predictAllowedMs } from "./predictAllowedMs.js";
+import type { QuotaRow } from "./quotaRow.js";
+import { readRecentUse } from "./readRecentUse.js";
+import { refillPool } from "./refillPool.js";
+
+/** Time in ms for which a query waits for other hubs. The request that it is for waits a little longer. */
+const OTHER_HUBS_WAIT_MS = 25;
+
+/** Returns what another hub gets: what this zone has not used recently. */
+const grantOtherHub = (context: GatewayContext, row: QuotaRow, wished: number): QuotaGrant => {
+    const spare = row.pool - readRecentUse(row.zoneUse, context.nowMs);
+    const tokens = Math.max(0, Math.min(wished, row.bounds.storage < 100 ? spare : Math.floor(spare)));
+    row.pool -= tokens;
+    return [row.workspace, tokens, 0];
+};
+
+const answerInstance = (
+    context: GatewayContext,
+    row: QuotaRow,
+    from: InstanceId,
+    sequence: number,
+    [, needed, wished]: QuotaWant,
+): QuotaGrant | undefined => {
+    const tokens = grantWant(context, row, needed, wished);
+    if (tokens !== undefined) {
+        // Asked for before the pool is empty, the tokens of other zones arrive in time.
+        if (countPooled(row) < readRecentUse(row.zoneUse, context.nowMs)) {
+            askOtherHubs(context, row, 0);
+        }
+        return [row.workspace, tokens, 0];
+    }
+    // Instances that get nothing show by their queries what this zone could use.
+    row.zoneUse.tokens = Math.max(row.zoneUse.tokens, needed);
+    if (!askOtherHubs(context, row, needed)) {
+        return [row.workspace, 0, predictAllowedMs(context, row, needed)];
+    }
+    const untilMs = context.nowMs + OTHER_HUBS_WAIT_MS;
+    row.openWants.push({ from, sequence, needed, wished, untilMs });
+    context.quotas.nextCheckMs = Math.min(context.quotas.nextCheckMs, untilMs);
+    return undefined;
+};
+
+/** Answers an instance of this zone, or the hub of another one, that asks this hub for tokens. */
+export const applyQuotaWanted = (context: GatewayContext, from: InstanceId, sequence: number, wants: readonly QuotaWant[]): void => {
+    const grants: QuotaGrant[] = [];
+    for (const want of wants) {
+        const [workspace, needed, wished] = want;
+        const row = findQuotaRow(context, workspace);
+        if (row === undefined) {
+            grants.push([workspace, 0, 0]);
+            continue;
+        }
+        noteCost(context, row, Math.min(Math.max(needed, needed > 0 ? 0 : wished), row.bounds.maxCost));
+        refillPool(context, row);
+        const grant = needed > 0 ? answerInstance(context, row, from, sequence, want) : grantOtherHub(context, row, wished);
+        if (grant !== undefined) {
+            grants.push(grant);
+        }
+    }
+    answerWant(context, from, sequence, grants);
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/quotas/lendShare.ts
@@ -0,0 +1,38 @@
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { InstanceStatus } from "medlarlb-types/instanceStatus";
+import type { GatewayContext } from "../gatewayContext.js";
+import { countSharers } from "./countSharers.js";
+import { creditShare } from "./creditShare.js";
+import { hasQuotas } from "./hasQuotas.js";
+import { logQuotaShare } from "./logQuotaShare.js";
+import { takeAccruedMs } from "./takeAccruedMs.js";
+
+/** Forgets quotas that the configuration no longer has. */
+const dropUnknownRows = ({ quotas, config }: GatewayContext): void => {
+    quotas.rows.forEach((row, workspace) => {
+        if (config?.workspaces?.get(workspace)?.quota === undefined && row.waiting.length === 0) {
+            quotas.rows.delete(workspace);
+        }
+    });
+};
+
+/**
+ * Lends what this instance has accrued to its hub. Returns what its status to the hub has to state: nothing without workspaces,
+ * or if this instance is the hub. What a status states goes to one instance only, since each that gets it adds it to its pools.
+ */
+export const lendShare = (context: GatewayContext, hub: InstanceId): InstanceStatus["lent"] => {
+    if (!hasQuotas(context)) {
+        return undefined;
+    }
+    const { quotas, settings } = context;
+    dropUnknownRows(context);
+    quotas.hub = hub;
+    const sharers = countSharers(context);
+    const ms = takeAccruedMs(context);
+    logQuotaShare(context, sharers);
+    if (hub === settings.instanceId) {
+        creditShare(context, hub, ms, sharers);
+        return undefined;
+    }
+    return { ms, sharers };
+};
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/quotas/renewCharge.ts
@@ -0,0 +1,27 @@
+import type { GatewayContext } from "../gatewayContext.js";
+import type { CallRow } from "../rows/callRow.js";
+import { findQuotaRow } from "./findQuotaRow.js";
+import { quotaCost } from "./quotaCost.js";
+import { takeHeld } from "./takeHeld.js";
+
+/**
+ * Returns whether a request may be sent now as far as its charge is concerned. Tokens that have expired while the request waited
+ * for a target are void, and it needs new ones. A request that has been sent before is not charged again.
+ */
+export const renewCharge = (context: GatewayContext, call: CallRow): boolean => {
+    const { charge, attempts, metadata } = call;
+    if (charge === undefined || attempts > 0 || context.nowMs < charge.untilMs) {
+        return true;
+    }
+    const row = findQuotaRow(context, charge.workspace);
+    if (row === undefined) {
+        return true;
+    }
+    const renewed = takeHeld(context, row, quotaCost(metadata, row.quota));
+    if (renewed === undefined && context.nowMs >= row.askAgainAtMs) {
+        row.wantedAgain = Math.max(row.wantedAgain, quotaCost(metadata, row.quota));
+        context.quotas.toAsk.add(row);
+    }
+    call.charge = renewed ?? charge;
+    return renewed !== undefined;
+};
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -1,6 +1,7 @@
 import type { CallMetadata } from "medlarlb-types/callMetadata";
 import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { TargetId } from "medlarlb-types/targetId";
+import type { QuotaCharge } from "../quotas/quotaCharge.js";
 import type { CallAttempt } from "./callAttempt.js";
 import type { ModelPool } from "./modelPool.js";
 
@@ -11,6 +12,8 @@
     crashKeys: readonly Fingerprint[];
     /** Keys of the prompt parts in a target's cache. Each includes those of the parts before it. */
     promptKeys: string[];
+    /** Tokens of its workspace's quota that it has taken; undefined before that and without a quota. */
+    charge: QuotaCharge | undefined;
     currentAttempt: CallAttempt | undefined;
     /** Pool in which the call waits. */
     pool: ModelPool | undefined;
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -3,6 +3,8 @@
 import { recordDemand } from "../placement/recordDemand.js";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
+import { chooseQuotaHub } from "../quotas/chooseQuotaHub.js";
+import { lendShare } from "../quotas/lendShare.js";
 import { addArrivals } from "./addArrivals.js";
 import { chooseHub } from "./chooseHub.js";
 import { createLoadDigestBuilder } from "./createLoadDigestBuilder.js";
@@ -71,6 +73,11 @@
     const to = new Set(context.members.filter(member => sendsToAll || member.zone === zone).map(member => member.id));
     context.planners.forEach(planner => to.add(planner));
     to.delete(instanceId);
+    const hub = chooseQuotaHub(context);
+    const lent = lendShare(context, hub);
+    if (lent !== undefined && to.delete(hub)) {
+        context.commands.push({ kind: "shareStatus", to: [hub], status: { ...status, lent } });
+    }
     context.commands.push({ kind: "shareStatus", to: [...to], status });
 };
 
@@ -100,9 +107,10 @@
         addArrivals(context.zoneArrivals, status.arrivals);
     }
     const sum = isHub || followers.length > 0 ? sumZoneStatuses(context, status, MAX_STATUS_AGE_MS) : status;
+    const lent = lendShare(context, hub);
     context.commands.push(isHub
         ? { kind: "shareStatus", to: listOtherHubs(context), status: sum }
-        : { kind: "shareStatus", to: [hub], status: { ...sum, ofZone: false } });
+        : { kind: "shareStatus", to: [hub], status: { ...sum, ofZone: false, ...(lent === undefined ? {} : { lent }) } });
     if (followers.length > 0) {
         const createDigest = createLoadDigestBuilder(context, MAX_STATUS_AGE_MS);
         followers.forEach(id => context.commands.push({ kind: "shareDigest", to: id, digest: createDigest(id) }));
--- a/packages/medlarlb-fakes/src/bench/measureSteps.ts
+++ b/packages/medlarlb-fakes/src/bench/measureSteps.ts
@@ -120,6 +120,9 @@
         retryExtra: 56,
         storeLoadWindowMs: 5_000,
         storeLoadFactor: 1.1,
+        quotaWindowMs: 8_000,
+        quotaOverage: 0.1,
+        quotaSlack: 0,
     }, () => 0.5);
     let nowMs = 1_000;
     let sequence = 0;
--- a/packages/medlarlb-peers/src/createDataMessageHandler.ts
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -15,6 +15,8 @@
     "permit",
     "streamOrigins",
     "originWanted",
+    "quotaWanted",
+    "quotaGranted",
 ]);
 
 const isGatewayMessage = (message: PeerMessage): message is GatewayMessage => gatewayMessageKinds.has(message.kind);
--- a/packages/medlarlb-peers/src/frameCodec.ts
+++ b/packages/medlarlb-peers/src/frameCodec.ts
@@ -63,6 +63,11 @@
     "requestId",
     "softwareVersion",
     "keptForMs",
+    "lent",
+    "ms",
+    "sharers",
+    "wants",
+    "grants",
 ] as const;
 
 /** Encodes and decodes the messages in the frames between instances. */
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -8,6 +8,8 @@
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { PermitAnswer } from "medlarlb-types/permitAnswer";
 import type { PlacementUpdate } from "medlarlb-types/placementUpdate";
+import type { QuotaGrant } from "medlarlb-types/quotaGrant";
+import type { QuotaWant } from "medlarlb-types/quotaWant";
 import type { StreamOrigin } from "medlarlb-types/streamOrigin";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
@@ -37,6 +39,9 @@
     /** Asks a planner for a permit to send a request to a limited target; `permit` answers. */
     | { kind: "permitWanted"; targetId: TargetId }
     | { kind: "permit"; answer: PermitAnswer }
+    /** Asks a hub for tokens of workspaces' quotas; `quotaGranted` answers, for each workspace now or a little later. */
+    | { kind: "quotaWanted"; sequence: number; wants: QuotaWant[] }
+    | { kind: "quotaGranted"; sequence: number; grants: QuotaGrant[] }
     /** Observations of targets, from an instance of `reporterZone`. */
     | { kind: "observations"; reporterZone: ZoneId; observations: TargetObservation[] }
     /**
--- a/packages/medlarlb-types/src/instanceStatus.ts
+++ b/packages/medlarlb-types/src/instanceStatus.ts
@@ -18,4 +18,6 @@
     waiting: { service: string; model: string; requests: number }[];
     /** Load of this instance on targets: prompt tokens not yet processed, running requests, and running requests by model. */
     loads: { targetId: string; backlogTokens: number; running: number; runs: Record<string, number> }[];
+    /** Ms of accrual of quotas that the sender lends to the receiver, and the number of instances that share the quotas. */
+    lent?: { ms: number; sharers: number } | undefined;
 }
