--- a/packages/medlarlb-decisions/src/gateway/quotas/applyHubGrant.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/applyHubGrant.ts
@@ -1,7 +1,7 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { GatewayContext } from "../gatewayContext.js";
 import { answerOpenWants } from "./answerOpenWants.js";
-import { lentShare } from "./lentShare.js";
+import { poolBound } from "./poolBound.js";
 import type { QuotaRow } from "./quotaRow.js";
 import { refillPool } from "./refillPool.js";
 
@@ -11,10 +11,12 @@
     if (hubQuery?.unanswered.delete(from) !== true) {
         return;
     }
+    hubQuery.gained += tokens;
+    row.answeredAtMs.set(from, context.nowMs);
     refillPool(context, row);
     const untilMs = hubQuery.askedAtMs + bounds.lifeMs;
     if (context.nowMs < untilMs) {
-        const stored = Math.max(0, Math.min(tokens, bounds.storage * lentShare(context) - row.pool));
+        const stored = Math.max(0, Math.min(tokens, poolBound(context, row) - row.pool));
         row.pool += stored;
         row.borrowed.push({ tokens: tokens - stored, untilMs });
     }
--- a/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
@@ -4,9 +4,11 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { answerWant } from "./answerWant.js";
 import { askOtherHubs } from "./askOtherHubs.js";
+import { centralHub } from "./centralHub.js";
 import { countPooled } from "./countPooled.js";
 import { findQuotaRow } from "./findQuotaRow.js";
 import { grantWant } from "./grantWant.js";
+import { MAX_ADVANCE_RATIO } from "./maxAdvanceRatio.js";
 import { noteCost } from "./noteCost.js";
 import { predictAllowedMs } from "./predictAllowedMs.js";
 import type { QuotaRow } from "./quotaRow.js";
@@ -16,10 +18,11 @@
 /** Time in ms for which a query waits for other hubs. The request that it is for waits a little longer. */
 const OTHER_HUBS_WAIT_MS = 25;
 
-/** Returns what another hub gets: what this zone has not used recently. */
-const grantOtherHub = (context: GatewayContext, row: QuotaRow, wished: number): QuotaGrant => {
-    const spare = row.pool - readRecentUse(row.zoneUse, context.nowMs);
-    const tokens = Math.max(0, Math.min(wished, row.bounds.storage < 100 ? spare : Math.floor(spare)));
+/** Returns what another hub gets: what this zone has not used recently, or all that it has if that hub is the central one. */
+const grantOtherHub = (context: GatewayContext, row: QuotaRow, from: InstanceId, wished: number): QuotaGrant => {
+    const isCentral = centralHub(context, row) === from;
+    const spare = isCentral ? row.pool : Math.floor(row.pool - readRecentUse(row.zoneUse, context.nowMs));
+    const tokens = Math.max(0, Math.min(wished, spare));
     row.pool -= tokens;
     return [row.workspace, tokens, 0];
 };
@@ -60,9 +63,11 @@
             grants.push([workspace, 0, 0]);
             continue;
         }
-        noteCost(context, row, Math.min(Math.max(needed, needed > 0 ? 0 : wished), row.bounds.maxCost));
+        // A hub wishes for more than that only if a request of its zone needs it.
+        const isForLargeRequest = wished > row.bounds.storage * MAX_ADVANCE_RATIO + 1;
+        noteCost(context, row, needed === 0 && isForLargeRequest ? wished : needed);
         refillPool(context, row);
-        const grant = needed > 0 ? answerInstance(context, row, from, sequence, want) : grantOtherHub(context, row, wished);
+        const grant = needed > 0 ? answerInstance(context, row, from, sequence, want) : grantOtherHub(context, row, from, wished);
         if (grant !== undefined) {
             grants.push(grant);
         }
--- a/packages/medlarlb-decisions/src/gateway/quotas/computeQuotaBounds.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/computeQuotaBounds.ts
@@ -13,6 +13,11 @@
 const MAX_LIFE_MS = 1_000;
 /** Tokens pass from hub to hub and from hub to instance, each within the life of a grant. */
 const GRANT_HOPS = 2;
+/** Number of requests that pools have to hold together so that each zone has its own. */
+const MIN_STORED_REQUESTS = 12;
+/** Central quotas take one hop more, and are stored at the central hub and once more at the others. */
+const CENTRAL_GRANT_HOPS = 3;
+const CENTRAL_STORES = 2;
 /** Storage for a large request: pools of other hubs can't be emptied to the last token. */
 const LARGE_REQUEST_STORAGE_RATIO = 1.25;
 /** Part of a window's limit that storage may take, so that tokens still accrue. */
@@ -32,15 +37,17 @@
     const lifeMs = Math.min(MAX_LIFE_MS, Math.max(MIN_LIFE_MS, EXCESS_LIFE_RATIO * excess / perSecond * MS_PER_SECOND));
     const usualCost = unit === "requests" ? 1 : plainTokens;
     const maxStorage = MAX_STORAGE_RATIO * limit;
-    const storage = Math.min(maxStorage, Math.max(
-        BURST_STORAGE_RATIO * burst + EXCESS_STORAGE_RATIO * excess,
-        LARGE_REQUEST_STORAGE_RATIO * Math.max(usualCost, largestCost),
-    ));
-    const accruingSeconds = windowSeconds + (GRANT_HOPS * lifeMs + MAX_LENT_MS) / MS_PER_SECOND;
+    const cost = Math.max(usualCost, largestCost);
+    const usualStorage = BURST_STORAGE_RATIO * burst + EXCESS_STORAGE_RATIO * excess;
+    const isCentral = usualStorage < MIN_STORED_REQUESTS * cost;
+    const storage = Math.min(maxStorage / (isCentral ? CENTRAL_STORES : 1), Math.max(usualStorage, LARGE_REQUEST_STORAGE_RATIO * cost));
+    const hops = isCentral ? CENTRAL_GRANT_HOPS : GRANT_HOPS;
+    const accruingSeconds = windowSeconds + (hops * lifeMs + MAX_LENT_MS) / MS_PER_SECOND;
     return {
-        perSecond: Math.min(perSecond, (limit - storage) / accruingSeconds),
+        perSecond: Math.min(perSecond, (limit - storage * (isCentral ? CENTRAL_STORES : 1)) / accruingSeconds),
         storage,
         lifeMs,
-        maxCost: maxStorage / LARGE_REQUEST_STORAGE_RATIO,
+        isCentral,
+        maxCost: maxStorage / CENTRAL_STORES / LARGE_REQUEST_STORAGE_RATIO,
     };
 };
--- a/packages/medlarlb-decisions/src/gateway/quotas/createQuotaTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/createQuotaTable.ts
@@ -15,6 +15,7 @@
     heardAtMs: new Map(),
     lenders: new Map(),
     creditedMs: 0,
+    creditedFromMs: 0,
     rows: new Map(),
     toAsk: new Set(),
     // An answer to the process before this one at the same address must not count.
--- a/packages/medlarlb-decisions/src/gateway/quotas/lendShare.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/lendShare.ts
@@ -12,6 +12,8 @@
     quotas.rows.forEach((row, workspace) => {
         if (config?.workspaces?.get(workspace)?.quota === undefined && row.waiting.length === 0) {
             quotas.rows.delete(workspace);
+            // Quotas that come back begin without stored tokens.
+            quotas.creditedFromMs = quotas.creditedMs;
         }
     });
 };
--- a/packages/medlarlb-decisions/src/gateway/quotas/noteCost.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/noteCost.ts
@@ -15,10 +15,11 @@
     if (cost < row.largestCost || cost > row.bounds.maxCost) {
         return;
     }
-    const { storage } = computeQuotaBounds(row.quota, settings, cost);
-    if (storage > computeQuotaBounds(row.quota, settings, 0).storage) {
+    const bounds = computeQuotaBounds(row.quota, settings, cost);
+    const usual = computeQuotaBounds(row.quota, settings, 0);
+    if (bounds.storage > usual.storage || bounds.isCentral !== usual.isCentral) {
         row.largestCost = cost;
         row.largestUntilMs = nowMs + KEPT_WINDOWS * settings.quotaWindowMs;
-        row.bounds = computeQuotaBounds(row.quota, settings, cost);
+        row.bounds = bounds;
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/quotas/quotaBounds.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/quotaBounds.ts
@@ -6,6 +6,8 @@
     storage: number;
     /** Time in ms from the query for a grant within which a request has to be sent for it. */
     lifeMs: number;
+    /** Whether the pool of one zone holds few requests, so that one hub for all zones hands out the tokens. */
+    isCentral: boolean;
     /** Cost from which a request could never fit the quota. */
     maxCost: number;
 }
--- a/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
@@ -38,8 +38,10 @@
     /** Tokens of refused requests, which may come back, as of a time. */
     refused: { tokens: number; atMs: number };
     openWants: OpenWant[];
-    /** Query to the other hubs that some haven't answered. */
-    hubQuery: { sequence: number; askedAtMs: number; unanswered: Set<InstanceId> } | undefined;
+    /** Latest time at which each other hub answered. */
+    answeredAtMs: Map<InstanceId, number>;
+    /** Latest query to the other hubs: those that haven't answered yet, and the tokens that the others have granted. */
+    hubQuery: { sequence: number; askedAtMs: number; unanswered: Set<InstanceId>; gained: number } | undefined;
     /** As an instance: granted tokens, and the latest query to the hub. */
     held: HeldTokens[];
     query: { sequence: number; askedAtMs: number } | undefined;
--- a/packages/medlarlb-decisions/src/gateway/quotas/quotaTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/quotaTable.ts
@@ -18,6 +18,8 @@
     lenders: Map<InstanceId, { atMs: number; share: number; allowanceMs: number }>;
     /** Ms of accrual lent to this hub since its start, each multiplied with its lender's share. */
     creditedMs: number;
+    /** Value of `creditedMs` from which quotas without a row have accrued. */
+    creditedFromMs: number;
     rows: Map<string, QuotaRow>;
     /** Workspaces for which the hub is to be asked at the end of this step. */
     toAsk: Set<QuotaRow>;
--- a/packages/medlarlb-decisions/src/gateway/quotas/refillPool.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/refillPool.ts
@@ -1,5 +1,5 @@
 import type { GatewayContext } from "../gatewayContext.js";
-import { lentShare } from "./lentShare.js";
+import { poolBound } from "./poolBound.js";
 import type { QuotaRow } from "./quotaRow.js";
 
 const MS_PER_SECOND = 1_000;
@@ -9,6 +9,6 @@
     const { quotas, nowMs } = context;
     const lent = (quotas.creditedMs - row.creditedMs) * row.bounds.perSecond / MS_PER_SECOND;
     row.creditedMs = quotas.creditedMs;
-    row.pool = Math.min(row.pool + lent, row.bounds.storage * lentShare(context));
+    row.pool = Math.min(row.pool + lent, poolBound(context, row));
     row.borrowed = row.borrowed.filter(each => nowMs < each.untilMs);
 };
