--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -5,6 +5,7 @@
 import { endlessMutations } from "./endlessMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
 import { restoredMutations } from "./restoredMutations.mjs";
+import { quotaMutations } from "./quotaMutations.mjs";
 import { retryMutations } from "./retryMutations.mjs";
 import { streamMutations } from "./streamMutations.mjs";
 
@@ -237,6 +238,7 @@
     ...answerMutations,
     ...endlessMutations,
     ...restoredMutations,
+    ...quotaMutations,
     ...retryMutations,
     ...streamMutations,
 ];
--- /dev/null
+++ b/packages/medlarlb-daemon/src/__tests__/createRegistration.test.ts
@@ -0,0 +1,156 @@
+import { Result } from "true-myth";
+import { expect } from "chai";
+import type { MetadataStore } from "medlarlb-types/metadataStore";
+import type { StoreError } from "medlarlb-types/storeError";
+import { createRegistration } from "../gateway/createRegistration.js";
+
+const KEY = "medlarlb/instances/10.0.0.4:7080";
+/** Validity in ms of a lease of 30 s, less the time for which a machine may be suspended. */
+const VALID_MS = 22_000;
+
+/** Lets pending promise callbacks of the store run. */
+const flushPromises = async (): Promise<void> => {
+    for (let turn = 0; turn < 20; turn += 1) {
+        await Promise.resolve();
+    }
+};
+
+/** Creates a store with entries, and registrations of successive processes at one address. */
+const createFixture = () => {
+    const entries = new Map<string, { value: string; revision: number }>();
+    const calls: string[] = [];
+    const reports: { validForMs: number; wasListed: boolean }[] = [];
+    let revision = 0;
+    let steadyMs = 1_000;
+    let wallMs = 5_000_000;
+    let losesNextAnswer = false;
+    let hasLostLease = false;
+    const conflict: StoreError = { kind: "conflict", message: "another revision" };
+    const noResponse: StoreError = { kind: "unknown", message: "no answer" };
+    const answer = <Value>(call: string, value: Value): Promise<Result<Value, StoreError>> => {
+        calls.push(call);
+        return Promise.resolve(Result.ok<Value, StoreError>(value));
+    };
+    const store = {
+        grantLease: () => answer("grantLease", { id: 1, era: 1 }),
+        renewLease: () => {
+            if (hasLostLease) {
+                hasLostLease = false;
+                entries.clear();
+                return Promise.resolve(Result.err<true, StoreError>({ kind: "noLease", message: "no such lease" }));
+            }
+            return answer("renewLease", true as const);
+        },
+        endLease: () => answer("endLease", true as const),
+        list: (prefix: string) => answer("list", {
+            items: [...entries].filter(([key]) => key.startsWith(prefix)).map(([key, entry]) => ({ key, ...entry })),
+            revision,
+        }),
+        change: ({ conditions, puts }: Parameters<MetadataStore["change"]>[0]) => {
+            calls.push("change");
+            if (conditions.some(each => (entries.get(each.key)?.revision ?? 0) !== each.revision)) {
+                return Promise.resolve(Result.err<number, StoreError>(conflict));
+            }
+            revision += 1;
+            puts.forEach(put => entries.set(put.key, { value: put.value, revision }));
+            const isLost = losesNextAnswer;
+            losesNextAnswer = false;
+            return Promise.resolve(isLost ? Result.err<number, StoreError>(noResponse) : Result.ok<number, StoreError>(revision));
+        },
+    } as unknown as MetadataStore;
+    const start = async () => {
+        const registration = createRegistration({
+            store,
+            instanceId: "10.0.0.4:7080" as never,
+            zone: "z",
+            now: () => steadyMs,
+            wallNow: () => wallMs,
+            onRegistered: (validUntilMs, wasListed) => reports.push({ validForMs: validUntilMs - steadyMs, wasListed }),
+        });
+        registration.start();
+        await flushPromises();
+        return registration;
+    };
+    const pass = (ms: number): void => {
+        steadyMs += ms;
+        wallMs += ms;
+    };
+    return {
+        entries,
+        calls,
+        reports,
+        start,
+        pass,
+        loseNextAnswer: (): void => {
+            losesNextAnswer = true;
+        },
+        loseLease: (): void => {
+            hasLostLease = true;
+        },
+    };
+};
+
+describe("the registration of an instance", () => {
+    it("takes two calls to the store at a first start, and reports an entry that is new to the list", async () => {
+        const { start, calls, reports, entries } = createFixture();
+        const registration = await start();
+        expect(calls).to.deep.equal(["grantLease", "change"]);
+        expect(reports).to.deep.equal([{ validForMs: VALID_MS, wasListed: false }]);
+        expect(JSON.parse(entries.get(KEY)?.value ?? "")).to.include({ zone: "z" });
+        await registration.stop();
+    });
+
+    it("reports that the list had its entry when it replaces that of a process before it, and after renewals", async () => {
+        const { start, reports, pass } = createFixture();
+        const first = await start();
+        pass(16_000);
+        first.renewNow();
+        await flushPromises();
+        const second = await start();
+        expect(reports.slice(1)).to.deep.equal([{ validForMs: VALID_MS, wasListed: true }, { validForMs: VALID_MS, wasListed: true }]);
+        await Promise.all([first.stop(), second.stop()]);
+    });
+
+    it("reports an entry as new that a process before it made only a moment ago, since not all instances may know it yet", async () => {
+        const { start, reports, pass } = createFixture();
+        const first = await start();
+        pass(3_000);
+        const second = await start();
+        pass(13_000);
+        const third = await start();
+        expect(reports.map(each => each.wasListed)).to.deep.equal([false, false, true]);
+        await Promise.all([first, second, third].map(each => each.stop()));
+    });
+
+    it("reports its own entry as new if the answer to its registration was lost", async () => {
+        const { start, reports, loseNextAnswer, pass } = createFixture();
+        loseNextAnswer();
+        const registration = await start();
+        expect(reports).to.have.lengthOf(0);
+        pass(500);
+        registration.renewNow();
+        await flushPromises();
+        expect(reports).to.deep.equal([{ validForMs: VALID_MS, wasListed: false }]);
+        await registration.stop();
+    });
+
+    it("reports an entry as new that the store had lost with its lease", async () => {
+        const { start, reports, loseLease, pass } = createFixture();
+        const registration = await start();
+        pass(20_000);
+        loseLease();
+        registration.renewNow();
+        await flushPromises();
+        expect(reports.map(each => each.wasListed)).to.deep.equal([false, false]);
+        await registration.stop();
+    });
+
+    it("reports the end of its validity before it ends its lease", async () => {
+        const { start, reports, calls } = createFixture();
+        const registration = await start();
+        const stopped = registration.stop();
+        expect(reports.at(-1)?.validForMs).to.equal(Number.NEGATIVE_INFINITY);
+        await stopped;
+        expect(calls.at(-1)).to.equal("endLease");
+    });
+});
--- a/packages/medlarlb-decisions/src/gateway/quotas/askHub.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/askHub.ts
@@ -16,7 +16,8 @@
 const describeWant = ({ nowMs }: GatewayContext, row: QuotaRow): QuotaWant => {
     const costs = row.waiting.map(({ call }) => quotaCost(call.metadata, row.quota));
     const expected = Math.ceil(readRecentUse(row.use, nowMs) * Math.min(1, row.bounds.lifeMs / RECENT_MS));
-    return [row.workspace, costs[0] ?? row.wantedAgain, Math.max(expected, costs.reduce((sum, cost) => sum + cost, 0))];
+    const needed = costs[0] ?? row.wantedAgain;
+    return [row.workspace, needed, Math.max(needed, expected, costs.reduce((sum, cost) => sum + cost, 0))];
 };
 
 /** Asks the hub for the tokens that waiting requests need, in one message for all workspaces, with one query open for each. */
--- a/packages/medlarlb-decisions/src/gateway/quotas/creditShare.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/creditShare.ts
@@ -11,7 +11,8 @@
  */
 export const creditShare = (context: GatewayContext, from: InstanceId, ms: number, sharers: number): void => {
     const { quotas, nowMs } = context;
-    if (!(ms >= 0) || !(sharers >= 1)) {
+    // An instance that accrues nothing now has no part in what this hub may store.
+    if (!(ms > 0) || !(sharers >= 1)) {
         return;
     }
     const known = quotas.lenders.get(from) ?? { atMs: nowMs, share: 0, allowanceMs: MAX_LENT_MS };
