--- a/admin/quotaMutations.mjs
+++ b/admin/quotaMutations.mjs
@@ -3,6 +3,7 @@
 const QUOTAS = `${GATEWAY}/quotas`;
 const HISTORIES_TEST = `${GATEWAY}/__tests__/quotaHistories.test.ts`;
 const SHARES_TEST = `${GATEWAY}/__tests__/quotaShares.test.ts`;
+const BOUNDS_TEST = `${GATEWAY}/__tests__/quotaBounds.test.ts`;
 const REGISTRATION_TEST = "packages/medlarlb-daemon/src/__tests__/createRegistration.test.ts";
 
 export const quotaMutations = [
@@ -30,8 +31,8 @@
     {
         invariant: "gateway, quotas: an instance that is gone from the list no longer counts although it may still accrue",
         file: `${QUOTAS}/countSharers.ts`,
-        from: "...quotas.present, ...quotas.goneAtMs.keys(), settings",
-        to: "...quotas.present, settings",
+        from: "present.size + goneAtMs.size + ",
+        to: "present.size + ",
         check: HISTORIES_TEST,
     },
     {
@@ -90,6 +91,13 @@
         to: "charge.tokens > 0) {",
         check: HISTORIES_TEST,
     },
+    {
+        invariant: "gateway, quotas: a request that targets have refused is sent for tokens that have expired",
+        file: `${QUOTAS}/renewCharge.ts`,
+        from: "mayHaveRun || context",
+        to: "call.attempts > 0 || context",
+        check: SHARES_TEST,
+    },
     {
         invariant: "gateway, quotas: a request that has been sent gives its tokens back",
         file: `${QUOTAS}/returnCharge.ts`,
@@ -116,7 +124,7 @@
         file: `${QUOTAS}/computeQuotaBounds.ts`,
         from: "perSecond: Math.min(perSecond, ",
         to: "perSecond: Math.max(perSecond, ",
-        check: HISTORIES_TEST,
+        check: BOUNDS_TEST,
     },
     {
         invariant: "gateway, quotas: a process that finds its own entry takes it for that of one before it",
--- a/packages/medlarlb-decisions/src/gateway/__tests__/quotaHistories.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/quotaHistories.test.ts
@@ -171,6 +171,8 @@
     };
 };
 
+/** Time in ms of a trouble: soon after all entries have been renewed, so that their leases last longest. */
+const TROUBLE_AT_MS = 11_000;
 const STEADY = createQuotaWorkspace("w", 30_000, 0);
 
 /** Plays a constant load of six times a quota without a burst at six instances, with a trouble, and returns the excess. */
@@ -180,12 +182,12 @@
     group.run(WARM_UP_MS);
     let isTroubled = false;
     while (now() < durationMs) {
-        if (!isTroubled && now() >= 10_000) {
+        if (!isTroubled && now() >= TROUBLE_AT_MS) {
             isTroubled = true;
             trouble(group);
         }
         for (let count = 0; count < 30; count += 1) {
-            group.sendCall(instances[Math.floor(random() * instances.length)], "w", 300);
+            group.sendCall(instances[Math.floor(random() * instances.length)], "w", 300, 5_000);
         }
         group.run(TICK_MS);
     }
@@ -222,7 +224,7 @@
     });
 
     it("keep its limit when requests that wait for a target are sent all at once", () => {
-        expect(playTrouble(group => group.pauseTarget(900))).to.equal(0);
+        expect(playTrouble(group => group.pauseTarget(3_000))).to.equal(0);
     });
 });
 
--- a/packages/medlarlb-decisions/src/gateway/__tests__/quotaShares.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/quotaShares.test.ts
@@ -278,6 +278,24 @@
         expect(find(instance.pass(1, instance.call(300)), "send")).to.have.lengthOf(0);
     });
 
+    it("is charged again if targets have refused it until its tokens have expired, and not if it may have run", () => {
+        const fail = (ran: "no" | "unknown"): GatewayCommand[] => {
+            const instance = createFollower();
+            // From then on it has its part of the retry budget.
+            instance.live(16_000, createStatus(OTHER));
+            const call = instance.call(300);
+            const { callId } = (call as Extract<GatewayInput, { kind: "call" }>).metadata;
+            const { sequence } = ask(instance, call);
+            instance.pass(2, grant(sequence, 300));
+            instance.pass(185);
+            return instance.pass(5, { kind: "failed", callId, attempt: 1, ran, cause: "full", reason: "full" }).concat(instance.pass(60));
+        };
+        const refused = fail("no");
+        expect(find(refused, "send")).to.have.lengthOf(0);
+        expect(find(refused, "askQuota")).to.have.lengthOf(1);
+        expect(find(fail("unknown"), "send")).to.have.lengthOf(1);
+    });
+
     it("is charged again if it has waited for a target until its tokens have expired", () => {
         const instance = createFollower();
         instance.step({ kind: "pause", targetId: brandAs("t0"), pauseMs: 400 });
--- a/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
@@ -7,6 +7,7 @@
 import { centralHub } from "./centralHub.js";
 import { countPooled } from "./countPooled.js";
 import { findQuotaRow } from "./findQuotaRow.js";
+import { creditOwnShare } from "./creditOwnShare.js";
 import { grantWant } from "./grantWant.js";
 import { MAX_ADVANCE_RATIO } from "./maxAdvanceRatio.js";
 import { noteCost } from "./noteCost.js";
@@ -18,10 +19,13 @@
 /** Time in ms for which a query waits for other hubs. The request that it is for waits a little longer. */
 const OTHER_HUBS_WAIT_MS = 25;
 
+/** Part of the recent use, of about 300 ms, that a hub keeps for its own zone: that of a few round trips. */
+const KEPT_USE_RATIO = 1 / 3;
+
 /** Returns what another hub gets: what this zone has not used recently, or all that it has if that hub is the central one. */
 const grantOtherHub = (context: GatewayContext, row: QuotaRow, from: InstanceId, wished: number): QuotaGrant => {
     const isCentral = centralHub(context, row) === from;
-    const spare = isCentral ? row.pool : Math.floor(row.pool - readRecentUse(row.zoneUse, context.nowMs));
+    const spare = isCentral ? row.pool : Math.floor(row.pool - KEPT_USE_RATIO * readRecentUse(row.zoneUse, context.nowMs));
     const tokens = Math.max(0, Math.min(wished, spare));
     row.pool -= tokens;
     return [row.workspace, tokens, 0];
@@ -56,6 +60,7 @@
 /** Answers an instance of this zone, or the hub of another one, that asks this hub for tokens. */
 export const applyQuotaWanted = (context: GatewayContext, from: InstanceId, sequence: number, wants: readonly QuotaWant[]): void => {
     const grants: QuotaGrant[] = [];
+    creditOwnShare(context);
     for (const want of wants) {
         const [workspace, needed, wished] = want;
         const row = findQuotaRow(context, workspace);
--- a/packages/medlarlb-decisions/src/gateway/quotas/askOtherHubs.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/askOtherHubs.ts
@@ -13,7 +13,7 @@
 /** Number of requests that the others' answers have to suffice for so that they are asked again at once: they have plenty. */
 const PLENTY_REQUESTS = 4;
 /** Part of the storage that is asked for at least, so that a zone in which callers have just arrived gets enough. */
-const MIN_ADVANCE_RATIO = 0.05;
+const MIN_ADVANCE_RATIO = 0.2;
 /** Time in ms whose accrual a zone has itself; the recent use is about that of as long a time. */
 const OWN_ACCRUAL_MS = 300;
 const MS_PER_SECOND = 1_000;
--- a/packages/medlarlb-decisions/src/gateway/quotas/createQuotaTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/createQuotaTable.ts
@@ -8,6 +8,7 @@
 /** Creates the table of an instance that has just started, which has no share of any quota. */
 export const createQuotaTable = (instanceId: InstanceId, random: RandomSource): QuotaTable => ({
     registration: undefined,
+    sharers: 1,
     lentUntilMs: Number.NEGATIVE_INFINITY,
     present: new Set(),
     goneAtMs: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/quotas/creditShare.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/creditShare.ts
@@ -2,9 +2,6 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { MAX_LENT_MS } from "./maxLentMs.js";
 
-/** Time in ms after which an instance that no longer lends is forgotten. */
-const FORGOTTEN_MS = 10_000;
-
 /**
  * Adds the accrual that an instance lends to this hub. An instance can't lend more ms than pass by this hub's clock, so that
  * statuses that were delayed and arrive together don't bring the accrual of the time before.
@@ -20,5 +17,4 @@
     const creditedMs = Math.min(ms, allowanceMs);
     quotas.lenders.set(from, { atMs: nowMs, share: 1 / sharers, allowanceMs: allowanceMs - creditedMs });
     quotas.creditedMs += creditedMs / sharers;
-    quotas.lenders.forEach((each, id) => nowMs - each.atMs > FORGOTTEN_MS && quotas.lenders.delete(id));
 };
--- a/packages/medlarlb-decisions/src/gateway/quotas/lendShare.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/lendShare.ts
@@ -2,11 +2,14 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { GatewayContext } from "../gatewayContext.js";
 import { countSharers } from "./countSharers.js";
-import { creditShare } from "./creditShare.js";
+import { creditOwnShare } from "./creditOwnShare.js";
 import { hasQuotas } from "./hasQuotas.js";
 import { logQuotaShare } from "./logQuotaShare.js";
 import { takeAccruedMs } from "./takeAccruedMs.js";
 
+/** Time in ms after which an instance that no longer lends is forgotten. */
+const FORGOTTEN_MS = 10_000;
+
 /** Forgets quotas that the configuration no longer has. */
 const dropUnknownRows = ({ quotas, config }: GatewayContext): void => {
     quotas.rows.forEach((row, workspace) => {
@@ -26,15 +29,15 @@
     if (!hasQuotas(context)) {
         return undefined;
     }
-    const { quotas, settings } = context;
+    const { quotas, settings, nowMs } = context;
     dropUnknownRows(context);
     quotas.hub = hub;
-    const sharers = countSharers(context);
-    const ms = takeAccruedMs(context);
-    logQuotaShare(context, sharers);
+    quotas.sharers = countSharers(context);
+    quotas.lenders.forEach((each, id) => nowMs - each.atMs > FORGOTTEN_MS && quotas.lenders.delete(id));
+    logQuotaShare(context, quotas.sharers);
     if (hub === settings.instanceId) {
-        creditShare(context, hub, ms, sharers);
+        creditOwnShare(context);
         return undefined;
     }
-    return { ms, sharers };
+    return { ms: takeAccruedMs(context), sharers: quotas.sharers };
 };
--- a/packages/medlarlb-decisions/src/gateway/quotas/quotaTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/quotaTable.ts
@@ -5,6 +5,8 @@
 export interface QuotaTable {
     /** Validity of the lease of this instance's entry in the store's list, and the time from which it accrues. */
     registration: { validUntilMs: number; accruesFromMs: number } | undefined;
+    /** Number of instances that share the quotas, as of its latest status. */
+    sharers: number;
     /** Time up to which accrual has been lent. */
     lentUntilMs: number;
     /** Instances that are listed or respond, and the times at which others were last so. */
--- a/packages/medlarlb-decisions/src/gateway/quotas/renewCharge.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/renewCharge.ts
@@ -6,11 +6,11 @@
 
 /**
  * Returns whether a request may be sent now as far as its charge is concerned. Tokens that have expired while the request waited
- * for a target are void, and it needs new ones. A request that has been sent before is not charged again.
+ * for a target are void, and it needs new ones, also if a target has refused it meanwhile. One that may have run is not charged again.
  */
 export const renewCharge = (context: GatewayContext, call: CallRow): boolean => {
-    const { charge, attempts, metadata } = call;
-    if (charge === undefined || attempts > 0 || context.nowMs < charge.untilMs) {
+    const { charge, mayHaveRun, metadata } = call;
+    if (charge === undefined || mayHaveRun || context.nowMs < charge.untilMs) {
         return true;
     }
     const row = findQuotaRow(context, charge.workspace);
