--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -6,6 +6,7 @@
 import { hedgingMutations } from "./hedgingMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
 import { restoredMutations } from "./restoredMutations.mjs";
+import { quotaMutations } from "./quotaMutations.mjs";
 import { retryMutations } from "./retryMutations.mjs";
 import { streamMutations } from "./streamMutations.mjs";
 import { workspaceMutations } from "./workspaceMutations.mjs";
@@ -240,6 +241,7 @@
     ...endlessMutations,
     ...restoredMutations,
     ...hedgingMutations,
+    ...quotaMutations,
     ...retryMutations,
     ...streamMutations,
     ...workspaceMutations,
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -26,7 +26,6 @@
 import { createCallProxy } from "./createCallProxy.js";
 import { createConfigInForce } from "./createConfigInForce.js";
 import { createControlClients } from "./createControlClients.js";
-import { createDecisionSettings } from "./createDecisionSettings.js";
 import { createCommandExecutor } from "./createCommandExecutor.js";
 import { createObservationGossip } from "./createObservationGossip.js";
 import { createDirectorySync } from "./createDirectorySync.js";
@@ -39,6 +38,7 @@
 import { parseSeeds } from "./parseSeeds.js";
 import { pullFromPeers } from "./pullFromPeers.js";
 import { siteAdapter } from "./siteAdapter.js";
+import { readDecisionSettings } from "./readDecisionSettings.js";
 
 const MS_PER_SECOND = 1_000;
 /** Part of the grace period in ms that is reserved for the process to exit. */
@@ -68,7 +68,7 @@
     let stopping = false;
     let closing = false;
 
-    const decisions = createGatewayDecisions(createDecisionSettings(instanceId, zone, settings), random);
+    const decisions = createGatewayDecisions(readDecisionSettings(settings), random);
     const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => executeCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
@@ -155,7 +155,8 @@
             else if (message.kind === "wanted") {
                 push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
             }
-            else if (message.kind === "permitWanted" || message.kind === "originWanted") {
+            else if (message.kind === "permitWanted" || message.kind === "originWanted"
+                || message.kind === "quotaWanted" || message.kind === "quotaGranted") {
                 push({ ...message, from });
             }
             else if (message.kind === "observations") {
@@ -238,7 +239,14 @@
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
-    const registration = createRegistration(store, instanceId, zone);
+    const registration = createRegistration({
+        store,
+        instanceId,
+        zone,
+        now,
+        wallNow: Date.now,
+        onRegistered: (validUntilMs, wasListed) => loop.note({ kind: "registered", validUntilMs, wasListed }),
+    });
 
     const { orderMs } = metrics;
     const executeCommand = createCommandExecutor({
--- a/packages/medlarlb-daemon/src/gateway/createDecisionSettings.ts
+++ b/packages/medlarlb-daemon/src/gateway/readDecisionSettings.ts
@@ -1,14 +1,13 @@
-import type { InstanceId } from "medlarlb-types/instanceId";
-import type { ZoneId } from "medlarlb-types/zoneId";
+import { brandAs } from "medlarlb-types/brandAs";
 import type { GatewaySettings } from "medlarlb-decisions/gateway/gatewaySettings";
 import type { GatewaySettingsFile } from "../settings/gatewaySettingsFile.js";
 
 const MS_PER_SECOND = 1_000;
 
-/** Creates the settings of the decisions from those of the instance's settings file. */
-export const createDecisionSettings = (instanceId: InstanceId, zone: ZoneId, { policy, limits }: GatewaySettingsFile): GatewaySettings => ({
-    instanceId,
-    zone,
+/** Returns the part of an instance's settings that its decisions depend on. */
+export const readDecisionSettings = ({ peer, instance, policy, limits }: GatewaySettingsFile): GatewaySettings => ({
+    instanceId: brandAs(peer.address),
+    zone: brandAs(instance.zone),
     policy: policy.routing,
     retryRatio: limits.retryRatio,
     retryWindowMs: limits.retryWindowSeconds * MS_PER_SECOND,
@@ -16,4 +15,7 @@
     extraWorkRatio: policy.extraWorkRatio,
     storeLoadWindowMs: limits.storeLoadWindowSeconds * MS_PER_SECOND,
     storeLoadFactor: limits.storeLoadFactor,
+    quotaWindowMs: limits.quotaWindowSeconds * MS_PER_SECOND,
+    quotaOverage: limits.quotaOverage,
+    quotaSlack: limits.quotaSlack,
 });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
@@ -12,4 +12,7 @@
     extraWorkRatio: 0,
     storeLoadWindowMs: 5_000,
     storeLoadFactor: 1.1,
+    quotaWindowMs: 8_000,
+    quotaOverage: 0.1,
+    quotaSlack: 0,
 });
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -13,6 +13,7 @@
 import type { AnswerTimes } from "./hedging/answerTimes.js";
 import type { DemandTable } from "./placement/demandTable.js";
 import type { ManagedEngine } from "./placement/managedEngine.js";
+import type { QuotaTable } from "./quotas/quotaTable.js";
 import type { GroupView } from "./retries/groupView.js";
 import type { RetryBudget } from "./retries/retryBudget.js";
 import type { CallCheck } from "./rows/callCheck.js";
@@ -66,6 +67,7 @@
     /** Work and second attempts by service, and how long its answers took; empty without second attempts. */
     extraWorkBudgets: Map<string, RetryBudget>;
     answerTimes: Map<string, AnswerTimes>;
+    quotas: QuotaTable;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
     /** Other instances that respond to this one. */
