--- a/packages/medlarlb-fakes/src/__tests__/hedging.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/hedging.test.ts
@@ -56,7 +56,7 @@
             const address = `127.0.0.1:${await listen(engine.server, 0)}`;
             store.put(`servers/e${index + 1}`, JSON.stringify({ service: "s", address, zone: "a", slots: 8, state: "ready", models: [], seq: 1 }));
         }
-        gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`, ["extraWorkRatio = 0.2"]);
+        gateway = await startGatewayProcess(`127.0.0.1:${(store.server.address() as AddressInfo).port}`, { policy: ["extraWorkRatio = 0.2"] });
         await waitFor("the gateway forwards to its targets", async () => (await send("usual", "/safe/x")).status === 200);
         for (let index = 0; index < WARM_UP_REQUESTS; index += 1) {
             await send("usual", index % 2 === 0 ? "/safe/x" : "/stream/again/x");
