--- a/packages/medlarlb-decisions/src/gateway/__tests__/quotas.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/quotas.test.ts
@@ -124,6 +124,25 @@
         expect(excessOf(group, QUOTA)).to.equal(0);
     });
 
+    it("names a time to retry after which the request is served, and not much later than the quota allows it", () => {
+        const group = createVirtualQuotaGroup({ seed: 38, instances: 6, zones: ZONES, workspaces: [QUOTA] });
+        group.run(WARM_UP_MS);
+        for (const instance of [0, 4]) {
+            sendFor(group, 3_000, 3 * RATE, mostlyOne(group, instance));
+            group.sendCall(group.instances[instance], "w", 30_000, 10_000);
+            group.run(60);
+            const [refusal] = group.answers.slice(-1);
+            expect(refusal?.status).to.equal(429);
+            const retryAfterMs = refusal?.retryAfterMs ?? expect.fail("there is no time");
+            // At the quota's rate, 30,000 tokens accrue in 500 ms.
+            expect(retryAfterMs).to.be.within(400, 1_600);
+            group.run(retryAfterMs);
+            group.sendCall(group.instances[instance], "w", 30_000, 10_000);
+            group.run(60);
+            expect(group.answers.at(-1)?.status).to.equal(200);
+        }
+    });
+
     it("refuses a request that could never fit it at once, without a time to retry", () => {
         const group = createVirtualQuotaGroup({ seed: 35, instances: 6, zones: ZONES, workspaces: [QUOTA] });
         group.run(WARM_UP_MS);
@@ -180,7 +199,8 @@
         const messages = group.instances.reduce((sum, each, index) => sum + each.messages - (before[index]?.messages ?? 0), 0);
         const mean = bytes.reduce((sum, each) => sum + each, 0) / bytes.length;
         if (process.env.MEDLARLB_SHOW !== undefined) {
-            console.log({ mean, max: Math.max(...bytes), messagesPerRequest: messages / seconds / perSecond, refused: countRefused(group.answers) });
+            const messagesPerRequest = messages / seconds / perSecond;
+            console.log({ mean, max: Math.max(...bytes), messagesPerRequest, refused: countRefused(group.answers) });
         }
         expect(messages / seconds / perSecond, "messages per request").to.be.below(1);
         expect(mean, "bytes per second and instance").to.be.at.most(200);
--- a/packages/medlarlb-decisions/src/gateway/quotas/applyHubGrant.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/applyHubGrant.ts
@@ -3,6 +3,7 @@
 import { answerOpenWants } from "./answerOpenWants.js";
 import { poolBound } from "./poolBound.js";
 import type { QuotaRow } from "./quotaRow.js";
+import { readRecentUse } from "./readRecentUse.js";
 import { refillPool } from "./refillPool.js";
 
 /** Adds what another hub has granted to this one: to the pool up to its bound, and beyond it for the life of a grant. */
@@ -12,6 +13,8 @@
         return;
     }
     hubQuery.gained += tokens;
+    readRecentUse(row.gained, context.nowMs);
+    row.gained.tokens += tokens;
     row.answeredAtMs.set(from, context.nowMs);
     refillPool(context, row);
     const untilMs = hubQuery.askedAtMs + bounds.lifeMs;
--- a/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
@@ -19,6 +19,8 @@
 /** Time in ms for which a query waits for other hubs. The request that it is for waits a little longer. */
 const OTHER_HUBS_WAIT_MS = 25;
 
+/** Time in ms after which a quota is asked for again that this hub's configuration doesn't have. */
+const UNKNOWN_RETRY_MS = 200;
 /** Part of the recent use, of about 300 ms, that a hub keeps for its own zone: that of a few round trips. */
 const KEPT_USE_RATIO = 1 / 3;
 
@@ -65,7 +67,8 @@
         const [workspace, needed, wished] = want;
         const row = findQuotaRow(context, workspace);
         if (row === undefined) {
-            grants.push([workspace, 0, 0]);
+            // This hub doesn't know the quota yet, or no longer.
+            grants.push([workspace, 0, UNKNOWN_RETRY_MS]);
             continue;
         }
         // A hub wishes for more than that only if a request of its zone needs it.
--- a/packages/medlarlb-decisions/src/gateway/quotas/findQuotaRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/findQuotaRow.ts
@@ -14,6 +14,7 @@
     creditedMs: context.quotas.creditedFromMs,
     borrowed: [],
     zoneUse: { tokens: 0, atMs: context.nowMs },
+    gained: { tokens: 0, atMs: context.nowMs },
     refused: { tokens: 0, atMs: context.nowMs },
     openWants: [],
     answeredAtMs: new Map(),
--- a/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
@@ -35,6 +35,8 @@
     borrowed: HeldTokens[];
     /** Use by the instances of this zone. */
     zoneUse: RecentUse;
+    /** Tokens that other hubs have granted to this one. */
+    gained: RecentUse;
     /** Tokens of refused requests, which may come back, as of a time. */
     refused: { tokens: number; atMs: number };
     openWants: OpenWant[];
