End the registrations of a test that fails, whose timers kept the test run alive

Cause: a failed expectation skipped the stop of its registrations, and the run didn't end.

Change: an afterEach stops all.

--- a/packages/medlarlb-daemon/src/__tests__/createRegistration.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createRegistration.test.ts
@@ -15,6 +15,9 @@
     }
 };
 
+/** Registrations of the current test, whose timers have to end with it. */
+const started: ReturnType<typeof createRegistration>[] = [];
+
 /** Creates a store with entries, and registrations of successive processes at one address. */
 const createFixture = () => {
     const entries = new Map<string, { value: string; revision: number }>();
@@ -68,6 +71,7 @@
             onRegistered: (validUntilMs, wasListed) => reports.push({ validForMs: validUntilMs - steadyMs, wasListed }),
         });
         registration.start();
+        started.push(registration);
         await flushPromises();
         return registration;
     };
@@ -91,13 +95,14 @@
 };
 
 describe("the registration of an instance", () => {
+    afterEach(() => Promise.all(started.splice(0).map(each => each.stop())));
+
     it("takes two calls to the store at a first start, and reports an entry that is new to the list", async () => {
         const { start, calls, reports, entries } = createFixture();
-        const registration = await start();
+        await start();
         expect(calls).to.deep.equal(["grantLease", "change"]);
         expect(reports).to.deep.equal([{ validForMs: VALID_MS, wasListed: false }]);
         expect(JSON.parse(entries.get(KEY)?.value ?? "")).to.include({ zone: "z" });
-        await registration.stop();
     });
 
     it("reports that the list had its entry when it replaces that of a process before it, and after renewals", async () => {
@@ -106,20 +111,18 @@
         pass(16_000);
         first.renewNow();
         await flushPromises();
-        const second = await start();
+        await start();
         expect(reports.slice(1)).to.deep.equal([{ validForMs: VALID_MS, wasListed: true }, { validForMs: VALID_MS, wasListed: true }]);
-        await Promise.all([first.stop(), second.stop()]);
     });
 
     it("reports an entry as new that a process before it made only a moment ago, since not all instances may know it yet", async () => {
         const { start, reports, pass } = createFixture();
-        const first = await start();
+        await start();
         pass(3_000);
-        const second = await start();
+        await start();
         pass(13_000);
-        const third = await start();
+        await start();
         expect(reports.map(each => each.wasListed)).to.deep.equal([false, false, true]);
-        await Promise.all([first, second, third].map(each => each.stop()));
     });
 
     it("reports its own entry as new if the answer to its registration was lost", async () => {
@@ -131,7 +134,6 @@
         registration.renewNow();
         await flushPromises();
         expect(reports).to.deep.equal([{ validForMs: VALID_MS, wasListed: false }]);
-        await registration.stop();
     });
 
     it("reports an entry as new that the store had lost with its lease", async () => {
@@ -142,7 +144,6 @@
         registration.renewNow();
         await flushPromises();
         expect(reports.map(each => each.wasListed)).to.deep.equal([false, false]);
-        await registration.stop();
     });
 
     it("reports the end of its validity before it ends its lease", async () => {
