Tell instances of ended targets that become known after the end

Cause: an instance serves as soon as it has the store's list. The others know it after the pause between two watches, or with the next check of the group 250 ms later. A target that ended in between was told to the known instances only, and the new one sent the same request to a third target: 502 where 503 is expected. Change: a new sender of a probe counts as a member at once, and an instance sends what it has reported in the last 2 s to members that become known.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/crashes.test.ts
@@ -2,6 +2,7 @@
 import { brandAs } from "medlarlb-types/brandAs";
 import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { Fingerprint } from "medlarlb-types/fingerprint";
+import type { InstanceId } from "medlarlb-types/instanceId";
 import type { RequestId } from "medlarlb-types/requestId";
 import { createGatewayDecisions } from "../createGatewayDecisions.js";
 import type { GatewayInput } from "../gatewayInput.js";
@@ -92,6 +93,25 @@
         expect(service.instances.filter(each => each.decisions.view().crashes.ends.size === 0)).to.deep.equal([]);
     });
 
+    it("is known to an instance that its observer gets to know only after the end, at once", () => {
+        const settings = createSettings("i1", "z1");
+        const decisions = createGatewayDecisions(settings, () => 0.5);
+        const target = createVirtualService({ seed: 8, instances: 1, zones: 1, targets: 1 }).targets[0]?.entry() ?? expect.fail("no target");
+        const metadata = createServiceCall(brandAs("c1"), "a", 1_000, { kind: "unsafe", maxAttempts: 1 });
+        const group = (...ids: string[]): GatewayInput => {
+            const members = ids.map(id => ({ id: brandAs<InstanceId>(id), zone: settings.zone }));
+            return { kind: "instances", count: ids.length + 1, listed: [], planners: new Map(), members, zoneOrder: [] };
+        };
+        decisions.step(1_000, [group("i2"), { kind: "target", entry: target }, { kind: "call", metadata }]);
+        decisions.step(1_020, [{ kind: "failed", callId: brandAs("c1"), attempt: 1, ran: "unknown", cause: "cut", reason: "cut" }]);
+        decisions.step(1_030, [{ kind: "probed", targetId: target.targetId, startedAtMs: target.startedAtMs, state: "refused" }]);
+        const told = decisions.step(1_100, [group("i2", "i3")]).filter(each => each.kind === "shareObservations");
+        expect(told.map(each => [each.to, each.observations.map(({ kind }) => kind)])).to.deep.equal([[["i3"], ["ended"]]]);
+        expect(decisions.step(1_150, [group("i2", "i3")]).filter(each => each.kind === "shareObservations"), "once").to.deep.equal([]);
+        const later = decisions.step(5_000, [group("i2", "i3", "i4")]).filter(each => each.kind === "shareObservations");
+        expect(later, "gossip has it by then").to.deep.equal([]);
+    });
+
     it("is judged alike whatever the order of the observations", () => {
         const evidence = [end("t1", "a", "b"), end("t2", "a", "c"), end("t3", "a", "b"), end("t3", "d"), end("t4", "d", "b")];
         expect(judge(...evidence)).to.deep.equal(judge(...[...evidence].reverse()));
--- a/packages/medlarlb-decisions/src/gateway/crashes/crashTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/crashTable.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from "medlarlb-types/crashEvidence";
 import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { BlamedParts } from "./blamedParts.js";
 
@@ -11,6 +12,8 @@
     completed: Map<Fingerprint, number>;
     /** Times of the latest completed requests and parts of this instance, the oldest first. */
     ownCompletions: Map<Fingerprint, number>;
+    /** Ends that this instance has told others of lately, with the completions told beside them. */
+    toldEnds: { atMs: number; evidence: CrashEvidence[] }[];
     /** Requests that aren't sent to targets any more, with the number of targets that ended under them. */
     refused: Map<Fingerprint, number>;
     /** Parts of prompts whose requests aren't sent to targets any more. */
--- a/packages/medlarlb-decisions/src/gateway/crashes/createCrashTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/createCrashTable.ts
@@ -6,6 +6,7 @@
     alive: new Map(),
     completed: new Map(),
     ownCompletions: new Map(),
+    toldEnds: [],
     refused: new Map(),
     refusedParts: [],
     suspects: new Set(),
--- a/packages/medlarlb-decisions/src/gateway/crashes/reportEnd.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/reportEnd.ts
@@ -4,6 +4,7 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { shareObservations } from "../observations/shareObservations.js";
+import { keepToldEnd } from "./keepToldEnd.js";
 import { listOwnCompletions } from "./listOwnCompletions.js";
 import { mergeCrashEvidence } from "./mergeCrashEvidence.js";
 import { takeAbandoned } from "./takeAbandoned.js";
@@ -19,5 +20,6 @@
         const completions = listOwnCompletions(context, evidence).filter(each => mergeCrashEvidence(context.crashes, each, context.nowMs));
         // One message, so that nobody judges the end without them.
         shareObservations(context, [evidence, ...completions]);
+        keepToldEnd(context, [evidence, ...completions]);
     }
 };
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -150,7 +150,12 @@
     };
 
     const handleSender = (sender: MemberInfo, configRevision: number, received: GossipEntry[]): void => {
+        const isNew = membership.find(sender.id)?.info.bootId !== sender.bootId;
         membership.recordContact(sender, options.now());
+        if (isNew) {
+            // It may serve already, so that what it has to know is sent to it from now on.
+            reportMembers();
+        }
         handleGossip(received);
         if (configRevision > options.configRevision()) {
             pullConfig(sender.id, configRevision);
