Have the test of refusals without an id use new connections only

Cause: connections that the test before had left were used for the first request. There, a refusal without an id may be a late answer to an earlier request, and the gateway waits for the own answer until the deadline: 504. Ending it earlier with 502 would lose the own answers that do follow, which the first test of the file shows. Change: requests on kept connections get their own answer, those on new ones the refusal and 502 as before. A second test states what is allowed on a kept connection: one run and 504 at the deadline, within 250 ms.

--- a/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
@@ -11,6 +11,9 @@
 import { startGatewayProcess } from "./support/startGatewayProcess.js";
 
 const ROUTE_HOST = "site.example";
+const DEADLINE_MS = 2_000;
+/** Time in ms by which an answer at the deadline may differ from it. */
+const DEADLINE_MARGIN_MS = 250;
 const PROMISE_STATUSES = [408, 421, 429, 503];
 
 /** Writes a whole answer. Without an id it bears none. */
@@ -66,7 +69,7 @@
     const sendRequest = async (path: string): Promise<{ id: string; status: number; text: string }> => {
         sequence += 1;
         const id = `r${sequence}`;
-        const res = await request(`http://${gateway.caller}${path}`, { method: "POST", headers: { "host": ROUTE_HOST, "x-request-id": id, "x-deadline-ms": "2000" }, body: "x" });
+        const res = await request(`http://${gateway.caller}${path}`, { method: "POST", headers: { "host": ROUTE_HOST, "x-request-id": id, "x-deadline-ms": String(DEADLINE_MS) }, body: "x" });
         return { id, status: res.statusCode, text: await res.body.text().catch(() => "cut") };
     };
 
@@ -149,13 +152,23 @@
     }).timeout(60_000);
 
     it("doesn't believe a refusal that names no request, on a new connection neither", async () => {
-        script = runWith(() => writeAnswer(503, [], ["X-Not-Run: 1"]));
+        const onNewConnection = new Set<string>();
+        // A connection that the test before has left carries its own answer and closes, so that the next one is new.
+        script = (req, socket) => {
+            runs.push(req.id);
+            if (req.previousIds.length > 0) {
+                socket.write(writeAnswer(200, [req.id], ["X-Response-Stamp: s", "Connection: close"], "whole"));
+                return;
+            }
+            onNewConnection.add(req.id);
+            socket.write(writeAnswer(503, [], ["X-Not-Run: 1"]));
+        };
         runs.length = 0;
-        const answers = [];
-        for (let index = 0; index < 4; index += 1) {
+        const answers: Awaited<ReturnType<typeof sendRequest>>[] = [];
+        while (onNewConnection.size < 4) {
             answers.push(await sendRequest("/unsafe/x"));
         }
-        expect(answers.map(each => each.status)).to.deep.equal([502, 502, 502, 502]);
+        expect(answers.map(each => each.status)).to.deep.equal(answers.map(each => (onNewConnection.has(each.id) ? 502 : 200)));
         expect(runs).to.deep.equal(answers.map(each => each.id));
     }).timeout(20_000);
 
@@ -207,4 +220,31 @@
         const retries = await readLines("retried", req => writeAnswer(503, [req.id], ["X-Not-Run: 1"]));
         expect(retries.every(each => each.evidence.answerId === each.request)).to.equal(true);
     }).timeout(20_000);
+
+    // On a kept connection, such a refusal may be a late answer to an earlier request, and the own answer may still follow.
+    it("waits for the own answer until the deadline after a refusal on a kept connection that names no request", async () => {
+        script = runWith(writeOwnAnswer);
+        await Promise.all(Array.from({ length: 8 }, () => sendRequest("/unsafe/x")));
+        const onKeptConnection = new Set<string>();
+        script = (req, socket) => {
+            runs.push(req.id);
+            if (req.previousIds.length === 0) {
+                socket.write(writeOwnAnswer(req));
+                return;
+            }
+            onKeptConnection.add(req.id);
+            socket.write(writeAnswer(503, [], ["X-Not-Run: 1"]));
+        };
+        runs.length = 0;
+        const answers: (Awaited<ReturnType<typeof sendRequest>> & { tookMs: number })[] = [];
+        while (onKeptConnection.size < 2) {
+            const sentAtMs = performance.now();
+            answers.push({ ...await sendRequest("/unsafe/x"), tookMs: performance.now() - sentAtMs });
+        }
+        expect(answers.map(each => each.status)).to.deep.equal(answers.map(each => (onKeptConnection.has(each.id) ? 504 : 200)));
+        for (const { tookMs } of answers.filter(each => onKeptConnection.has(each.id))) {
+            expect(tookMs).to.be.within(DEADLINE_MS - DEADLINE_MARGIN_MS, DEADLINE_MS + DEADLINE_MARGIN_MS);
+        }
+        expect(runs).to.deep.equal(answers.map(each => each.id));
+    }).timeout(20_000);
 });
