Answer every accepted request around a planned stop

Cause: three. The HTTP server's `close` destroyed idle connections on which a request was on its way, and closed the listening socket while the kernel held connections that weren't accepted. An answer that was due at the signal lacked `Connection: close`, and its connection was ended after it, under the next request of the caller. Change: the listening socket closes after a short turn of the event loop without a new connection. Answers that are due at the signal and every later one say that their connection closes. Connections that stay idle end with 408, which is the answer of a request on its way, and stay open for its bytes for 250 ms at most.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -4,6 +4,7 @@
 import { answerMutations } from "./answerMutations.mjs";
 import { endlessMutations } from "./endlessMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
+import { operatorMutations } from "./operatorMutations.mjs";
 import { restoredMutations } from "./restoredMutations.mjs";
 import { retryMutations } from "./retryMutations.mjs";
 import { streamMutations } from "./streamMutations.mjs";
@@ -236,6 +237,7 @@
     ...observationMutations,
     ...answerMutations,
     ...endlessMutations,
+    ...operatorMutations,
     ...restoredMutations,
     ...retryMutations,
     ...streamMutations,
--- a/packages/medlarlb-daemon/src/__tests__/createIngressServer.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createIngressServer.test.ts
@@ -24,6 +24,7 @@
                 readCall: () => ({ callerRequestId: "r1", callerIdentity: "", deadlineMs: undefined, promptParts: [] }),
             } as never,
             config: () => config,
+            isStopping: () => false,
             isClosing: () => false,
             now: () => performance.now(),
             random: () => 0,
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -20,8 +20,6 @@
     push: (input: GatewayInput) => void;
     /** Passes on an input that can wait for the next step. */
     note: (input: GatewayInput) => void;
-    /** Returns whether this instance is stopping, so that callers have to open connections to another instance. */
-    isStopping: () => boolean;
 }
 
 interface OpenCall {
@@ -34,7 +32,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** Creates the proxy that carries out the decisions' commands for calls: send an attempt, abort it, or answer the caller. */
-export const createCallProxy = ({ adapter, pool, metrics, now, push, note, isStopping }: CallProxyOptions) => {
+export const createCallProxy = ({ adapter, pool, metrics, now, push, note }: CallProxyOptions) => {
     const openCalls = new Map<RequestId, OpenCall>();
     /** Targets that named a limit in their latest answer. */
     const limitedTargets = new Set<TargetId>();
@@ -50,15 +48,6 @@
                 push({ kind: "callerLeft", callId });
             }
         });
-        if (isStopping()) {
-            call.res.setHeader("connection", "close");
-        }
-        call.res.once("finish", () => {
-            if (isStopping()) {
-                // An answer whose headers were sent before the stop lacks `connection: close`.
-                call.req.socket.end();
-            }
-        });
         push({ kind: "call", metadata: call.metadata });
     };
 
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -43,12 +43,11 @@
 
 const MS_PER_SECOND = 1_000;
 /** Part of the grace period in ms that is reserved for the process to exit. */
-const EXIT_RESERVE_MS = 350;
+const EXIT_RESERVE_MS = 500;
 /** Time in ms before the end of the grace period at which waiting requests are refused. */
 const REFUSAL_RESERVE_MS = 1_500;
 /** Time in ms within which the platform's load balancer detects that an instance isn't ready: two checks, a second apart. */
 const READINESS_DETECTION_MS = 2_500;
-const RESPONSE_FLUSH_MS = 100; // time for the last answers to leave the process
 /** Time in ms for which an instance waits for a configuration from the store before it requests it from another instance. */
 const CONFIG_PULL_DELAY_MS = 500;
 const CONFIG_ENTRY_KEY = "config";
@@ -95,10 +94,11 @@
     });
     const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc(), readAnswerId });
     const adapter = { callerFirstEventTimeoutMs, readCall: readCallHeaders, createTargetHeaders, readAnswer: readAnswerHeaders };
-    const callProxy = createCallProxy({ adapter, pool, metrics, now, push, note: loop.note, isStopping: () => stopping });
+    const callProxy = createCallProxy({ adapter, pool, metrics, now, push, note: loop.note });
     const ingress = createIngressServer({
         adapter,
         config: () => config,
+        isStopping: () => stopping,
         isClosing: () => closing,
         now,
         random,
@@ -294,6 +294,7 @@
         stop: async (): Promise<void> => {
             const startedAtMs = now();
             stopping = true;
+            ingress.announceStop();
             logEvent("stopping", { open: callProxy.openCount() });
             peers.leave();
             // While the store is unreachable no other instance can acquire the lease, so this one keeps it until it exits.
@@ -301,9 +302,8 @@
             void registration.stop();
             const graceMs = settings.limits.graceSeconds * MS_PER_SECOND - EXIT_RESERVE_MS;
             await waitUntil(() => false, Math.min(READINESS_DETECTION_MS, graceMs));
-            // New connections go to other instances now. Answers on open connections have carried `connection: close`.
-            ingress.server.close();
-            ingress.server.closeIdleConnections();
+            // New connections go to other instances now. Answers on open connections carry `connection: close`.
+            await ingress.stopListening();
             closing = true;
             await waitUntil(() => callProxy.openCount() === 0, graceMs - REFUSAL_RESERVE_MS - (now() - startedAtMs));
             push({ kind: "stop" });
@@ -311,7 +311,7 @@
             if (!await handedOver) {
                 void plannerLease.release("this instance ends");
             }
-            await waitUntil(() => false, RESPONSE_FLUSH_MS);
+            await ingress.endConnections();
             logEvent("stopped", { open: callProxy.openCount(), tookMs: Math.round(now() - startedAtMs) });
             directory.stop();
             log.close();
--- a/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
+++ b/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
@@ -6,6 +6,8 @@
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
 import { chooseDestination } from "medlarlb-decisions/gateway/routes/chooseDestination";
 import { selectRoute } from "medlarlb-decisions/gateway/routes/selectRoute";
+import { closeWhenIdle } from "../shared/closeWhenIdle.js";
+import { waitUntil } from "../shared/waitUntil.js";
 import { createFingerprint } from "./createFingerprint.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
 import type { IngressCall } from "./ingressCall.js";
@@ -13,6 +15,8 @@
 interface IngressOptions {
     adapter: GatewayAdapter;
     config: () => RoutingConfig | undefined;
+    /** Returns whether this instance is stopping, so that callers have to open connections to another instance. */
+    isStopping: () => boolean;
     /** Returns whether this instance is shutting down and accepts no more requests. */
     isClosing: () => boolean;
     now: () => number;
@@ -31,6 +35,12 @@
 /** Longest time in ms for a whole request with its body. Until then a slow caller occupies a connection, but no target. */
 const REQUEST_TIMEOUT_MS = 30_000;
 const STREAM_BUFFER_BYTES = 65_536;
+/** Time in ms for the last answers to leave the process, and for callers to close the connections that end. */
+const CONNECTION_END_MS = 250;
+/** Longest time in ms for which connections that keep arriving are still accepted. */
+const MAX_ACCEPT_MS = 1_000;
+/** Answer with which an idle connection ends (RFC 9110, 15.5.9): callers may repeat a request that they have sent meanwhile. */
+const IDLE_END = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 const countHeaderBytes = (req: IncomingMessage): number =>
     req.rawHeaders.reduce((sum, each) => sum + each.length + 2, (req.url ?? "").length);
@@ -42,6 +52,11 @@
     /** The latest answer that is due on each connection, of a request that has been passed on. */
     const dueAnswers = new WeakMap<Socket, ServerResponse>();
 
+    /** Open connections, with the latest answer on each. */
+    const connections = new Map<Socket, ServerResponse | undefined>();
+    /** Connections that have been told that they close. A request on them has got its answer. */
+    const endedConnections = new WeakSet<Socket>();
+
     const reject = (req: IncomingMessage, res: ServerResponse, status: number, reason: string): void => {
         options.onRejected(status, reason, adapter.readCall(req.headers).callerRequestId);
         const body = JSON.stringify({ title: reason, status });
@@ -71,6 +86,13 @@
     const handle = (req: IncomingMessage, res: ServerResponse): void => {
         const config = options.config();
         const arrivedAtMs = now();
+        if (endedConnections.has(req.socket)) {
+            return;
+        }
+        connections.set(req.socket, res);
+        if (options.isStopping()) {
+            res.setHeader("connection", "close");
+        }
         if (config === undefined || options.isClosing()) {
             res.setHeader("connection", "close");
             reject(req, res, 503, config === undefined ? "no configuration is known yet; try again soon" : "this instance stops; connect again");
@@ -122,6 +144,10 @@
         noDelay: true,
         highWaterMark: STREAM_BUFFER_BYTES,
     }, handle);
+    server.on("connection", socket => {
+        connections.set(socket, undefined);
+        socket.once("close", () => connections.delete(socket));
+    });
     server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
         if (!socket.writable || err.code === "ECONNRESET") {
             socket.destroy();
@@ -140,6 +166,29 @@
     });
     return {
         server,
+        /** Has the answers that are due and whose headers aren't sent yet close their connections. */
+        announceStop: (): void => {
+            for (const res of connections.values()) {
+                if (res?.headersSent === false) {
+                    res.setHeader("connection", "close");
+                }
+            }
+        },
+        /** Stops accepting connections. The open ones stay. */
+        stopListening: (): Promise<void> => closeWhenIdle(server, MAX_ACCEPT_MS),
+        /**
+         * Ends the connections on which no answer is due with one that says that the time is over. A request that is on its way gets
+         * that as its answer: it has not run. Nothing is destroyed, because a reset could overtake that answer.
+         */
+        endConnections: async (): Promise<void> => {
+            for (const [socket, res] of connections) {
+                if ((res === undefined || res.writableFinished) && socket.writable) {
+                    endedConnections.add(socket);
+                    socket.end(IDLE_END);
+                }
+            }
+            await waitUntil(() => connections.size === 0, CONNECTION_END_MS);
+        },
         /** Applies the operator's header and idle time-outs. */
         applyLimits: ({ limits }: RoutingConfig): void => {
             server.headersTimeout = limits.headerTimeoutMs;
--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -1,4 +1,5 @@
 import { spawn } from "node:child_process";
+import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -37,6 +38,13 @@
         /** Freezes the process until it is resumed, as if its machine stood still. */
         freeze: (): void => void child.kill("SIGSTOP"),
         resume: (): void => void child.kill("SIGCONT"),
+        /** Sends the signal of a planned stop, and resolves with the time in ms until the process has ended. */
+        terminate: async (): Promise<number> => {
+            const startedAtMs = performance.now();
+            child.kill("SIGTERM");
+            await once(child, "exit");
+            return performance.now() - startedAtMs;
+        },
         stop: (): void => {
             child.kill("SIGKILL");
             rmSync(folder, { recursive: true, force: true });
--- a/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
@@ -36,6 +36,7 @@
     let limitPerSecond: number | undefined;
     let orderCount = 0;
     let refusals = 0;
+    let delayMs = 0;
     let streamCount = 0;
     let version = softwareVersion;
 
@@ -102,7 +103,12 @@
             sendEventStream(res, Number(req.headers["last-event-id"] ?? "0") + 1);
             return;
         }
-        res.writeHead(200, { "content-type": "text/plain" }).end(`answer of ${id}`);
+        const answer = (): void => void res.writeHead(200, { "content-type": "text/plain" }).end(`answer of ${id}`);
+        if (delayMs === 0) {
+            answer();
+            return;
+        }
+        setTimeout(answer, delayMs);
     };
 
     const server = createServer((req, res) => {
@@ -139,6 +145,10 @@
         setBehavior: (next: EngineBehavior): void => {
             behavior = next;
         },
+        /** Sets the time in ms that the next answers take, except streams. */
+        setDelay: (nextMs: number): void => {
+            delayMs = nextMs;
+        },
         /** Has the engine serve with another version of its software, as after a restart: its streams are cut. */
         restart: (nextVersion: string): void => {
             version = nextVersion;
