Take no planner lease from an instance that acquired it meanwhile

Cause: an instance whose lease had ended in a pause asked the store for a new one while its list still named itself. If the list named another active planner before the answer, it replaced that planner's entry, and took it for its own: no wait, and both sent orders. Besides, a suspension during the acquisition made the lease seem valid for longer than the store keeps it. Change: whether the lease may be acquired is asked again after the store has granted it. After an interruption during the acquisition only a renewal proves the lease. The case of the suspension in createGatewayPlannerLease.test.ts fails without its check.

--- a/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
@@ -22,6 +22,8 @@
         let hasLostLeases = false;
         /** Renewals without a response yet; undefined while renewals are answered at once. */
         let delayedRenewals: (() => void)[] | undefined;
+        /** Has the answer to the next change arrive; undefined while changes are answered at once. */
+        let deliverChange: (() => void) | undefined;
         let tick: () => void = () => undefined;
         const changes: (number | undefined)[] = [];
         const written: string[] = [];
@@ -32,7 +34,11 @@
             grantLease: () => answer(7),
             change: ({ puts }: Parameters<MetadataStore["change"]>[0]) => {
                 written.push(...puts.map(put => put.value));
-                return answer(41);
+                return deliverChange === undefined
+                    ? answer(41)
+                    : new Promise<Result<number, StoreError>>(resolve => {
+                            deliverChange = () => resolve(Result.ok(41));
+                        });
             },
             renewLease: () => {
                 const pendingRenewals = delayedRenewals;
@@ -85,6 +91,15 @@
                 lease.noteStoreRestored();
                 lease.setHolder(undefined);
             },
+            delayChanges: (): void => {
+                deliverChange = () => undefined;
+            },
+            /** Answers the delayed change, and makes the store unreachable for further calls. */
+            deliverDelayedChange: async (): Promise<void> => {
+                reachable = false;
+                deliverChange?.();
+                await flushPromises();
+            },
             delayRenewals: (): void => {
                 delayedRenewals = [];
             },
@@ -209,6 +224,31 @@
         expect(lease.isValid()).to.equal(false);
     });
 
+    it("isn't used if a suspension fell into its acquisition, until it has been renewed", async () => {
+        const { lease, advance, delayChanges, deliverDelayedChange, skipTime } = createFixture();
+        lease.setHolder({ instance: "i" as never, revision: 9, active: true });
+        delayChanges();
+        await advance(200);
+        skipTime(7_000, { steady: false });
+        // A check of the clocks comes before the answer.
+        await advance(200);
+        await deliverDelayedChange();
+        await advance(400);
+        expect(lease.isValid()).to.equal(false);
+    });
+
+    it("isn't taken from an instance that acquires it while this one prepares to", async () => {
+        const { lease, advance, written } = createFixture();
+        lease.setHolder({ instance: "i" as never, revision: 9, active: true });
+        // The first step asks the store for a lease; the list arrives before its answer.
+        const step = advance(200);
+        lease.setHolder({ instance: "other" as never, revision: 12, active: true });
+        await step;
+        await advance(1_000);
+        expect(written).to.deep.equal([]);
+        expect(lease.isValid()).to.equal(false);
+    });
+
     it("is released by an instance that stops, but kept while the store is unreachable", async () => {
         const { lease, advance, setReachable } = createFixture();
         lease.setHolder(undefined);
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -107,8 +107,13 @@
         return uninterrupted && heldLease !== undefined && heldLease.active && now() < heldLease.validUntilMs;
     };
 
+    /** Returns whether the store names no planner, or this instance as it was before a restart. */
+    const mayAcquire = (): boolean => isHolderKnown && (storedHolder === undefined || storedHolder.instance === instanceId);
+
     const acquire = async (): Promise<void> => {
         const startedAtMs = now();
+        checkClocks();
+        const pauseCountAtStart = pauseCount;
         const lease = await store.grantLease(LEASE_TTL_MS);
         if (lease.isErr) {
             return;
@@ -116,6 +121,11 @@
         const key = directoryKeys.planner(zone);
         // After a restart this instance replaces its own entry, and has to wait only if its former process was still waiting.
         const previousHolder = storedHolder;
+        if (!mayAcquire()) {
+            // Another instance has become the holder while the store granted the lease.
+            await store.endLease(lease.value);
+            return;
+        }
         const isOwnLease = previousHolder?.active === true || now() < exclusiveUntilMs;
         // A holder that can't reach the store goes on until its lease would have expired.
         const othersEndAtMs = Math.max(now(), restoredAtMs + LEASE_TTL_MS);
@@ -129,10 +139,14 @@
             await store.endLease(lease.value);
             return;
         }
+        checkClocks();
+        const isUninterrupted = pauseCountAtStart === pauseCount;
+        nextCallAtMs = isUninterrupted ? nextCallAtMs : 0;
         heldLease = {
             lease: lease.value,
             fence: change.value,
-            validUntilMs: startedAtMs + LEASE_TTL_MS - EXPIRY_MARGIN_MS,
+            // The monotonic clock stands still in a suspension, in which the lease may have expired.
+            validUntilMs: isUninterrupted ? startedAtMs + LEASE_TTL_MS - EXPIRY_MARGIN_MS : Number.NEGATIVE_INFINITY,
             activeAtMs: isOwnLease ? now() : othersEndAtMs + leaseMs + HANDOVER_MARGIN_MS,
             active: false,
         };
@@ -165,7 +179,7 @@
             if (heldLease !== undefined) {
                 await renew(heldLease);
             }
-            else if (isHolderKnown && (storedHolder === undefined || storedHolder.instance === instanceId)) {
+            else if (mayAcquire()) {
                 await acquire();
             }
         }
