--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -5,6 +5,7 @@
 import { endlessMutations } from "./endlessMutations.mjs";
 import { hedgingMutations } from "./hedgingMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
+import { operatorMutations } from "./operatorMutations.mjs";
 import { restoredMutations } from "./restoredMutations.mjs";
 import { quotaMutations } from "./quotaMutations.mjs";
 import { retryMutations } from "./retryMutations.mjs";
@@ -239,6 +240,7 @@
     ...observationMutations,
     ...answerMutations,
     ...endlessMutations,
+    ...operatorMutations,
     ...restoredMutations,
     ...hedgingMutations,
     ...quotaMutations,
--- a/packages/medlarlb-daemon/src/__tests__/ingressKeys.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/ingressKeys.test.ts
@@ -31,6 +31,7 @@
         ingress = createIngressServer({
             adapter: siteAdapter,
             config: () => config,
+            isStopping: () => false,
             isClosing: () => false,
             now: () => performance.now(),
             random: () => 0,
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -20,8 +20,6 @@
     push: (input: GatewayInput) => void;
     /** Passes on an input that can wait for the next step. */
     note: (input: GatewayInput) => void;
-    /** Returns whether this instance is stopping, so that callers have to open connections to another instance. */
-    isStopping: () => boolean;
     /** Returns whether the configuration in force has workspaces. */
     hasWorkspaces: () => boolean;
 }
@@ -40,7 +38,7 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([401, 429, 503]);
 
 /** Creates the proxy that carries out the decisions' commands for calls: send an attempt, abort it, or answer the caller. */
-export const createCallProxy = ({ adapter, pool, metrics, now, push, note, isStopping, hasWorkspaces }: CallProxyOptions) => {
+export const createCallProxy = ({ adapter, pool, metrics, now, push, note, hasWorkspaces }: CallProxyOptions) => {
     const openCalls = new Map<RequestId, OpenCall>();
     /** Targets that named a limit in their latest answer. */
     const limitedTargets = new Set<TargetId>();
@@ -56,15 +54,6 @@
                 push({ kind: "callerLeft", callId });
             }
         });
-        if (isStopping()) {
-            call.res.setHeader("connection", "close");
-        }
-        call.res.once("finish", () => {
-            if (isStopping()) {
-                // An answer whose headers were sent before the stop lacks `connection: close`.
-                call.req.socket.end();
-            }
-        });
         push({ kind: "call", metadata: call.metadata });
     };
 
