Share plain targets among instances by the rank of their requests

Cause: an instance refills the places of targets that it sees free at once, while others know of them by a status that is 150 to 200 ms old. Urgent requests that enter elsewhere get no place. Change: statuses and digests carry the demand by rank, and an instance holds back or refuses less urgent requests so that more urgent ones at all instances find room. Services whose routes have one priority are left as they were.

--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -2,6 +2,7 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { staleViewJitterMs } from "../fairness/staleViewJitterMs.js";
 import { hasPermit } from "../limits/hasPermit.js";
 import { requestPermit } from "../limits/requestPermit.js";
 import { hasRequestedModel } from "./hasRequestedModel.js";
@@ -57,7 +58,7 @@
     const costMs = prediction.answerMs
         + (ready ? 0 : adapterCostMs(row, target))
         + excessFailureRate ** 2 * FAILURE_PENALTY_MS
-        + context.random() * MAX_JITTER_MS;
+        + context.random() * (MAX_JITTER_MS + staleViewJitterMs(context, target));
     return { target, prediction, ready, costMs };
 };
 
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,5 +1,6 @@
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
+import { takeTurn } from "../fairness/takeTurn.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { ModelPool } from "../rows/modelPool.js";
@@ -151,6 +152,11 @@
         requestModelFromPlanner(context, row, choice.target.entry.targetId);
         return;
     }
+    const turnInMs = takeTurn(context, row, pool, choice.prediction);
+    if (turnInMs === undefined || turnInMs > 0) {
+        checkAgainAfter(context, pool, turnInMs ?? MAX_CHECK_INTERVAL_MS);
+        return;
+    }
     // Streams that go on wait for one software version only, beside those that any target may begin.
     const queue = `${pool.key}/${row.origin?.softwareVersion ?? ""}`;
     const ownQueueMs = queueMsByPool.get(queue) ?? 0;
--- a/packages/medlarlb-decisions/src/gateway/calls/sortByUrgency.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sortByUrgency.ts
@@ -1,6 +1,6 @@
 import type { GatewayContext } from "../gatewayContext.js";
+import { callRank } from "../fairness/callRank.js";
 import type { CallRow } from "../rows/callRow.js";
-import { callPriority } from "../workspaces/callPriority.js";
 
 interface SortKey {
     row: CallRow;
@@ -19,11 +19,11 @@
 /**
  * Sorts waiting calls, those that are served first in front. Calls that can still be answered in time go before those that
  * are already too late: under overload, serving the oldest first would make every answer just too late. Then the lower
- * priority number goes first, then the earlier latency target. `engineWaitMs` is the wait at an engine that a call may have.
+ * rank (the priority, then the recent use of the workspace) goes first, then the earlier latency target. `engineWaitMs` is the wait at an engine that a call may have.
  */
 export const sortByUrgency = (context: GatewayContext, rows: readonly CallRow[], engineWaitMs: number): CallRow[] =>
     rows.map((row): SortKey => {
         const { latencyTargetAtMs } = row.metadata;
         const isLate = context.nowMs + answerDelayMs(context, row, engineWaitMs) > latencyTargetAtMs;
-        return { row, isLate, priority: callPriority(row.metadata), latencyTargetAtMs };
+        return { row, isLate, priority: callRank(context, row.metadata), latencyTargetAtMs };
     }).sort(compareKeys).map(each => each.row);
--- a/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayContext.ts
@@ -1,6 +1,7 @@
 import TinyQueue from "tinyqueue";
 import type { RandomSource } from "../randomSource.js";
 import { createCrashTable } from "./crashes/createCrashTable.js";
+import { createFairnessTable } from "./fairness/createFairnessTable.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { createGroupView } from "./retries/createGroupView.js";
@@ -31,6 +32,7 @@
     serviceFailureRate: new Map(),
     crashes: createCrashTable(),
     observationsToRelay: [],
+    fairness: createFairnessTable(),
     retryBudgets: new Map(),
     groupView: createGroupView(),
     instanceCount: 1,
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
@@ -0,0 +1,33 @@
+import type { InstanceId } from "medlarlb-types/instanceId";
+import type { RoutingConfig } from "medlarlb-types/routingConfig";
+import type { Urgency } from "medlarlb-types/urgency";
+import type { WorkspaceUse } from "medlarlb-types/workspaceUse";
+import type { ZoneId } from "medlarlb-types/zoneId";
+import type { CallRow } from "../rows/callRow.js";
+import type { DecayingSum } from "./decayingSum.js";
+
+/** What an instance knows of the demand and use of all instances. */
+export interface FairnessTable {
+    /** Services whose requests differ in rank, by the configuration from which they were derived. */
+    ranked: { config: RoutingConfig; services: ReadonlySet<string> } | undefined;
+    /** Requests to plain services that arrived lately at this instance, by pool and rank. */
+    arrivals: Map<string, Map<number, DecayingSum>>;
+    /** Latest report of each instance or hub, this instance's own included, by pool. */
+    reports: Map<InstanceId, { zone: ZoneId; atMs: number; urgencies: Map<string, Urgency[]> }>;
+    /** Requests that this instance may send now, by pool and rank. */
+    credits: Map<string, { requests: number; atMs: number }>;
+    /** Times from which waiting calls to plain services may be sent. */
+    turns: WeakMap<CallRow, number>;
+    /** Waiting calls that aren't refused any more before a target has been asked. */
+    promised: WeakSet<CallRow>;
+    /** Recent use at this instance, by service and workspace. */
+    used: Map<string, Map<string, DecayingSum>>;
+    /** Latest report of use by each other instance or hub. */
+    usedElsewhere: Map<InstanceId, { zone: ZoneId; atMs: number; used: WorkspaceUse[] }>;
+    /** Time of the latest status that reported the use. */
+    usedSentAtMs: number;
+    /** Level of recent use of a workspace, 0 for the least, by service and workspace. */
+    levels: Map<string, Map<string, number>>;
+    /** Ranks whose requests are limited to a share of the capacity, by pool and rank, with the time of the latest log line. */
+    limited: Map<string, { isLimited: boolean; atMs: number }>;
+}
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -8,6 +8,7 @@
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { RandomSource } from "../randomSource.js";
 import type { CrashTable } from "./crashes/crashTable.js";
+import type { FairnessTable } from "./fairness/fairnessTable.js";
 import type { GatewayCommand } from "./gatewayCommand.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { DemandTable } from "./placement/demandTable.js";
@@ -60,6 +61,7 @@
     crashes: CrashTable;
     /** Observations from other zones that this instance passes on to its own zone with the next status, in a large group. */
     observationsToRelay: TargetObservation[];
+    fairness: FairnessTable;
     retryBudgets: Map<string, RetryBudget>;
     groupView: GroupView;
     instanceCount: number;
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
@@ -1,5 +1,6 @@
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { TargetId } from "medlarlb-types/targetId";
+import { recordUrgencies } from "../fairness/recordUrgencies.js";
 import { markAllPools } from "../pools/markAllPools.js";
 import { findDemand } from "../placement/findDemand.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -23,7 +24,9 @@
     for (const row of context.demand.values()) {
         row.waiting.clear();
     }
-    for (const { service, model, requests } of digest.waiting) {
+    context.fairness.reports.clear();
+    recordUrgencies(context, { instanceId, zone, ofZone: false }, digest.waiting);
+    for (const { service, model, requests } of digest.waiting.filter(each => each.model !== "")) {
         findDemand(context, service, model).waiting.set(instanceId, { requests, atMs: context.nowMs });
     }
     markAllPools(context);
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -1,5 +1,6 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { TargetId } from "medlarlb-types/targetId";
+import { recordUrgencies } from "../fairness/recordUrgencies.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { markAllPools } from "../pools/markAllPools.js";
 import { recordDemand } from "../placement/recordDemand.js";
@@ -35,5 +36,6 @@
         addArrivals(context.zoneArrivals, status.arrivals);
     }
     recordDemand(context, status);
+    recordUrgencies(context, status, status.waiting);
     markAllPools(context);
 };
--- a/packages/medlarlb-decisions/src/gateway/placement/recordDemand.ts
+++ b/packages/medlarlb-decisions/src/gateway/placement/recordDemand.ts
@@ -20,7 +20,7 @@
     for (const row of context.demand.values()) {
         row.waiting.delete(status.instanceId);
     }
-    for (const { service, model, requests } of status.waiting) {
+    for (const { service, model, requests } of status.waiting.filter(each => each.model !== "")) {
         findDemand(context, service, model).waiting.set(status.instanceId, { requests, atMs: context.nowMs });
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -1,4 +1,7 @@
 import { relayObservations } from "../observations/relayObservations.js";
+import { describeUrgencies } from "../fairness/describeUrgencies.js";
+import { listRankedServices } from "../fairness/listRankedServices.js";
+import { recordUrgencies } from "../fairness/recordUrgencies.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { recordDemand } from "../placement/recordDemand.js";
 import type { InstanceId } from "medlarlb-types/instanceId";
@@ -28,7 +31,7 @@
             waiting.push({ service: pool.service, model: pool.model, requests: pool.waiting.length });
         }
     }
-    return waiting;
+    return describeUrgencies(context, waiting);
 };
 
 const listLoads = (context: GatewayContext): InstanceStatus["loads"] => {
@@ -63,11 +66,12 @@
 
 /**
  * Sends the status in a small group: to the instances of this zone and to all planners. A planner sends it to all instances,
- * so that they know who plans and which zones they reach. Without a planner, all instances of the zone do so.
+ * so that they know who plans and which zones they reach. Without a planner, all instances of the zone do so, and always if requests
+ * differ in rank, because each instance has to know the demand at all others.
  */
 const sendInSmallGroup = (context: GatewayContext, status: InstanceStatus): void => {
     const { zone, instanceId } = context.settings;
-    const sendsToAll = context.fence !== undefined || !hasReachablePlanner(context);
+    const sendsToAll = context.fence !== undefined || !hasReachablePlanner(context) || listRankedServices(context).size > 0;
     const to = new Set(context.members.filter(member => sendsToAll || member.zone === zone).map(member => member.id));
     context.planners.forEach(planner => to.add(planner));
     to.delete(instanceId);
@@ -118,6 +122,7 @@
     context.nextStatusMs = context.nowMs + (isLarge ? LARGE_GROUP_STATUS_INTERVAL_MS : STATUS_INTERVAL_MS);
     const status = createStatus(context);
     recordDemand(context, status);
+    recordUrgencies(context, status, status.waiting);
     relayObservations(context);
     if (isLarge) {
         sendInLargeGroup(context, status);
--- a/packages/medlarlb-types/src/instanceStatus.ts
+++ b/packages/medlarlb-types/src/instanceStatus.ts
@@ -1,4 +1,6 @@
 import type { InstanceId } from "./instanceId.js";
+import type { Urgency } from "./urgency.js";
+import type { WorkspaceUse } from "./workspaceUse.js";
 import type { ZoneId } from "./zoneId.js";
 
 /**
@@ -14,8 +16,13 @@
     planning: boolean;
     /** Prompt tokens and requests that arrived since the last status, by service and model. */
     arrivals: { service: string; model: string; tokens: number; requests: number }[];
-    /** Requests that wait for a target now. */
-    waiting: { service: string; model: string; requests: number }[];
+    /**
+     * Requests that wait for a target now. Services whose requests differ in rank have `urgencies` in addition, and rows without a
+     * model name for their plain requests.
+     */
+    waiting: { service: string; model: string; requests: number; urgencies?: Urgency[] }[];
     /** Load of this instance on targets: prompt tokens not yet processed, running requests, and running requests by model. */
     loads: { targetId: string; backlogTokens: number; running: number; runs: Record<string, number> }[];
+    /** Recent use by workspace. It is missing if there are no workspaces, and in most messages. */
+    used?: WorkspaceUse[];
 }
--- a/packages/medlarlb-types/src/loadDigest.ts
+++ b/packages/medlarlb-types/src/loadDigest.ts
@@ -1,4 +1,6 @@
 import type { InstanceId } from "./instanceId.js";
+import type { Urgency } from "./urgency.js";
+import type { WorkspaceUse } from "./workspaceUse.js";
 import type { ZoneId } from "./zoneId.js";
 
 /** What the planner of a large zone sends to each instance of the zone in place of all other instances' statuses. */
@@ -11,6 +13,8 @@
     planningZones: ZoneId[];
     /** Load on targets by all instances but the receiver: prompt tokens not yet processed, and running requests. */
     loads: { targetId: string; backlogTokens: number; running: number }[];
-    /** Requests that wait for a target at all instances but the receiver. */
-    waiting: { service: string; model: string; requests: number }[];
+    /** Requests that wait for a target at all instances but the receiver, as in a status. */
+    waiting: { service: string; model: string; requests: number; urgencies?: Urgency[] }[];
+    /** Recent use by workspace at all instances but the receiver. It is missing if there are no workspaces, and in most messages. */
+    used?: WorkspaceUse[];
 }
