Count shares of plain targets in places, and don't hold requests that are refused afterwards

Cause: rates followed the time of answers with a delay of seconds at 63 instances, so that the queues swung; all instances sent to the target that had the least load when it was reported. Change: a request pays for the time that it takes, so that a share is a mean number of requests at the targets; a random cost, as large as the report is old, spreads the choice; a request is refused, or promised a target, before an eighth of its latency target.

--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -58,7 +58,7 @@
     const costMs = prediction.answerMs
         + (ready ? 0 : adapterCostMs(row, target))
         + excessFailureRate ** 2 * FAILURE_PENALTY_MS
-        + context.random() * (MAX_JITTER_MS + staleViewJitterMs(context, target));
+        + context.random() * (MAX_JITTER_MS + staleViewJitterMs(context, row.pool?.key ?? "", target));
     return { target, prediction, ready, costMs };
 };
 
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,5 +1,8 @@
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
+import { isLastChance } from "../fairness/isLastChance.js";
+import { judgeHeldCall } from "../fairness/judgeHeldCall.js";
+import { maxRequestsAt } from "../fairness/maxRequestsAt.js";
 import { takeTurn } from "../fairness/takeTurn.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
@@ -35,7 +38,7 @@
 const hasCapacity = (context: GatewayContext, row: CallRow, choice: NonNullable<ReturnType<typeof chooseTarget>>): boolean => {
     const { target, prediction } = choice;
     if (row.metadata.model === undefined) {
-        return countInFlight(target, context.nowMs) < target.entry.slots * 2;
+        return countInFlight(target, context.nowMs) < maxRequestsAt(context, row, target);
     }
     return prediction.waitMs <= MAX_ENGINE_WAIT_MS && countInFlight(target, context.nowMs) < target.entry.slots;
 };
@@ -161,17 +164,23 @@
     const queue = `${pool.key}/${row.origin?.softwareVersion ?? ""}`;
     const ownQueueMs = queueMsByPool.get(queue) ?? 0;
     const queuedMs = ownQueueMs + peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
-    if (ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice)) {
+    const mayStart = ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice);
+    if (mayStart || isLastChance(context, row, choice.prediction)) {
         dequeueCall(context, row);
         sendCall(context, row, choice.target, choice.prediction);
         return;
     }
     awaitPermit(context, row, pool);
     queueMsByPool.set(queue, ownQueueMs + choice.prediction.uncachedTokens * choice.target.msPerWorkUnit);
-    if (context.nowMs + queuedMs + choice.prediction.answerMs > row.nextEventDeadlineAtMs) {
+    const answerInMs = queuedMs + choice.prediction.answerMs;
+    const held = judgeHeldCall(context, row, answerInMs);
+    if (held === "refused" || (held !== "promised" && context.nowMs + answerInMs > row.nextEventDeadlineAtMs)) {
         failCall(context, row, "the predicted wait passes the deadline", queuedMs + choice.prediction.waitMs);
         return;
     }
+    if (typeof held === "number") {
+        checkAgainAfter(context, pool, held);
+    }
     if (ownQueueMs === 0) {
         // The prediction falls by at most a ms in a ms while nothing changes.
         const excessMs = queuedMs + choice.prediction.waitMs - MAX_ENGINE_WAIT_MS;
--- a/packages/medlarlb-decisions/src/gateway/fairness/createFairnessTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/createFairnessTable.ts
@@ -12,5 +12,6 @@
     usedElsewhere: new Map(),
     usedSentAtMs: Number.NEGATIVE_INFINITY,
     levels: new Map(),
+    contendedAtMs: new Map(),
     limited: new Map(),
 });
--- a/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
@@ -14,10 +14,10 @@
     arrivals: Map<string, Map<number, DecayingSum>>;
     /** Latest report of each instance or hub, this instance's own included, by pool. */
     reports: Map<InstanceId, { zone: ZoneId; atMs: number; urgencies: Map<string, Urgency[]> }>;
-    /** Requests that this instance may send now, by pool and rank. */
-    credits: Map<string, { requests: number; atMs: number }>;
-    /** Times from which waiting calls to plain services may be sent. */
-    turns: WeakMap<CallRow, number>;
+    /** What is left of this instance's share of the targets, in request-ms, by pool and rank. */
+    credits: Map<string, { amountMs: number; atMs: number }>;
+    /** Times from which waiting calls to plain services may be sent, what they have paid for it, and whether no others go first. */
+    turns: WeakMap<CallRow, { atMs: number; creditKey: string | undefined; paidMs: number; isFirst: boolean }>;
     /** Waiting calls that aren't refused any more before a target has been asked. */
     promised: WeakSet<CallRow>;
     /** Recent use at this instance, by service and workspace. */
@@ -28,6 +28,8 @@
     usedSentAtMs: number;
     /** Level of recent use of a workspace, 0 for the least, by service and workspace. */
     levels: Map<string, Map<string, number>>;
+    /** Latest time at which the demand for the targets of a plain service was close to what they take, by pool. */
+    contendedAtMs: Map<string, number>;
     /** Ranks whose requests are limited to a share of the capacity, by pool and rank, with the time of the latest log line. */
     limited: Map<string, { isLimited: boolean; atMs: number }>;
 }
--- a/packages/medlarlb-decisions/src/gateway/fairness/staleViewJitterMs.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/staleViewJitterMs.ts
@@ -1,20 +1,27 @@
-import { servicePaceMs } from "../calls/servicePaceMs.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
-import { listRankedServices } from "./listRankedServices.js";
+import { isLargeGroup } from "../status/isLargeGroup.js";
 
-/** Largest random cost of a target that only others use, as a multiple of the time that it takes for a request. */
-const JITTER_RATIO = 1;
+/**
+ * Largest random cost in ms of a target that only other instances use: somewhat more than the age of what they report, so that the
+ * correction of a difference between targets takes longer than until it is seen.
+ */
+const JITTER_MS = 120;
+/** The same in a large group, where reports pass two hubs. */
+const LARGE_GROUP_JITTER_MS = 1_000;
+/** Time in ms for which a service counts as contended after a request that found it so. */
+const CONTENDED_FOR_MS = 1_000;
 
 /**
- * Returns the largest random cost, in ms, of a target of a plain service whose load comes from other instances. What they report is
- * older than a request lasts. Without the cost, all of them would send to the target that had the least load then.
+ * Returns the largest random cost, in ms, of a target of a contended plain service whose load comes from other instances. What they
+ * report is older than a request lasts. Without the cost, all of them would send to the target that had the least load then.
  */
-export const staleViewJitterMs = (context: GatewayContext, target: PoolTarget): number => {
-    if (target.models.size > 0 || !listRankedServices(context).has(target.entry.service)) {
+export const staleViewJitterMs = (context: GatewayContext, poolKey: string, target: PoolTarget): number => {
+    const contendedAtMs = context.fairness.contendedAtMs.get(poolKey) ?? Number.NEGATIVE_INFINITY;
+    if (context.nowMs - contendedAtMs > CONTENDED_FOR_MS) {
         return 0;
     }
     const own = target.activeAttempts.size;
     const others = [...target.peerLoads.values()].reduce((sum, each) => sum + each.running, 0);
-    return others === 0 ? 0 : JITTER_RATIO * servicePaceMs(context, target) * others / (own + others);
+    return others === 0 ? 0 : (isLargeGroup(context) ? LARGE_GROUP_JITTER_MS : JITTER_MS) * others / (own + others);
 };
--- a/packages/medlarlb-decisions/src/gateway/fairness/takeCredit.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/takeCredit.ts
@@ -1,20 +1,29 @@
 import type { GatewayContext } from "../gatewayContext.js";
 
-const MS_PER_SECOND = 1_000;
-/** Largest number of requests that may be sent at once after a pause. */
-const MAX_CREDIT = 2;
+/** Largest number of requests that may be sent at once after a pause, beyond those of the share itself. */
+const MAX_EXTRA_REQUESTS = 1;
 
 /**
- * Takes the right to send one request from a share of a rank, unless it would have to wait for longer than `maxWaitMs`. Returns the
- * time in ms until the request may be sent, and whether the right was taken.
+ * Takes the right to have one request at the targets for `paceMs` from a share of `places` at a time, unless it would have to wait
+ * for longer than `maxWaitMs`. Returns the time in ms until the request may be sent, and whether the right was taken.
+ *
+ * Credits are counted in request-ms: a share earns its places in each ms, and a request pays for the time that it takes. Shares of
+ * less than one place work as well, and the mean number of requests at the targets follows without knowing how fast they are.
  */
-export const takeCredit = (context: GatewayContext, key: string, perSecond: number, maxWaitMs: number): { waitMs: number; taken: boolean } => {
+export const takeCredit = (
+    context: GatewayContext,
+    key: string,
+    places: number,
+    paceMs: number,
+    maxWaitMs: number,
+): { waitMs: number; taken: boolean } => {
     const { fairness, nowMs } = context;
     // A random start keeps instances with small shares from sending all at the same time.
-    const credit = fairness.credits.get(key) ?? { requests: context.random(), atMs: nowMs };
-    const requests = Math.min(MAX_CREDIT, credit.requests + (nowMs - credit.atMs) * perSecond / MS_PER_SECOND);
-    const waitMs = requests >= 1 ? 0 : (1 - requests) * MS_PER_SECOND / perSecond;
+    const credit = fairness.credits.get(key) ?? { amountMs: context.random() * paceMs, atMs: nowMs };
+    const maxMs = (places + MAX_EXTRA_REQUESTS) * paceMs;
+    const amountMs = Math.min(maxMs, credit.amountMs + (nowMs - credit.atMs) * places);
+    const waitMs = amountMs >= paceMs ? 0 : (paceMs - amountMs) / places;
     const taken = waitMs <= maxWaitMs;
-    fairness.credits.set(key, { requests: taken ? requests - 1 : requests, atMs: nowMs });
+    fairness.credits.set(key, { amountMs: taken ? amountMs - paceMs : amountMs, atMs: nowMs });
     return { waitMs, taken };
 };
--- a/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
@@ -8,12 +8,14 @@
 import { fairnessPeriodsMs } from "./fairnessPeriodsMs.js";
 import { listDemand } from "./listDemand.js";
 import { listRankedServices } from "./listRankedServices.js";
+import { placesFor } from "./placesFor.js";
 import { shareOfRank } from "./shareOfRank.js";
 import { takeCredit } from "./takeCredit.js";
-import { targetsPerSecond } from "./targetsPerSecond.js";
 
 /** Part of the time that a request has left beside its answer for which it may wait for its turn. The rest is for errors of the prediction. */
 const MAX_WAIT_RATIO = 0.5;
+/** Demand from which a service counts as contended, as a share of the requests that its targets are to hold. */
+const CONTENDED_RATIO = 0.7;
 
 /**
  * Settles when a call to a plain service may be sent so that more urgent ones at all instances go first, and refuses it at once if that
@@ -29,29 +31,34 @@
     if (pool.model !== undefined || !listRankedServices(context).has(pool.service)) {
         return 0;
     }
-    const turnAtMs = fairness.turns.get(row);
-    if (turnAtMs !== undefined || row.attempts > 0) {
-        return Math.max(0, (turnAtMs ?? nowMs) - nowMs);
+    const turn = fairness.turns.get(row);
+    if (turn !== undefined || row.attempts > 0) {
+        return Math.max(0, (turn?.atMs ?? nowMs) - nowMs);
     }
     const rank = callRank(context, row.metadata);
-    const demands = listDemand(context, pool);
+    const places = placesFor(context, pool);
+    const demands = listDemand(context, pool, places.paceMs);
     // The call itself is counted afterwards: a rate that includes it would be too high by one at each arrival.
     const arrivals = fairness.arrivals.get(pool.key) ?? new Map();
     fairness.arrivals.set(pool.key, arrivals);
     addDecaying(arrivals, rank, 1, fairnessPeriodsMs.arrivals, nowMs);
-    const perSecond = shareOfRank(demands, rank, targetsPerSecond(context, pool));
-    if (perSecond === undefined) {
-        fairness.turns.set(row, nowMs);
-        fairness.promised.add(row);
+    const isFirst = ![...demands.keys()].some(each => each < rank);
+    const share = shareOfRank(demands, rank, places);
+    fairness.promised.add(row);
+    if ([...demands.values()].reduce((sum, { own, others }) => sum + own + others, 0) > CONTENDED_RATIO * places.shared) {
+        fairness.contendedAtMs.set(pool.key, nowMs);
+    }
+    if (share === undefined) {
+        fairness.turns.set(row, { atMs: nowMs, creditKey: undefined, paidMs: 0, isFirst });
         return 0;
     }
+    const creditKey = `${pool.key}/${rank}`;
     const maxWaitMs = Math.max(0, (row.metadata.latencyTargetAtMs - nowMs - answerMs) * MAX_WAIT_RATIO);
-    const { waitMs, taken } = takeCredit(context, `${pool.key}/${rank}`, perSecond, maxWaitMs);
+    const { waitMs, taken } = takeCredit(context, creditKey, share, places.paceMs, maxWaitMs);
     if (!taken) {
         failCall(context, row, "requests that go first need its targets", waitMs - maxWaitMs);
         return undefined;
     }
-    fairness.turns.set(row, nowMs + waitMs);
-    fairness.promised.add(row);
+    fairness.turns.set(row, { atMs: nowMs + waitMs, creditKey, paidMs: places.paceMs, isFirst });
     return waitMs;
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -3,6 +3,7 @@
 import { logEvent } from "../calls/logEvent.js";
 import { recordCompletion } from "../crashes/recordCompletion.js";
 import { recordUnprovedCompletion } from "../crashes/recordUnprovedCompletion.js";
+import { settleCredit } from "../fairness/settleCredit.js";
 import type { GatewayInput } from "../gatewayInput.js";
 import { servicePaceMs } from "../calls/servicePaceMs.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -36,6 +37,7 @@
         recordOutcome(context, target, input.status >= 500);
         if (metadata.model === undefined && input.status < 500) {
             updatePace(context, target, context.nowMs - attempt.sentAtMs);
+            settleCredit(context, row, context.nowMs - attempt.sentAtMs);
         }
     }
     if (input.endedWithConnection === true && target !== undefined) {
