Serve workspaces with the least recent use first, and keep room by the urgent latency target

Cause: among equals a workspace that sends most of the calls took most of the places; a share that was derived from the answer times of a busy moment stayed at zero, because only requests of the share would have shown shorter ones. Change: instances report the use by workspace once a second; the level of use is part of a request's rank. More urgent requests count as at most those that the targets have now. Targets hold fewer requests if more urgent ones have little time.

--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -3,6 +3,7 @@
 import { isLastChance } from "../fairness/isLastChance.js";
 import { judgeHeldCall } from "../fairness/judgeHeldCall.js";
 import { maxRequestsAt } from "../fairness/maxRequestsAt.js";
+import { recordUse } from "../fairness/recordUse.js";
 import { takeTurn } from "../fairness/takeTurn.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
@@ -168,6 +169,7 @@
     if (mayStart || isLastChance(context, row, choice.prediction)) {
         dequeueCall(context, row);
         sendCall(context, row, choice.target, choice.prediction);
+        recordUse(context, row);
         return;
     }
     awaitPermit(context, row, pool);
--- a/packages/medlarlb-decisions/src/gateway/fairness/staleViewJitterMs.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/staleViewJitterMs.ts
@@ -6,7 +6,7 @@
  * Largest random cost in ms of a target that only other instances use: somewhat more than the age of what they report, so that the
  * correction of a difference between targets takes longer than until it is seen.
  */
-const JITTER_MS = 120;
+const JITTER_MS = 60;
 /** The same in a large group, where reports pass two hubs. */
 const LARGE_GROUP_JITTER_MS = 1_000;
 /** Time in ms for which a service counts as contended after a request that found it so. */
--- a/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { ModelPool } from "../rows/modelPool.js";
+import { callPriority } from "../workspaces/callPriority.js";
 import { addDecaying } from "./addDecaying.js";
 import { callRank } from "./callRank.js";
 import { fairnessPeriodsMs } from "./fairnessPeriodsMs.js";
@@ -36,7 +37,7 @@
         return Math.max(0, (turn?.atMs ?? nowMs) - nowMs);
     }
     const rank = callRank(context, row.metadata);
-    const places = placesFor(context, pool);
+    const places = placesFor(context, pool, callPriority(row.metadata));
     const demands = listDemand(context, pool, places.paceMs);
     // The call itself is counted afterwards: a rate that includes it would be too high by one at each arrival.
     const arrivals = fairness.arrivals.get(pool.key) ?? new Map();
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
@@ -1,5 +1,6 @@
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import type { TargetId } from "medlarlb-types/targetId";
+import { recordUseElsewhere } from "../fairness/recordUseElsewhere.js";
 import { recordUrgencies } from "../fairness/recordUrgencies.js";
 import { markAllPools } from "../pools/markAllPools.js";
 import { findDemand } from "../placement/findDemand.js";
@@ -25,6 +26,10 @@
         row.waiting.clear();
     }
     context.fairness.reports.clear();
+    if (digest.used !== undefined) {
+        context.fairness.usedElsewhere.clear();
+    }
+    recordUseElsewhere(context, { instanceId, zone, ofZone: false }, digest.used);
     recordUrgencies(context, { instanceId, zone, ofZone: false }, digest.waiting);
     for (const { service, model, requests } of digest.waiting.filter(each => each.model !== "")) {
         findDemand(context, service, model).waiting.set(instanceId, { requests, atMs: context.nowMs });
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -1,6 +1,7 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { TargetId } from "medlarlb-types/targetId";
 import { recordUrgencies } from "../fairness/recordUrgencies.js";
+import { recordUseElsewhere } from "../fairness/recordUseElsewhere.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { markAllPools } from "../pools/markAllPools.js";
 import { recordDemand } from "../placement/recordDemand.js";
@@ -37,5 +38,6 @@
     }
     recordDemand(context, status);
     recordUrgencies(context, status, status.waiting);
+    recordUseElsewhere(context, status, status.used);
     markAllPools(context);
 };
--- a/packages/medlarlb-decisions/src/gateway/status/createLoadDigestBuilder.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/createLoadDigestBuilder.ts
@@ -2,6 +2,7 @@
 import type { LoadDigest } from "medlarlb-types/loadDigest";
 import { isZoneUnreachable } from "../calls/isZoneUnreachable.js";
 import { addReportedUrgencies } from "../fairness/addReportedUrgencies.js";
+import { reportUseElsewhere } from "../fairness/reportUseElsewhere.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import { hasActivePlanner } from "../calls/hasActivePlanner.js";
@@ -43,6 +44,7 @@
     }
     return recipient => ({
         waiting: addReportedUrgencies(context, recipient, listWaitingAtOthers(context, recipient)),
+        ...reportUseElsewhere(context, recipient),
         instanceId,
         reachedZones: reachableZones,
         planningZones,
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -2,6 +2,7 @@
 import { describeUrgencies } from "../fairness/describeUrgencies.js";
 import { listRankedServices } from "../fairness/listRankedServices.js";
 import { recordUrgencies } from "../fairness/recordUrgencies.js";
+import { reportUse } from "../fairness/reportUse.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { recordDemand } from "../placement/recordDemand.js";
 import type { InstanceId } from "medlarlb-types/instanceId";
@@ -61,6 +62,7 @@
         arrivals,
         waiting: listWaiting(context),
         loads: listLoads(context),
+        ...reportUse(context),
     };
 };
 
--- a/packages/medlarlb-decisions/src/gateway/status/sumZoneStatuses.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sumZoneStatuses.ts
@@ -1,4 +1,5 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
+import { reportZoneUse } from "../fairness/reportZoneUse.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { addWaiting } from "./addWaiting.js";
 
@@ -34,5 +35,5 @@
     }
     const arrivals = [...context.zoneArrivals.values()];
     context.zoneArrivals.clear();
-    return { ...ownStatus, ofZone: true, arrivals, waiting: [...waiting.values()], loads: [...loads.values()] };
+    return { ...ownStatus, ofZone: true, arrivals, waiting: [...waiting.values()], loads: [...loads.values()], ...reportZoneUse(context) };
 };
