--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
@@ -21,6 +21,8 @@
     models: number;
     policy?: GatewaySettings["policy"];
     route?: Partial<Route>;
+    /** Priorities of routes that the configuration has. Without them it has no routes. */
+    priorities?: number[];
     instancesPerZone?: number;
     storeLoadMs?: number;
     /** Time to process a prompt token, in ms. The engines take the values in turn. */
@@ -78,12 +80,6 @@
         return uniformFloat64(generator);
     };
     const profile = createProfile(models, storeLoadMs);
-    const config: RoutingConfig = {
-        version: 1,
-        routes: [],
-        services: new Map([["llm", { name: "llm", healthPath: "/health", maxConnections: 300, engine: profile }]]),
-        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-    };
     const defaultRoute: Route = {
         name: "r",
         host: "h",
@@ -98,6 +94,12 @@
         destinations: [{ service: "llm", weight: 1 }],
         ...route,
     };
+    const config: RoutingConfig = {
+        version: 1,
+        routes: (options.priorities ?? []).map(priority => ({ ...defaultRoute, priority })),
+        services: new Map([["llm", { name: "llm", healthPath: "/health", maxConnections: 300, engine: profile }]]),
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    };
     const engines = Array.from({ length: zones * enginesPerZone }, (_, index) => createVirtualEngine({
         id: `e${index}`,
         zone: `z${index % zones}`,
@@ -255,8 +257,8 @@
         runs,
         outcomes: (): Outcome[] => [...outcomes.values()],
         /** Sends a caller's request for a model to an instance. The first instances are one of each zone, and its planner. */
-        sendCall: (instance: number, model: string, options: { tokens?: number; adapter?: string; resumes?: string } = {}): string => {
-            const { tokens = 1_800, adapter, resumes } = options;
+        sendCall: (instance: number, model: string, options: { tokens?: number; adapter?: string; resumes?: string; priority?: number } = {}): string => {
+            const { tokens = 1_800, adapter, resumes, priority = defaultRoute.priority } = options;
             sequence += 1;
             const callId = brandAs<RequestId>(`c${sequence}`);
             outcomes.set(callId, { callId, model, arrivedAtMs: nowMs, firstMs: undefined, status: 0, heldMs: 0, retryAfterMs: undefined });
@@ -266,7 +268,7 @@
                     callId,
                     fingerprint: brandAs(callId),
                     callerRequestId: callId,
-                    route: defaultRoute,
+                    route: { ...defaultRoute, priority },
                     service: "llm",
                     model,
                     adapter,
--- a/packages/medlarlb-decisions/src/gateway/fairness/createFairnessTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/createFairnessTable.ts
@@ -5,6 +5,7 @@
     ranked: undefined,
     arrivals: new Map(),
     reports: new Map(),
+    heardAtMs: new Map(),
     credits: new Map(),
     turns: new WeakMap(),
     promised: new WeakSet(),
--- a/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
@@ -14,6 +14,8 @@
     arrivals: Map<string, Map<number, DecayingSum>>;
     /** Latest report of each instance or hub, this instance's own included, by pool. */
     reports: Map<InstanceId, { zone: ZoneId; atMs: number; urgencies: Map<string, Urgency[]> }>;
+    /** Latest time of a report of each instance or hub. */
+    heardAtMs: Map<InstanceId, number>;
     /** What is left of this instance's share of the targets, in request-ms, by pool and rank. */
     credits: Map<string, { amountMs: number; atMs: number }>;
     /** Times from which waiting calls to plain services may be sent, what they have paid for it, and whether no others go first. */
--- a/packages/medlarlb-decisions/src/gateway/fairness/maxRequestsAt.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/maxRequestsAt.ts
@@ -10,7 +10,7 @@
  * The same for requests with a share of the targets. The shares limit the mean, and a peak has passed when others see it. Requests
  * that no others go before find room at a target that has as many of the others as it gets.
  */
-const MAX_SHARED_RATIO = 2.5;
+const MAX_SHARED_RATIO = 2.7;
 const MAX_FIRST_RATIO = 3;
 
 /** Returns how many requests of all instances a target of a plain service may have for another one to be sent. */
--- a/packages/medlarlb-decisions/src/gateway/fairness/recordUrgencies.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/recordUrgencies.ts
@@ -9,6 +9,7 @@
     from: { instanceId: InstanceId; zone: ZoneId; ofZone: boolean },
     waiting: InstanceStatus["waiting"],
 ): void => {
+    fairness.heardAtMs.set(from.instanceId, nowMs);
     if (from.ofZone) {
         // The sum includes what the zone's instances or an earlier hub reported before.
         [...fairness.reports].filter(([, report]) => report.zone === from.zone).forEach(([id]) => fairness.reports.delete(id));
