--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,8 +1,8 @@
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
+import { hasPlainCapacity } from "../fairness/hasPlainCapacity.js";
 import { isLastChance } from "../fairness/isLastChance.js";
 import { judgeHeldCall } from "../fairness/judgeHeldCall.js";
-import { maxRequestsAt } from "../fairness/maxRequestsAt.js";
 import { recordUse } from "../fairness/recordUse.js";
 import { takeTurn } from "../fairness/takeTurn.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -39,7 +39,7 @@
 const hasCapacity = (context: GatewayContext, row: CallRow, choice: NonNullable<ReturnType<typeof chooseTarget>>): boolean => {
     const { target, prediction } = choice;
     if (row.metadata.model === undefined) {
-        return countInFlight(target, context.nowMs) < maxRequestsAt(context, row, target);
+        return hasPlainCapacity(context, row, target);
     }
     return prediction.waitMs <= MAX_ENGINE_WAIT_MS && countInFlight(target, context.nowMs) < target.entry.slots;
 };
--- a/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
@@ -5,6 +5,7 @@
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { CallRow } from "../rows/callRow.js";
 import type { DecayingSum } from "./decayingSum.js";
+import type { Turn } from "./turn.js";
 
 /** What an instance knows of the demand and use of all instances. */
 export interface FairnessTable {
@@ -18,8 +19,8 @@
     heardAtMs: Map<InstanceId, number>;
     /** What is left of this instance's share of the targets, in request-ms, by pool and rank. */
     credits: Map<string, { amountMs: number; atMs: number }>;
-    /** Times from which waiting calls to plain services may be sent, what they have paid for it, and whether no others go first. */
-    turns: WeakMap<CallRow, { atMs: number; creditKey: string | undefined; paidMs: number; isFirst: boolean }>;
+    /** Turns of waiting calls to plain services. */
+    turns: WeakMap<CallRow, Turn>;
     /** Waiting calls that aren't refused any more before a target has been asked. */
     promised: WeakSet<CallRow>;
     /** Recent use at this instance, by service and workspace. */
--- a/packages/medlarlb-decisions/src/gateway/fairness/maxRequestsAt.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/hasPlainCapacity.ts
@@ -13,13 +13,17 @@
 const MAX_SHARED_RATIO = 2.7;
 const MAX_FIRST_RATIO = 3;
 
-/** Returns how many requests of all instances a target of a plain service may have for another one to be sent. */
-export const maxRequestsAt = (context: GatewayContext, row: CallRow, target: PoolTarget): number => {
-    const turn = context.fairness.turns.get(row);
+/** Returns whether a target of a plain service has room for a call, and this instance for another one at its targets. */
+export const hasPlainCapacity = (context: GatewayContext, row: CallRow, target: PoolTarget): boolean => {
+    const { nowMs, fairness, targetsByService } = context;
+    const turn = fairness.turns.get(row);
+    const inFlight = countInFlight(target, nowMs);
     if (turn === undefined) {
-        return target.entry.slots * MAX_RATIO;
+        return inFlight < target.entry.slots * MAX_RATIO;
     }
     // In a large group reports of others are too old to tell how full a target is.
-    const isUncertain = isLargeGroup(context) && target.activeAttempts.size < countInFlight(target, context.nowMs) / 2;
-    return target.entry.slots * (turn.isFirst || isUncertain ? MAX_FIRST_RATIO : MAX_SHARED_RATIO);
+    const isUncertain = isLargeGroup(context) && target.activeAttempts.size < inFlight / 2;
+    const ownRequests = (targetsByService.get(target.entry.service) ?? []).reduce((sum, each) => sum + each.activeAttempts.size, 0);
+    return inFlight < target.entry.slots * (turn.isFirst || isUncertain ? MAX_FIRST_RATIO : MAX_SHARED_RATIO)
+        && ownRequests < turn.maxOwnRequests;
 };
--- a/packages/medlarlb-decisions/src/gateway/fairness/staleViewJitterMs.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/staleViewJitterMs.ts
@@ -23,5 +23,5 @@
     }
     const own = target.activeAttempts.size;
     const others = [...target.peerLoads.values()].reduce((sum, each) => sum + each.running, 0);
-    return others === 0 ? 0 : (isLargeGroup(context) ? LARGE_GROUP_JITTER_MS : JITTER_MS) * others / (own + others);
+    return others === 0 ? 0 : (isLargeGroup(context) ? LARGE_GROUP_JITTER_MS : JITTER_MS) * (others / (own + others)) ** 2;
 };
--- a/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
@@ -15,6 +15,8 @@
 
 /** Part of the time that a request has left beside its answer for which it may wait for its turn. The rest is for errors of the prediction. */
 const MAX_WAIT_RATIO = 0.5;
+/** Requests of a rank at the targets, as a multiple of the share, up to which more are sent. */
+const MAX_SHARE_RATIO = 1.25;
 /** Demand from which a service counts as contended, as a share of the requests that its targets are to hold. */
 const CONTENDED_RATIO = 0.7;
 
@@ -50,7 +52,7 @@
         fairness.contendedAtMs.set(pool.key, nowMs);
     }
     if (share === undefined) {
-        fairness.turns.set(row, { atMs: nowMs, creditKey: undefined, paidMs: 0, isFirst });
+        fairness.turns.set(row, { atMs: nowMs, creditKey: undefined, paidMs: 0, isFirst, maxOwnRequests: Number.POSITIVE_INFINITY });
         return 0;
     }
     const creditKey = `${pool.key}/${rank}`;
@@ -60,6 +62,9 @@
         failCall(context, row, "requests that go first need its targets", waitMs - maxWaitMs);
         return undefined;
     }
-    fairness.turns.set(row, { atMs: nowMs + waitMs, creditKey, paidMs: places.paceMs, isFirst });
+    // Without the limit, a share that follows answer times with their delay would swing.
+    const ownOfOtherRanks = [...demands].reduce((sum, [each, { own }]) => sum + (each === rank ? 0 : own), 0);
+    const maxOwnRequests = Math.ceil(share * MAX_SHARE_RATIO + ownOfOtherRanks) + 1;
+    fairness.turns.set(row, { atMs: nowMs + waitMs, creditKey, paidMs: places.paceMs, isFirst, maxOwnRequests });
     return waitMs;
 };
