--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,5 +1,10 @@
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
+import { hasPlainCapacity } from "../fairness/hasPlainCapacity.js";
+import { isLastChance } from "../fairness/isLastChance.js";
+import { judgeHeldCall } from "../fairness/judgeHeldCall.js";
+import { recordUse } from "../fairness/recordUse.js";
+import { takeTurn } from "../fairness/takeTurn.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { ModelPool } from "../rows/modelPool.js";
@@ -36,7 +41,7 @@
 const hasCapacity = (context: GatewayContext, row: CallRow, choice: NonNullable<ReturnType<typeof chooseTarget>>): boolean => {
     const { target, prediction } = choice;
     if (row.metadata.model === undefined) {
-        return countInFlight(target, context.nowMs) < target.entry.slots * 2;
+        return hasPlainCapacity(context, row, target);
     }
     return prediction.waitMs <= MAX_ENGINE_WAIT_MS && countInFlight(target, context.nowMs) < target.entry.slots;
 };
@@ -156,25 +161,37 @@
         requestModelFromPlanner(context, row, choice.target.entry.targetId);
         return;
     }
+    const turnInMs = takeTurn(context, row, pool, choice.prediction);
+    if (turnInMs === undefined || turnInMs > 0) {
+        checkAgainAfter(context, pool, turnInMs ?? MAX_CHECK_INTERVAL_MS);
+        return;
+    }
     // Streams that go on wait for one software version only, beside those that any target may begin.
     const queue = `${pool.key}/${row.origin?.softwareVersion ?? ""}`;
     const ownQueueMs = queueMsByPool.get(queue) ?? 0;
     const queuedMs = ownQueueMs + peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
-    if (ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice)) {
+    const mayStart = ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice);
+    if (mayStart || isLastChance(context, row, choice.prediction)) {
         if (!renewCharge(context, row)) {
             checkAgainAfter(context, pool, MAX_CHECK_INTERVAL_MS);
             return;
         }
         dequeueCall(context, row);
         sendCall(context, row, choice.target, choice.prediction);
+        recordUse(context, row);
         return;
     }
     awaitPermit(context, row, pool);
     queueMsByPool.set(queue, ownQueueMs + choice.prediction.uncachedTokens * choice.target.msPerWorkUnit);
-    if (context.nowMs + queuedMs + choice.prediction.answerMs > row.nextEventDeadlineAtMs) {
+    const answerInMs = queuedMs + choice.prediction.answerMs;
+    const held = judgeHeldCall(context, row, answerInMs);
+    if (held === "refused" || (held !== "promised" && context.nowMs + answerInMs > row.nextEventDeadlineAtMs)) {
         failCall(context, row, "the predicted wait passes the deadline", queuedMs + choice.prediction.waitMs);
         return;
     }
+    if (typeof held === "number") {
+        checkAgainAfter(context, pool, held);
+    }
     if (ownQueueMs === 0) {
         // The prediction falls by at most a ms in a ms while nothing changes.
         const excessMs = queuedMs + choice.prediction.waitMs - MAX_ENGINE_WAIT_MS;
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -8,6 +8,7 @@
 import type { ZoneId } from "medlarlb-types/zoneId";
 import type { RandomSource } from "../randomSource.js";
 import type { CrashTable } from "./crashes/crashTable.js";
+import type { FairnessTable } from "./fairness/fairnessTable.js";
 import type { GatewayCommand } from "./gatewayCommand.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { AnswerTimes } from "./hedging/answerTimes.js";
@@ -62,6 +63,7 @@
     crashes: CrashTable;
     /** Observations from other zones that this instance passes on to its own zone with the next status, in a large group. */
     observationsToRelay: TargetObservation[];
+    fairness: FairnessTable;
     retryBudgets: Map<string, RetryBudget>;
     groupView: GroupView;
     /** Work and second attempts by service, and how long its answers took; empty without second attempts. */
