Describe the order of service, and log when a priority is limited

Cause: operators couldn't see why requests are refused that find free places, nor which part an instance has.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualContention.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualContention.ts
@@ -163,7 +163,15 @@
             const { latencyTargetMs } = found;
             const arrivedAtMs = now();
             outcomes.set(callId, {
-                route, workspace, instance: index, arrivedAtMs, latencyTargetMs, status: 0, tookMs: 0, retryAfterMs: undefined, attempts: 0,
+                route,
+                workspace,
+                instance: index,
+                arrivedAtMs,
+                latencyTargetMs,
+                status: 0,
+                tookMs: 0,
+                retryAfterMs: undefined,
+                attempts: 0,
             });
             const metadata = createServiceCall(callId, callId, arrivedAtMs, found);
             give(instance, { kind: "call", metadata: { ...metadata, workspace: workspaces.find(each => each.name === workspace) } });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualDeployment.ts
@@ -257,7 +257,11 @@
         runs,
         outcomes: (): Outcome[] => [...outcomes.values()],
         /** Sends a caller's request for a model to an instance. The first instances are one of each zone, and its planner. */
-        sendCall: (instance: number, model: string, options: { tokens?: number; adapter?: string; resumes?: string; priority?: number } = {}): string => {
+        sendCall: (
+            instance: number,
+            model: string,
+            options: { tokens?: number; adapter?: string; resumes?: string; priority?: number } = {},
+        ): string => {
             const { tokens = 1_800, adapter, resumes, priority = defaultRoute.priority } = options;
             sequence += 1;
             const callId = brandAs<RequestId>(`c${sequence}`);
--- a/packages/medlarlb-decisions/src/gateway/__tests__/workspaceShares.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/workspaceShares.test.ts
@@ -34,7 +34,11 @@
                 const measure = (isBusy: boolean) => {
                     const workspaces = ["busy", ...OTHERS].map(name => ({ name, priority: undefined, quota: undefined }));
                     const contention = createVirtualContention({
-                        seed: 11, workMs: WORK_MS, routes: [createContentionRoute("r", 1)], workspaces, ...group,
+                        seed: 11,
+                        workMs: WORK_MS,
+                        routes: [createContentionRoute("r", 1)],
+                        workspaces,
+                        ...group,
                     });
                     const perSecond = group.targets * group.slots * 1_000 / WORK_MS * LOAD;
                     const otherPerSecond = perSecond * (1 - BUSY_SHARE) / OTHERS.length;
@@ -64,7 +68,14 @@
     it("gives two workspaces that both want more than a half about a half each", () => {
         const workspaces = ["one", "other"].map(name => ({ name, priority: undefined, quota: undefined }));
         const contention = createVirtualContention({
-            seed: 11, workMs: WORK_MS, routes: [createContentionRoute("r", 1)], workspaces, instances: 2, zones: 1, targets: 3, slots: 4,
+            seed: 11,
+            workMs: WORK_MS,
+            routes: [createContentionRoute("r", 1)],
+            workspaces,
+            instances: 2,
+            zones: 1,
+            targets: 3,
+            slots: 4,
         });
         const flows = [
             { route: "r", workspace: "one", perSecond: 400, drawInstance: () => 0 },
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -137,6 +137,15 @@
     return isStreamReady(context, row, pool);
 };
 
+/** Returns whether a call whose answer is predicted to come in `answerInMs` may wait for a target. */
+const mayWait = (context: GatewayContext, row: CallRow, pool: ModelPool, answerInMs: number): boolean => {
+    const held = judgeHeldCall(context, row, answerInMs);
+    if (typeof held === "number") {
+        checkAgainAfter(context, pool, held);
+    }
+    return held === "promised" || (held !== "refused" && context.nowMs + answerInMs <= row.nextEventDeadlineAtMs);
+};
+
 /**
  * Sends or refuses one waiting call, or leaves it waiting. `queueMsByPool` holds the predicted work of the calls that were
  * left waiting before it.
@@ -174,15 +183,10 @@
     }
     awaitPermit(context, row, pool);
     queueMsByPool.set(queue, ownQueueMs + choice.prediction.uncachedTokens * choice.target.msPerWorkUnit);
-    const answerInMs = queuedMs + choice.prediction.answerMs;
-    const held = judgeHeldCall(context, row, answerInMs);
-    if (held === "refused" || (held !== "promised" && context.nowMs + answerInMs > row.nextEventDeadlineAtMs)) {
+    if (!mayWait(context, row, pool, queuedMs + choice.prediction.answerMs)) {
         failCall(context, row, "the predicted wait passes the deadline", queuedMs + choice.prediction.waitMs);
         return;
     }
-    if (typeof held === "number") {
-        checkAgainAfter(context, pool, held);
-    }
     if (ownQueueMs === 0) {
         // The prediction falls by at most a ms in a ms while nothing changes.
         const excessMs = queuedMs + choice.prediction.waitMs - MAX_ENGINE_WAIT_MS;
--- a/packages/medlarlb-decisions/src/gateway/calls/sortByUrgency.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sortByUrgency.ts
@@ -18,8 +18,9 @@
 
 /**
  * Sorts waiting calls, those that are served first in front. Calls that can still be answered in time go before those that
- * are already too late: under overload, serving the oldest first would make every answer just too late. Then the lower
- * rank (the priority, then the recent use of the workspace) goes first, then the earlier latency target. `engineWaitMs` is the wait at an engine that a call may have.
+ * are already too late: under overload, serving the oldest first would make every answer just too late. Then the lower rank (the
+ * priority, then the recent use of the workspace) goes first, then the earlier latency target. `engineWaitMs` is the wait at an
+ * engine that a call may have.
  */
 export const sortByUrgency = (context: GatewayContext, rows: readonly CallRow[], engineWaitMs: number): CallRow[] =>
     rows.map((row): SortKey => {
--- a/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
@@ -33,6 +33,6 @@
     levels: Map<string, Map<string, number>>;
     /** Latest time at which the demand for the targets of a plain service was close to what they take, by pool. */
     contendedAtMs: Map<string, number>;
-    /** Ranks whose requests are limited to a share of the capacity, by pool and rank, with the time of the latest log line. */
+    /** Whether requests are limited to a share of the targets, by service and priority, as of the latest log line about it. */
     limited: Map<string, { isLimited: boolean; atMs: number }>;
 }
--- a/packages/medlarlb-decisions/src/gateway/fairness/placesFor.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/placesFor.ts
@@ -29,9 +29,10 @@
 }
 
 /**
- * Returns how many requests of all instances the targets of a plain service are to hold, as far as this instance can tell, `shared` for ranks behind others and
- * `alone` for the most urgent one, how many they hold (`inFlight`), and the mean time in ms that a request takes there, its wait included. `shared` is lower if
- * requests more urgent than `priority` have little time to wait, because targets serve in the order of arrival.
+ * Returns how many requests of all instances the targets of a plain service are to hold, as far as this instance can tell (`shared`
+ * for ranks behind others, `alone` for the most urgent one), how many they hold (`inFlight`), and the mean time in ms that a request
+ * takes there, its wait included. `shared` is lower if requests more urgent than `priority` have little time to wait, because
+ * targets serve in the order of arrival.
  */
 export const placesFor = (context: GatewayContext, pool: ModelPool, priority: number): Places => {
     let slots = 0;
@@ -48,6 +49,7 @@
     const runMs = paceMs / Math.max(1, inFlight / slots);
     const urgentRatio = 1 + (shortestUrgentTargetMs(context, pool.service, priority) / runMs - 1) * WAIT_RATIO;
     const maxRatio = isLargeGroup(context) ? LARGE_GROUP_SHARED_RATIO : SHARED_RATIO;
-    const shared = Math.max(0, slots * Math.min(maxRatio, Math.max(MIN_SHARED_RATIO, urgentRatio)) - unreportedRequests(context, pool));
+    const sharedRatio = Math.min(maxRatio, Math.max(MIN_SHARED_RATIO, urgentRatio));
+    const shared = Math.max(0, slots * sharedRatio - unreportedRequests(context, pool));
     return { shared, alone: slots * ALONE_RATIO, inFlight, paceMs };
 };
--- a/packages/medlarlb-decisions/src/gateway/fairness/recordUse.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/recordUse.ts
@@ -13,5 +13,6 @@
     const plainAmount = workspace?.quota?.unit === "tokens" ? workspace.quota.plainTokens : 1;
     const used = fairness.used.get(service) ?? new Map();
     fairness.used.set(service, used);
-    addDecaying(used, workspaceName(metadata), model === undefined ? plainAmount : promptTokens + outputTokens, fairnessPeriodsMs.used, nowMs);
+    const amount = model === undefined ? plainAmount : promptTokens + outputTokens;
+    addDecaying(used, workspaceName(metadata), amount, fairnessPeriodsMs.used, nowMs);
 };
--- a/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
@@ -9,11 +9,12 @@
 import { fairnessPeriodsMs } from "./fairnessPeriodsMs.js";
 import { listDemand } from "./listDemand.js";
 import { listRankedServices } from "./listRankedServices.js";
+import { noteLimited } from "./noteLimited.js";
 import { placesFor } from "./placesFor.js";
 import { shareOfRank } from "./shareOfRank.js";
 import { takeCredit } from "./takeCredit.js";
 
-/** Part of the time that a request has left beside its answer for which it may wait for its turn. The rest is for errors of the prediction. */
+/** Part of the time left beside its answer for which a request may wait for its turn. The rest is for errors of the prediction. */
 const MAX_WAIT_RATIO = 0.5;
 /** Requests of a rank at the targets, as a multiple of the share, up to which more are sent. */
 const MAX_SHARE_RATIO = 1.25;
@@ -47,6 +48,7 @@
     addDecaying(arrivals, rank, 1, fairnessPeriodsMs.arrivals, nowMs);
     const isFirst = ![...demands.keys()].some(each => each < rank);
     const share = shareOfRank(demands, rank, places);
+    noteLimited(context, pool.service, callPriority(row.metadata), share, demands.get(rank)?.own ?? 0);
     fairness.promised.add(row);
     if ([...demands.values()].reduce((sum, { own, others }) => sum + own + others, 0) > CONTENDED_RATIO * places.shared) {
         fairness.contendedAtMs.set(pool.key, nowMs);
--- a/packages/medlarlb-decisions/src/gateway/fairness/unreportedRequests.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/unreportedRequests.ts
@@ -20,7 +20,8 @@
     }
     let unreported = 0;
     for (const target of pool.targets) {
-        const others = [...target.peerLoads.values()].reduce((sum, load) => sum + (nowMs - load.atMs < MAX_LOAD_AGE_MS ? load.running : 0), 0);
+        const fresh = [...target.peerLoads.values()].filter(load => nowMs - load.atMs < MAX_LOAD_AGE_MS);
+        const others = fresh.reduce((sum, load) => sum + load.running, 0);
         unreported += countInFlight(target, nowMs) - target.activeAttempts.size - others;
     }
     return unreported;
--- a/packages/medlarlb-peers/src/frameCodec.ts
+++ b/packages/medlarlb-peers/src/frameCodec.ts
@@ -63,6 +63,8 @@
     "requestId",
     "softwareVersion",
     "keptForMs",
+    "urgencies",
+    "used",
 ] as const;
 
 /** Encodes and decodes the messages in the frames between instances. */
