--- a/packages/medlarlb-peers/src/frameCodec.ts
+++ b/packages/medlarlb-peers/src/frameCodec.ts
@@ -68,6 +68,8 @@
     "sharers",
     "wants",
     "grants",
+    "urgencies",
+    "used",
 ] as const;
 
 /** Encodes and decodes the messages in the frames between instances. */
