Choose plain targets by the duration of work that they report

Cause: the fourth load figure wasn't read. Requests queued at a machine that had become slow, and fast machines were full while slow ones were idle: with 63 targets of speeds 1 to 4 at load 0.7, places were in use from 0.14 to 0.99 of the time. Change: targets that send the figure are compared by its expected value at its age, by the requests that their own reports show, and by the use of their places; at most 1.5 requests per place are sent to them. Others are compared as before.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -2,6 +2,7 @@
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
 import { answerMutations } from "./answerMutations.mjs";
+import { capacityMutations } from "./capacityMutations.mjs";
 import { endlessMutations } from "./endlessMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
 import { restoredMutations } from "./restoredMutations.mjs";
@@ -235,6 +236,7 @@
     },
     ...observationMutations,
     ...answerMutations,
+    ...capacityMutations,
     ...endlessMutations,
     ...restoredMutations,
     ...retryMutations,
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -7,6 +7,7 @@
 import { applyPermitAnswer } from "./limits/applyPermitAnswer.js";
 import { applyPermitRequest } from "./limits/applyPermitRequest.js";
 import { applyObservations } from "./observations/applyObservations.js";
+import { recordWorkTime } from "./capacity/recordWorkTime.js";
 import { applyProbed } from "./crashes/applyProbed.js";
 import { recordAbandoned } from "./crashes/recordAbandoned.js";
 import type { GatewayInput } from "./gatewayInput.js";
@@ -57,10 +58,11 @@
             removeCall(context, row);
         }
     },
-    load: (context, { targetId, running, waiting, slots }) => {
+    load: (context, { targetId, running, waiting, slots, workTimeRatio }) => {
         const target = context.targets.get(targetId);
         if (target !== undefined) {
             target.reportedLoad = { running, waiting, slots, atMs: context.nowMs };
+            recordWorkTime(target, { running, waiting, slots, workTimeRatio }, context.nowMs);
             markTargetPools(context, target);
         }
     },
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -2,6 +2,7 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { serviceCostMs } from "../capacity/serviceCostMs.js";
 import { hasPermit } from "../limits/hasPermit.js";
 import { requestPermit } from "../limits/requestPermit.js";
 import { hasRequestedModel } from "./hasRequestedModel.js";
@@ -54,7 +55,10 @@
     const ready = hasRequestedModel(target, row.metadata, true);
     const recentFailureRate = target.failureRate * 0.5 ** ((context.nowMs - target.failureRateAtMs) / FAILURE_HALF_LIFE_MS);
     const excessFailureRate = Math.max(0, recentFailureRate - (context.serviceFailureRate.get(target.entry.service) ?? 0));
-    const costMs = prediction.answerMs
+    const comparedMs = row.metadata.model === undefined && target.workTime !== undefined
+        ? serviceCostMs(context, target, prediction.answerMs, row.metadata.latencyTargetAtMs - context.nowMs, row.pool?.waiting.length ?? 0)
+        : prediction.answerMs;
+    const costMs = comparedMs
         + (ready ? 0 : adapterCostMs(row, target))
         + excessFailureRate ** 2 * FAILURE_PENALTY_MS
         + context.random() * MAX_JITTER_MS;
--- a/packages/medlarlb-decisions/src/gateway/calls/predictLatency.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/predictLatency.ts
@@ -1,9 +1,10 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { countAtTarget } from "../capacity/countAtTarget.js";
+import { expectedWorkTimeRatio } from "../capacity/expectedWorkTimeRatio.js";
 import { backlogTokens } from "./backlogTokens.js";
 import { cachedTokens } from "./cachedTokens.js";
-import { countInFlight } from "./countInFlight.js";
 import { servicePaceMs } from "./servicePaceMs.js";
 
 interface Prediction {
@@ -21,8 +22,8 @@
 const BATCH_STEP_MS = 15;
 
 const predictPlainService = (context: GatewayContext, target: PoolTarget): Prediction => {
-    const excessRequests = countInFlight(target, context.nowMs) + 1 - target.entry.slots;
-    const paceMs = servicePaceMs(context, target);
+    const excessRequests = countAtTarget(target, context.nowMs) + 1 - target.entry.slots;
+    const paceMs = servicePaceMs(context, target) * expectedWorkTimeRatio(target, context.nowMs);
     const waitMs = excessRequests <= 0 ? 0 : excessRequests / target.entry.slots * paceMs;
     return { waitMs, answerMs: waitMs + paceMs, uncachedTokens: 1, aheadTokens: 0 };
 };
@@ -38,6 +39,8 @@
     }
     const uncachedTokens = Math.max(1, metadata.promptTokens - cachedTokens(target, row));
     const aheadTokens = backlogTokens(target, context.nowMs);
-    const waitMs = aheadTokens * target.msPerWorkUnit;
-    return { waitMs, answerMs: waitMs + uncachedTokens * target.msPerWorkUnit + BATCH_STEP_MS, uncachedTokens, aheadTokens };
+    const workTimeRatio = expectedWorkTimeRatio(target, context.nowMs);
+    const msPerToken = target.msPerWorkUnit * workTimeRatio;
+    const waitMs = aheadTokens * msPerToken;
+    return { waitMs, answerMs: waitMs + uncachedTokens * msPerToken + BATCH_STEP_MS * workTimeRatio, uncachedTokens, aheadTokens };
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,3 +1,4 @@
+import { hasFreePlace } from "../capacity/hasFreePlace.js";
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -34,7 +35,7 @@
 const hasCapacity = (context: GatewayContext, row: CallRow, choice: NonNullable<ReturnType<typeof chooseTarget>>): boolean => {
     const { target, prediction } = choice;
     if (row.metadata.model === undefined) {
-        return countInFlight(target, context.nowMs) < target.entry.slots * 2;
+        return hasFreePlace(target, context.nowMs);
     }
     return prediction.waitMs <= MAX_ENGINE_WAIT_MS && countInFlight(target, context.nowMs) < target.entry.slots;
 };
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -41,8 +41,8 @@
     | { kind: "targetLeaving"; targetId: TargetId; source: string }
     | { kind: "call"; metadata: CallMetadata }
     | { kind: "callerLeft"; callId: RequestId }
-    /** A target has reported its load in a response. */
-    | { kind: "load"; targetId: TargetId; running: number; waiting: number; slots: number }
+    /** A target has reported its load in a response. `workTimeRatio` is its duration of work now as a multiple of the usual one. */
+    | { kind: "load"; targetId: TargetId; running: number; waiting: number; slots: number; workTimeRatio?: number | undefined }
     /** A target has refused a request and wants no more from this instance for a time. */
     | { kind: "pause"; targetId: TargetId; pauseMs: number }
     /** A target has named a limit in a response, or none any more. */
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyAnswerStarted.ts
@@ -1,4 +1,5 @@
 import type { GatewayInput } from "../gatewayInput.js";
+import { expectedWorkTimeRatio } from "../capacity/expectedWorkTimeRatio.js";
 import { recordContact } from "../calls/recordContact.js";
 import { proveCompletions } from "../crashes/proveCompletions.js";
 import { recordResponse } from "../crashes/recordResponse.js";
@@ -48,6 +49,7 @@
     const tookMs = context.nowMs - attempt.sentAtMs;
     const tokens = attempt.aheadTokens + attempt.uncachedTokens;
     if (row.metadata.model !== undefined && tokens >= MIN_SAMPLE_TOKENS) {
-        updatePace(context, row, target, Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, (tookMs - FIXED_ANSWER_MS) / tokens)));
+        const sample = (tookMs / expectedWorkTimeRatio(target, context.nowMs) - FIXED_ANSWER_MS) / tokens;
+        updatePace(context, row, target, Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, sample)));
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -1,3 +1,4 @@
+import { expectedWorkTimeRatio } from "../capacity/expectedWorkTimeRatio.js";
 import { recordContact } from "../calls/recordContact.js";
 import { removeCall } from "../calls/removeCall.js";
 import { logEvent } from "../calls/logEvent.js";
@@ -35,7 +36,7 @@
         recordContact(context, target, context.nowMs);
         recordOutcome(context, target, input.status >= 500);
         if (metadata.model === undefined && input.status < 500) {
-            updatePace(context, target, context.nowMs - attempt.sentAtMs);
+            updatePace(context, target, (context.nowMs - attempt.sentAtMs) / expectedWorkTimeRatio(target, context.nowMs));
         }
     }
     if (input.endedWithConnection === true && target !== undefined) {
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -13,6 +13,7 @@
     pendingTokens: 0,
     peerLoads: new Map(),
     reportedLoad: undefined,
+    workTime: undefined,
     requestLimit: undefined,
     limitBucket: { tokens: 0, atMs: nowMs },
     permits: [],
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -3,6 +3,7 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import type { RequestId } from "medlarlb-types/requestId";
+import type { WorkTime } from "../capacity/workTime.js";
 import type { TokenBucket } from "../limits/tokenBucket.js";
 import type { CallAttempt } from "./callAttempt.js";
 import type { ModelPool } from "./modelPool.js";
@@ -37,6 +38,8 @@
     peerLoads: Map<InstanceId, PeerLoad>;
     /** Latest load that the target itself reported. */
     reportedLoad: { running: number; waiting: number; slots: number; atMs: number } | undefined;
+    /** Duration of work that the target reports; undefined if it sends no such figure. */
+    workTime: WorkTime | undefined;
     /** Requests per second that the target takes from all instances together; undefined if it names no limit. */
     requestLimit: number | undefined;
     /** Requests that may be sent to it now, which this instance hands out as its planner or uses itself. */
--- a/packages/medlarlb-types/src/parsedAnswerHeaders.ts
+++ b/packages/medlarlb-types/src/parsedAnswerHeaders.ts
@@ -9,7 +9,8 @@
     closing: boolean;
     encoded: boolean;
     contentLength: number | undefined;
-    load: { running: number; waiting: number; slots: number } | undefined;
+    /** `workTimeRatio` is the present duration of work on the machine as a multiple of the usual one, if the target tells it. */
+    load: { running: number; waiting: number; slots: number; workTimeRatio?: number } | undefined;
     /** Requests per second that the target takes from all instances together; undefined if it names no limit. */
     requestLimit: number | undefined;
     /** Whether the target says that it leaves. */
