--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -2,6 +2,7 @@
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
 import { answerMutations } from "./answerMutations.mjs";
+import { capacityMutations } from "./capacityMutations.mjs";
 import { endlessMutations } from "./endlessMutations.mjs";
 import { hedgingMutations } from "./hedgingMutations.mjs";
 import { observationMutations } from "./observationMutations.mjs";
@@ -239,6 +240,7 @@
     },
     ...observationMutations,
     ...answerMutations,
+    ...capacityMutations,
     ...endlessMutations,
     ...operatorMutations,
     ...restoredMutations,
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -7,6 +7,7 @@
 import { applyPermitAnswer } from "./limits/applyPermitAnswer.js";
 import { applyPermitRequest } from "./limits/applyPermitRequest.js";
 import { applyObservations } from "./observations/applyObservations.js";
+import { recordWorkTime } from "./capacity/recordWorkTime.js";
 import { applyProbed } from "./crashes/applyProbed.js";
 import { tellNewMembers } from "./crashes/tellNewMembers.js";
 import { recordAbandoned } from "./crashes/recordAbandoned.js";
@@ -65,10 +66,11 @@
             removeCall(context, row);
         }
     },
-    load: (context, { targetId, running, waiting, slots }) => {
+    load: (context, { targetId, running, waiting, slots, workTimeRatio }) => {
         const target = context.targets.get(targetId);
         if (target !== undefined) {
             target.reportedLoad = { running, waiting, slots, atMs: context.nowMs };
+            recordWorkTime(target, { running, waiting, slots, workTimeRatio }, context.nowMs);
             markTargetPools(context, target);
         }
     },
