--- a/packages/medlarlb-decisions/src/gateway/__tests__/quotas.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/quotas.test.ts
@@ -98,6 +98,23 @@
         });
     }
 
+    const withoutBurst: [string, Workspace, number][] = [
+        ["tokens", createQuotaWorkspace("w", 60_000, 0), COST],
+        ["requests", createQuotaWorkspace("w", 100, 0, { unit: "requests" }), 1],
+    ];
+    for (const [unit, workspace, cost] of withoutBurst) {
+        it(`refuses nothing below 0.7 of a quota of ${unit} without a burst, wherever its callers are connected`, () => {
+            const refused = [1, 2, 39, 40].map(seed => {
+                const group = createVirtualQuotaGroup({ seed, instances: 63, zones: ZONES, workspaces: [workspace] });
+                group.run(WARM_UP_MS);
+                const perSecond = 0.69 * (workspace.quota?.perSecond ?? 0) / cost;
+                return [anyInstance(group), mostlyOne(group, 5), mostlyOne(group, 0), mostlyOne(group, 4)]
+                    .reduce((sum, choose) => sum + countRefused(sendFor(group, 6_000, perSecond, choose, cost)), 0);
+            });
+            expect(refused).to.deep.equal([0, 0, 0, 0]);
+        });
+    }
+
     it("serves a burst that was saved up, within the limit of the window", () => {
         const workspace = createQuotaWorkspace("w", 30_000, 120_000);
         const group = createVirtualQuotaGroup({ seed: 32, instances: 6, zones: ZONES, workspaces: [workspace] });
--- a/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/applyQuotaWanted.ts
@@ -2,6 +2,7 @@
 import type { QuotaGrant } from "medlarlb-types/quotaGrant";
 import type { QuotaWant } from "medlarlb-types/quotaWant";
 import type { GatewayContext } from "../gatewayContext.js";
+import { accruesInTime } from "./accruesInTime.js";
 import { answerWant } from "./answerWant.js";
 import { askOtherHubs } from "./askOtherHubs.js";
 import { centralHub } from "./centralHub.js";
@@ -16,9 +17,8 @@
 import { readRecentUse } from "./readRecentUse.js";
 import { refillPool } from "./refillPool.js";
 
-/** Time in ms for which a query waits for other hubs. The request that it is for waits a little longer. */
-const OTHER_HUBS_WAIT_MS = 25;
-
+/** Time in ms for which a query waits for other hubs or accrual. The request that it is for waits a little longer. */
+const WANT_WAIT_MS = 25;
 /** Time in ms after which a quota is asked for again that this hub's configuration doesn't have. */
 const UNKNOWN_RETRY_MS = 200;
 /** Part of the recent use, of about 300 ms, that a hub keeps for its own zone: that of a few round trips. */
@@ -50,10 +50,11 @@
     }
     // Instances that get nothing show by their queries what this zone could use.
     row.zoneUse.tokens = Math.max(row.zoneUse.tokens, needed);
-    if (!askOtherHubs(context, row, needed)) {
+    const ahead = row.openWants.reduce((sum, each) => sum + each.needed, 0);
+    if (!askOtherHubs(context, row, needed) && !accruesInTime(context, row, ahead + needed, WANT_WAIT_MS)) {
         return [row.workspace, 0, predictAllowedMs(context, row, needed)];
     }
-    const untilMs = context.nowMs + OTHER_HUBS_WAIT_MS;
+    const untilMs = context.nowMs + WANT_WAIT_MS;
     row.openWants.push({ from, sequence, needed, wished, untilMs });
     context.quotas.nextCheckMs = Math.min(context.quotas.nextCheckMs, untilMs);
     return undefined;
--- a/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
@@ -10,7 +10,7 @@
     untilMs: number;
 }
 
-/** A query of an instance that its hub hasn't answered yet, because it has asked the other hubs. */
+/** A query of an instance that its hub hasn't answered yet, because it has asked the other hubs or will soon have the tokens. */
 interface OpenWant {
     from: InstanceId;
     sequence: number;
