Drop the tokens of a quota whose unit changes

Cause: stored and granted tokens counted as as many requests after the unit had changed.

Change: a quota begins anew, without tokens, when its unit changes.

Result: quotaShares.test.ts passes.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/quotaShares.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/quotaShares.test.ts
@@ -263,6 +263,14 @@
         expect(find(commands, "answer").map(each => each.status)).to.deep.equal([429]);
     });
 
+    it("can't be sent for tokens of a quota whose unit was another one", () => {
+        const instance = createFollower();
+        const { sequence } = ask(instance, instance.call(300));
+        instance.pass(2, grant(sequence, 900));
+        const inRequests = createQuotaWorkspace("w", 60_000, 60_000, { unit: "requests" });
+        expect(find(instance.pass(2, createConfig(2, [inRequests]), instance.call(300)), "send")).to.have.lengthOf(0);
+    });
+
     it("returns its tokens if its caller leaves before it was sent, and not after", () => {
         const instance = createFollower();
         instance.step({ kind: "pause", targetId: brandAs("t0"), pauseMs: 30 });
--- a/packages/medlarlb-decisions/src/gateway/quotas/findQuotaRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/findQuotaRow.ts
@@ -52,6 +52,11 @@
         known.askAgainAtMs = Number.NEGATIVE_INFINITY;
         known.refused.tokens = 0;
     }
+    if (known.quota.unit !== quota.unit) {
+        // Tokens of requests aren't worth as many requests.
+        Object.assign(known, { pool: 0, creditedMs: context.quotas.creditedMs, borrowed: [], held: [], largestCost: 0 });
+        known.bounds = computeQuotaBounds(quota, context.settings, 0);
+    }
     known.quota = quota;
     return known;
 };
