Send nothing on a connection that opens after its time

Cause: a process that stands still while a connection opens sees that it is open before its timers run. An order of a planner was then written however long the pause was, after another planner had taken over. Change: a connection that is found to be open 1 s or more after its start fails as not sent.

--- a/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createConnectionPool.test.ts
@@ -65,6 +65,15 @@
         expect(connectionCount).to.equal(1);
     });
 
+    // A process that stands still while a connection opens sees that it is open before its timers. An order would arrive late.
+    it("sends nothing on a connection that is found to be open after the time for that", async () => {
+        respond = socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        const result = sendRequest();
+        passedMs = 1_500;
+        expect((await result).failure).to.deep.equal({ sent: false, malformed: false });
+        expect(await sendRequest()).to.deep.include({ body: "ok" });
+    });
+
     it("treats a response without a length as complete only if the target closed the connection in order", async () => {
         respond = socket => socket.end("HTTP/1.1 200 OK\r\n\r\nwhole");
         expect(await sendRequest()).to.deep.include({ body: "whole", failure: undefined });
--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -30,6 +30,7 @@
 
 /** Longest time in ms until a connection is open. */
 const CONNECT_TIMEOUT_MS = 1_000;
+const LATE_REASON = "the connection didn't open in time";
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 /** Ids of the latest requests of a connection that are remembered, and of its failed requests, after which it is closed. */
 const MAX_CARRIED_IDS = 64;
@@ -89,7 +90,7 @@
         }
     };
 
-    const connectTimer = setTimeout(() => fail("the connection didn't open in time"), CONNECT_TIMEOUT_MS);
+    const connectTimer = setTimeout(() => fail(LATE_REASON), CONNECT_TIMEOUT_MS);
 
     const fail = (reason: string, malformed = false): void => {
         const failed = exchange;
@@ -167,6 +168,11 @@
     };
 
     socket.once("connect", () => {
+        if (now() - openedAtMs >= CONNECT_TIMEOUT_MS) {
+            // The process stood still meanwhile. What is sent now may be outdated, such as the order of a former planner.
+            fail(LATE_REASON);
+            return;
+        }
         isOpen = true;
         openedAtMs = now();
         clearTimeout(connectTimer);
