Tell a process that starts again which targets leave

Cause: what a target says in its answers isn't in the store, and a store that has come back from an older copy calls a draining target ready again. A process that started again knew of neither. Change: an instance tells members that become known, or have started again, which targets leave.

--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -181,9 +181,9 @@
         const alive = peers.alive();
         const dead = new Set(peers.members().filter(member => member.state === "dead").map(member => member.info.id));
         // Gossip takes a moment to reach all, so that listed instances count as members until they are known to be gone.
-        const known = [...listedInstances.map(each => ({ id: each.id as InstanceId, zone: each.zone })), ...alive];
+        const known = [...listedInstances.map(each => ({ id: each.id as InstanceId, zone: each.zone, bootId: undefined })), ...alive];
         const members = [...new Map(known.filter(each => each.id !== instanceId && !dead.has(each.id))
-            .map(each => [each.id, { id: each.id, zone: brandAs<ZoneId>(each.zone) }])).values()];
+            .map(each => [each.id, { id: each.id, zone: brandAs<ZoneId>(each.zone), bootId: each.bootId }])).values()];
         zoneMembers = members.filter(member => member.zone === zone).map(member => member.id);
         // The planner watches the store for its zone and collects its load. The others replace it in the order of their ids.
         const planner = planners.get(zone);
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -7,8 +7,8 @@
 import { applyPermitAnswer } from "./limits/applyPermitAnswer.js";
 import { applyPermitRequest } from "./limits/applyPermitRequest.js";
 import { applyObservations } from "./observations/applyObservations.js";
+import { tellNewMembers } from "./observations/tellNewMembers.js";
 import { applyProbed } from "./crashes/applyProbed.js";
-import { tellNewMembers } from "./crashes/tellNewMembers.js";
 import { recordAbandoned } from "./crashes/recordAbandoned.js";
 import type { GatewayInput } from "./gatewayInput.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -82,9 +82,9 @@
     instances: (context, { count, listed, planners, members, zoneOrder }) => {
         context.instanceCount = count;
         context.planners = planners;
-        const previousIds = new Set(context.members.map(member => member.id));
+        const previousMembers = context.members;
         context.members = members;
-        tellNewMembers(context, previousIds);
+        tellNewMembers(context, previousMembers);
         context.zoneOrder = zoneOrder;
         updateGroupView(context, listed, members.map(each => each.id));
         markAllPools(context);
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -1,5 +1,6 @@
 import type TinyQueue from "tinyqueue";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
+import type { BootId } from "medlarlb-types/bootId";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { RequestId } from "medlarlb-types/requestId";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
@@ -64,8 +65,8 @@
     groupView: GroupView;
     instanceCount: number;
     planners: Map<ZoneId, InstanceId>;
-    /** Other instances that respond to this one. */
-    members: { id: InstanceId; zone: ZoneId }[];
+    /** Other instances that respond to this one, with the start of each that has been in touch. */
+    members: { id: InstanceId; zone: ZoneId; bootId?: BootId | undefined }[];
     /** The instances of this zone that respond, this one included: the planner, then the others in the order of their ids. */
     zoneOrder: InstanceId[];
     /**
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -3,6 +3,7 @@
 import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { EngineReport } from "medlarlb-types/engineReport";
+import type { BootId } from "medlarlb-types/bootId";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListeningState } from "medlarlb-types/listeningState";
 import type { PermitAnswer } from "medlarlb-types/permitAnswer";
@@ -26,7 +27,7 @@
     /** All instances that the store lists. */
     listed: readonly InstanceId[];
     /** The others that respond to this one. */
-    members: { id: InstanceId; zone: ZoneId }[];
+    members: { id: InstanceId; zone: ZoneId; bootId?: BootId | undefined }[];
     /** The instances of this zone, this one included, in the order in which they collect the zone's load. */
     zoneOrder: InstanceId[];
 }
--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -11,19 +11,25 @@
 
 const GATEWAY_SCRIPT = "packages/medlarlb-daemon/lib/gatewayMain.js";
 
-/** Starts a gateway process on free ports and waits until it is ready. Its log is kept as one record a line. */
-export const startGatewayProcess = async (storeAddress: string) => {
+/** Addresses on which an instance listens. */
+type OwnAddresses = Record<"caller" | "readiness" | "metrics" | "peer", string>;
+
+/**
+ * Starts a gateway process on free ports, or on those of a process that has ended, and waits until it is ready. Its log is kept as
+ * one record a line.
+ */
+export const startGatewayProcess = async (storeAddress: string, ended?: OwnAddresses, seeds?: string) => {
     const folder = mkdtempSync(join(tmpdir(), "medlarlb-gateway-"));
     const findAddress = async (): Promise<string> => `127.0.0.1:${await findFreePort()}`;
     const addresses = {
-        caller: await findAddress(),
-        readiness: await findAddress(),
-        metrics: await findAddress(),
-        peer: await findAddress(),
+        caller: ended?.caller ?? await findAddress(),
+        readiness: ended?.readiness ?? await findAddress(),
+        metrics: ended?.metrics ?? await findAddress(),
+        peer: ended?.peer ?? await findAddress(),
         store: storeAddress,
     };
     const path = join(folder, "settings.ini");
-    writeFileSync(path, createGatewaySettings(addresses));
+    writeFileSync(path, createGatewaySettings(addresses, seeds));
     const child = spawn(process.execPath, [GATEWAY_SCRIPT], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "pipe", "inherit"] });
     const log: Record<string, unknown>[] = [];
     createInterface({ input: child.stdout }).on("line", line => log.push(JSON.parse(line) as Record<string, unknown>));
