--- a/packages/medlarlb-daemon/src/gateway/describeGroup.ts
+++ b/packages/medlarlb-daemon/src/gateway/describeGroup.ts
@@ -20,9 +20,9 @@
     const dead = new Set(states.filter(member => member.state === "dead").map(member => member.info.id));
     const others = states.filter(member => member.state !== "dead").map(member => member.info);
     // Gossip takes a moment to reach all, so that listed instances count as members until they are known to be gone.
-    const known = [...listed.map(each => ({ id: each.id as InstanceId, zone: each.zone })), ...others];
+    const known = [...listed.map(each => ({ id: each.id as InstanceId, zone: each.zone, bootId: undefined })), ...others];
     const members = [...new Map(known.filter(each => each.id !== instanceId && !dead.has(each.id))
-        .map(each => [each.id, { id: each.id, zone: brandAs<ZoneId>(each.zone) }])).values()];
+        .map(each => [each.id, { id: each.id, zone: brandAs<ZoneId>(each.zone), bootId: each.bootId }])).values()];
     // The planner watches the store for its zone and collects its load. The others replace it in the order of their ids.
     const planner = planners.get(zone);
     const inZone = members.filter(member => member.zone === zone).map(member => member.id);
--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -11,25 +11,30 @@
 
 const GATEWAY_SCRIPT = "packages/medlarlb-daemon/lib/gatewayMain.js";
 
+/** Addresses on which an instance listens. */
+type OwnAddresses = Record<"caller" | "readiness" | "metrics" | "peer", string>;
+
 interface StartOptions {
     /** Peer addresses of other gateways, separated by commas. */
-    seeds?: string;
+    seeds?: string | undefined;
     /** Whether to wait until the gateway is ready; true by default. */
     awaitReady?: boolean;
     /** Lines of the settings' section `policy`. */
     policy?: readonly string[];
+    /** A process that has ended, whose addresses the new one takes. */
+    ended?: OwnAddresses | undefined;
 }
 
-/** Starts a gateway process on free ports and waits until it is ready. Its log is kept as one record a line. */
+/** Starts a gateway process and waits until it is ready. Its log is kept as one record a line. */
 export const startGatewayProcess = async (storeAddress: string, options: StartOptions = {}) => {
-    const { seeds = "", awaitReady = true, policy = [] } = options;
+    const { seeds = "", awaitReady = true, policy = [], ended } = options;
     const folder = mkdtempSync(join(tmpdir(), "medlarlb-gateway-"));
     const findAddress = async (): Promise<string> => `127.0.0.1:${await findFreePort()}`;
     const addresses = {
-        caller: await findAddress(),
-        readiness: await findAddress(),
-        metrics: await findAddress(),
-        peer: await findAddress(),
+        caller: ended?.caller ?? await findAddress(),
+        readiness: ended?.readiness ?? await findAddress(),
+        metrics: ended?.metrics ?? await findAddress(),
+        peer: ended?.peer ?? await findAddress(),
         store: storeAddress,
     };
     const path = join(folder, "settings.ini");
