Share the engines of a model by rank

Change: contended models report the work that arrives by rank, and an instance sends its share of it; a held call is promised an engine only if its answer is predicted within 0.75 of its latency target.

--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -165,7 +165,7 @@
         requestModelFromPlanner(context, row, choice.target.entry.targetId);
         return;
     }
-    const turnInMs = takeTurn(context, row, pool, choice.prediction);
+    const turnInMs = takeTurn(context, row, pool, choice);
     if (turnInMs === undefined || turnInMs > 0) {
         checkAgainAfter(context, pool, turnInMs ?? MAX_CHECK_INTERVAL_MS);
         return;
--- a/packages/medlarlb-decisions/src/gateway/fairness/addReportedUrgencies.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/addReportedUrgencies.ts
@@ -14,8 +14,7 @@
     for (const key of keys) {
         const urgencies = sumReports(context, key, recipient);
         const pool = context.pools.get(key);
-        const isPlain = pool?.model === undefined;
-        const row = rows.get(key) ?? (pool !== undefined && isPlain ? { service: pool.service, model: "", requests: 0 } : undefined);
+        const row = rows.get(key) ?? (pool === undefined ? undefined : { service: pool.service, model: pool.model ?? "", requests: 0 });
         if (urgencies.length > 0 && row !== undefined) {
             rows.set(key, { ...row, urgencies });
         }
--- a/packages/medlarlb-decisions/src/gateway/fairness/describeUrgencies.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/describeUrgencies.ts
@@ -6,6 +6,7 @@
 import { callRank } from "./callRank.js";
 import { decayedAmount } from "./decayedAmount.js";
 import { fairnessPeriodsMs } from "./fairnessPeriodsMs.js";
+import { isContended } from "./isContended.js";
 import { listRankedServices } from "./listRankedServices.js";
 
 /** Time in ms over which arrivals are reported, so that a whole number tells a few requests a second well enough. */
@@ -23,7 +24,8 @@
 };
 
 /**
- * Adds their ranks to the waiting requests of a status, and the waiting requests and arrivals of plain services. Services whose
+ * Adds their ranks to the waiting requests of a status, the waiting requests and arrivals of plain services, and the arrivals of contended
+ * models. Services whose
  * requests don't differ in rank are left as they are.
  */
 export const describeUrgencies = (context: GatewayContext, waiting: InstanceStatus["waiting"]): InstanceStatus["waiting"] => {
@@ -36,9 +38,10 @@
         return services.has(row.service) && pool !== undefined ? { ...row, urgencies: listUrgencies(context, pool) } : row;
     });
     for (const pool of context.pools.values()) {
-        const urgencies = pool.model === undefined && services.has(pool.service) ? listUrgencies(context, pool) : [];
+        const isReported = pool.model === undefined || (pool.waiting.length === 0 && isContended(context, pool.key));
+        const urgencies = isReported && services.has(pool.service) ? listUrgencies(context, pool) : [];
         if (urgencies.length > 0) {
-            rows.push({ service: pool.service, model: "", requests: pool.waiting.length, urgencies });
+            rows.push({ service: pool.service, model: pool.model ?? "", requests: pool.waiting.length, urgencies });
         }
     }
     return rows;
--- a/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/fairnessTable.ts
@@ -11,7 +11,7 @@
 export interface FairnessTable {
     /** Services whose requests differ in rank, by the configuration from which they were derived. */
     ranked: { config: RoutingConfig; services: ReadonlySet<string> } | undefined;
-    /** Requests to plain services that arrived lately at this instance, by pool and rank. */
+    /** Requests to plain services that arrived lately at this instance, or the work in ms of those to models, by pool and rank. */
     arrivals: Map<string, Map<number, DecayingSum>>;
     /** Latest report of each instance or hub, this instance's own included, by pool. */
     reports: Map<InstanceId, { zone: ZoneId; atMs: number; urgencies: Map<string, Urgency[]> }>;
@@ -31,7 +31,7 @@
     usedSentAtMs: number;
     /** Level of recent use of a workspace, 0 for the least, by service and workspace. */
     levels: Map<string, Map<string, number>>;
-    /** Latest time at which the demand for the targets of a plain service was close to what they take, by pool. */
+    /** Latest time at which the demand for the targets of a pool was close to what they take, by pool. */
     contendedAtMs: Map<string, number>;
     /** Whether requests are limited to a share of the targets, by service and priority, as of the latest log line about it. */
     limited: Map<string, { isLimited: boolean; atMs: number }>;
--- a/packages/medlarlb-decisions/src/gateway/fairness/judgeHeldCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/judgeHeldCall.ts
@@ -1,10 +1,13 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import { listRankedServices } from "./listRankedServices.js";
+import { maxHeldMs } from "./maxHeldMs.js";
 
-/** Part of its latency target for which a call may be held before it is refused, and the part of that after which it is decided. */
-const MAX_HELD_RATIO = 1 / 8;
-const DECIDED_RATIO = 3 / 4;
+/**
+ * Part of its latency target within which the answer to a call has to be predicted for a promise. Promised calls that are about to be
+ * late are sent although the engines have enough to do, so that too many of them would make others late.
+ */
+const PROMISED_RATIO = 0.75;
 
 /**
  * Decides what becomes of a call of a ranked service that has to wait, as long as it may still be refused: shortly before it was
@@ -18,14 +21,16 @@
     if (row.attempts > 0 || !listRankedServices(context).has(service)) {
         return undefined;
     }
+    // What waits shows that the targets are contended, so that others learn of it with the next status.
+    fairness.contendedAtMs.set(row.pool?.key ?? "", nowMs);
     if (fairness.promised.has(row)) {
         return "promised";
     }
-    const decidedAtMs = arrivedAtMs + (latencyTargetAtMs - arrivedAtMs) * MAX_HELD_RATIO * DECIDED_RATIO;
+    const decidedAtMs = arrivedAtMs + maxHeldMs(latencyTargetAtMs - arrivedAtMs);
     if (nowMs < decidedAtMs) {
         return decidedAtMs - nowMs;
     }
-    if (nowMs + answerInMs > latencyTargetAtMs) {
+    if (nowMs + answerInMs > arrivedAtMs + (latencyTargetAtMs - arrivedAtMs) * PROMISED_RATIO) {
         return "refused";
     }
     fairness.promised.add(row);
--- a/packages/medlarlb-decisions/src/gateway/fairness/listDemand.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/listDemand.ts
@@ -9,7 +9,7 @@
 
 /**
  * Returns the requests to a plain service that would be at its targets at a time if all were served, by rank, of this instance and
- * of the others. Each takes `paceMs`.
+ * of the others. Each takes `paceMs`. For a model, whose arrivals are counted in ms, `paceMs` is 1.
  */
 export const listDemand = (context: GatewayContext, pool: ModelPool, paceMs: number): Map<number, { own: number; others: number }> => {
     const demands = new Map<number, { own: number; others: number }>();
--- a/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/takeTurn.ts
@@ -1,5 +1,5 @@
 import { failCall } from "../calls/failCall.js";
-import type { predictLatency } from "../calls/predictLatency.js";
+import type { chooseTarget } from "../calls/chooseTarget.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { ModelPool } from "../rows/modelPool.js";
@@ -13,6 +13,7 @@
 import { placesFor } from "./placesFor.js";
 import { shareOfRank } from "./shareOfRank.js";
 import { takeCredit } from "./takeCredit.js";
+import { takeModelTurn } from "./takeModelTurn.js";
 
 /** Part of the time left beside its answer for which a request may wait for its turn. The rest is for errors of the prediction. */
 const MAX_WAIT_RATIO = 0.5;
@@ -29,12 +30,15 @@
     context: GatewayContext,
     row: CallRow,
     pool: ModelPool,
-    { answerMs }: ReturnType<typeof predictLatency>,
+    { target, replicas, prediction }: Pick<NonNullable<ReturnType<typeof chooseTarget>>, "target" | "replicas" | "prediction">,
 ): number | undefined => {
     const { fairness, nowMs } = context;
-    if (pool.model !== undefined || !listRankedServices(context).has(pool.service)) {
+    if (!listRankedServices(context).has(pool.service)) {
         return 0;
     }
+    if (pool.model !== undefined) {
+        return takeModelTurn(context, row, pool, replicas, prediction.uncachedTokens * target.msPerWorkUnit);
+    }
     const turn = fairness.turns.get(row);
     if (turn !== undefined || row.attempts > 0) {
         return Math.max(0, (turn?.atMs ?? nowMs) - nowMs);
@@ -58,7 +62,7 @@
         return 0;
     }
     const creditKey = `${pool.key}/${rank}`;
-    const maxWaitMs = Math.max(0, (row.metadata.latencyTargetAtMs - nowMs - answerMs) * MAX_WAIT_RATIO);
+    const maxWaitMs = Math.max(0, (row.metadata.latencyTargetAtMs - nowMs - prediction.answerMs) * MAX_WAIT_RATIO);
     const { waitMs, taken } = takeCredit(context, creditKey, share, places.paceMs, maxWaitMs);
     if (!taken) {
         failCall(context, row, "requests that go first need its targets", waitMs - maxWaitMs);
