Test a burst of requests for a model

Cause: a step looks at 256 waiting requests only, so that others might be held. Change: a test with 600 requests at once. Result: those that aren't served are refused within an eighth of their latency target.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/modelContention.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/modelContention.test.ts
@@ -40,6 +40,18 @@
 };
 
 describe("contention for the engines of a model", () => {
+    it("refuses requests of a burst, more than are looked at in a step, within an eighth of their latency target", () => {
+        const deployment = createVirtualDeployment({ seed: 5, zones: 1, enginesPerZone: 1, models: 3, priorities: [0, 1] });
+        deployment.run(1_000);
+        for (let call = 0; call < 600; call += 1) {
+            deployment.sendCall(0, "m0", { priority: call % 2 });
+        }
+        deployment.run(8_000);
+        const refused = deployment.outcomes().filter(each => each.firstMs === undefined);
+        expect(refused).to.have.length.above(500);
+        expect(Math.max(...refused.map(each => each.heldMs))).to.be.at.most(LATENCY_TARGET_MS / 8);
+    });
+
     for (const instancesPerZone of [1, 3]) {
         for (const isSplit of [true, false]) {
             const spread = isSplit ? "urgent ones at one instance and others at the rest" : "both kinds everywhere";
--- a/packages/medlarlb-decisions/src/gateway/fairness/takeModelTurn.ts
+++ b/packages/medlarlb-decisions/src/gateway/fairness/takeModelTurn.ts
@@ -12,7 +12,8 @@
 
 /**
  * Work that the shares of all instances add up to, as a multiple of what the engines of a model can do by the measured pace, for ranks
- * behind others and for the most urgent one. The pace includes waits that instances didn't know of; with 0.95, six instances used 0.81 to 0.85 of the engines.
+ * behind others and for the most urgent one. The pace includes waits that instances didn't know of; with 0.95, six instances used
+ * 0.81 to 0.85 of the engines.
  */
 const SHARED_RATIO = 1.35;
 const ALONE_RATIO = 1.3;
