Keep requests within the memory of engines, over all instances

Cause: only running requests and places were compared, so that a burst could send an engine more tokens than its memory has. Change: where an engine's memory isn't ample, instances tell each other the tokens that they hold and whether they want more, and each stays within an allowance that adds up to at most the memory in groups below 16 instances. In larger groups, requests are sent up to 75% of the memory by the sums of the zones. A request larger than an engine's memory is refused at once. The mutation of the load digest names the changed source text. Slow readers aren't part of this.

--- a/admin/runMutations.mjs
+++ b/admin/runMutations.mjs
@@ -209,8 +209,8 @@
     {
         invariant: "gateway: a load digest includes the load of the instance that receives it, so that it counts twice",
         file: `${GATEWAY}/status/createLoadDigestBuilder.ts`,
-        from: "const excluded = recipientLoad !== undefined && isFresh(recipientLoad.atMs) ? recipientLoad : { backlogTokens: 0, running: 0 };",
-        to: "const excluded = { backlogTokens: 0, running: 0 };",
+        from: "const excluded = hasFreshLoad ? recipientLoad : { backlogTokens: 0, running: 0, contextTokens: 0 };",
+        to: "const excluded = { backlogTokens: 0, running: 0, contextTokens: 0 };",
         check: LARGE_GROUP_TEST,
     },
     {
--- a/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/chooseTarget.ts
@@ -2,6 +2,7 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { hasMemory } from "../capacity/hasMemory.js";
 import { serviceCostMs } from "../capacity/serviceCostMs.js";
 import { hasPermit } from "../limits/hasPermit.js";
 import { requestPermit } from "../limits/requestPermit.js";
@@ -135,11 +136,12 @@
     }
     const pick = (candidates: Choice[]): Choice | undefined =>
         pickByPolicy(context, row, candidates, each => unreachableZones.get(each.target.entry.zone) !== true);
-    const preferred = pick(choices);
+    const choicesWithMemory = choices.filter(each => hasMemory(context, row, each.target));
+    const preferred = pick(choicesWithMemory.length === 0 ? choices : choicesWithMemory);
     if (preferred === undefined || hasPermit(context, preferred.target)) {
         return withReplicaCount(preferred, choices.length);
     }
     requestPermit(context, preferred.target, false);
-    const permitted = choices.filter(each => hasPermit(context, each.target));
+    const permitted = choicesWithMemory.filter(each => hasPermit(context, each.target));
     return withReplicaCount(pick(permitted), permitted.length);
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,4 +1,7 @@
 import { hasFreePlace } from "../capacity/hasFreePlace.js";
+import { hasMemory } from "../capacity/hasMemory.js";
+import { isMemoryAmple } from "../capacity/isMemoryAmple.js";
+import { memoryRefusal } from "../capacity/memoryRefusal.js";
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -37,7 +40,8 @@
     if (row.metadata.model === undefined) {
         return hasFreePlace(target, context.nowMs);
     }
-    return prediction.waitMs <= MAX_ENGINE_WAIT_MS && countInFlight(target, context.nowMs) < target.entry.slots;
+    const hasFreeSlot = countInFlight(target, context.nowMs) < target.entry.slots;
+    return prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasFreeSlot && hasMemory(context, row, target);
 };
 
 /** Has a pool checked again after a time, or earlier if another call of it needs it. */
@@ -121,7 +125,7 @@
 
 /** Returns whether a call may be sent now. One that has to wait for more than a target waits, and one that may never be is refused. */
 const mayBeSent = (context: GatewayContext, row: CallRow, pool: ModelPool): boolean => {
-    const refusal = crashRefusal(context, row);
+    const refusal = crashRefusal(context, row) ?? memoryRefusal(context, row);
     if (refusal !== undefined) {
         failCall(context, row, refusal);
         return false;
@@ -155,7 +159,10 @@
     // Streams that go on wait for one software version only, beside those that any target may begin.
     const queue = `${pool.key}/${row.origin?.softwareVersion ?? ""}`;
     const ownQueueMs = queueMsByPool.get(queue) ?? 0;
-    const queuedMs = ownQueueMs + peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
+    // Instances that wait for memory each have their part of it. If they waited for each other, too, it would stay free.
+    const isMemoryShared = row.metadata.model !== undefined && !isMemoryAmple(context, choice.target);
+    const peersMs = isMemoryShared ? 0 : peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
+    const queuedMs = ownQueueMs + peersMs;
     if (ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice)) {
         dequeueCall(context, row);
         sendCall(context, row, choice.target, choice.prediction);
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -1,5 +1,6 @@
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { listPromptParts } from "../capacity/listPromptParts.js";
 import { callPriority } from "../workspaces/callPriority.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { chooseCopyTarget } from "./chooseCopyTarget.js";
@@ -30,6 +31,7 @@
         uncachedTokens: prediction.uncachedTokens,
         aheadTokens: prediction.aheadTokens,
         contextTokens: metadata.promptTokens + metadata.outputTokens,
+        promptParts: listPromptParts(row),
         sentAtMs: context.nowMs,
         predictedMs: prediction.answerMs,
         answerStartedAtMs: undefined,
@@ -38,6 +40,7 @@
     };
     target.permits.shift();
     target.activeAttempts.set(metadata.callId, row.currentAttempt);
+    copyTarget?.memory.copies.set(metadata.callId, row.currentAttempt);
     target.pendingTokens += prediction.uncachedTokens;
     scheduleCallCheck(context, row);
     const engine = context.config?.services.get(metadata.service)?.engine;
--- /dev/null
+++ b/packages/medlarlb-decisions/src/gateway/capacity/memoryRefusal.ts
@@ -0,0 +1,11 @@
+import type { GatewayContext } from "../gatewayContext.js";
+import type { CallRow } from "../rows/callRow.js";
+
+/** Returns why a call is refused at once if no engine of its service has as much memory as it needs. */
+export const memoryRefusal = (context: GatewayContext, { metadata }: CallRow): string | undefined => {
+    const capacity = context.config?.services.get(metadata.service)?.engine?.contextTokens ?? 0;
+    const tokens = metadata.promptTokens + metadata.outputTokens;
+    return metadata.model !== undefined && capacity > 0 && tokens > capacity
+        ? `it needs ${tokens} tokens of memory, and an engine has ${capacity}`
+        : undefined;
+};
--- a/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
@@ -1,3 +1,4 @@
+import { holdAbandoned } from "../capacity/holdAbandoned.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallRow } from "../rows/callRow.js";
 
@@ -6,6 +7,7 @@
 
 /** Records that the current attempt of a call is given up without an answer. Its target may still run it, and end under it. */
 export const recordAbandoned = (context: GatewayContext, row: CallRow): void => {
+    holdAbandoned(context, row);
     const { currentAttempt: attempt } = row;
     const target = attempt === undefined ? undefined : context.targets.get(attempt.targetId);
     if (target === undefined || attempt?.answerStartedAtMs !== undefined) {
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -27,6 +27,8 @@
     settings: GatewaySettings;
     random: RandomSource;
     nowMs: number;
+    /** Time of the step before. What this step reads has arrived since. */
+    previousStepMs: number;
     /** Latest time for which this process has stood still. */
     standstill: { beganAtMs: number; endedAtMs: number } | undefined;
     commands: GatewayCommand[];
@@ -57,6 +59,10 @@
     serviceMsPerWorkUnit: Map<string, number>;
     /** Share of recent attempts that failed, by service: the rate that its requests cause whichever target they run on. */
     serviceFailureRate: Map<string, number>;
+    /** Earliest time at which the latest status of each other instance may have arrived. */
+    statusArrivedAtMs: Map<InstanceId, number>;
+    /** Memory in tokens of the largest request to each service. */
+    largestContextTokens: Map<string, number>;
     crashes: CrashTable;
     /** Observations from other zones that this instance passes on to its own zone with the next status, in a large group. */
     observationsToRelay: TargetObservation[];
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -35,7 +35,9 @@
     context.retryBudgets.set(metadata.service, budget);
     countRequest(budget, context.settings.retryWindowMs, context.nowMs);
     if (metadata.model !== undefined) {
-        const { service, model, promptTokens } = metadata;
+        const { service, model, promptTokens, outputTokens } = metadata;
+        const largest = context.largestContextTokens.get(service) ?? 0;
+        context.largestContextTokens.set(service, Math.max(largest, promptTokens + outputTokens));
         addArrivals(context.arrivals, [{ service, model, tokens: promptTokens, requests: 1 }]);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyLoadDigest.ts
@@ -16,9 +16,9 @@
     for (const target of context.targets.values()) {
         target.peerLoads.clear();
     }
-    for (const { targetId, backlogTokens, running } of loads) {
+    for (const { targetId, backlogTokens, running, contextTokens } of loads) {
         context.targets.get(targetId as TargetId)?.peerLoads
-            .set(instanceId, { zone, backlogTokens, running, runs: {}, atMs: context.nowMs });
+            .set(instanceId, { zone, backlogTokens, running, runs: {}, contextTokens, atMs: context.nowMs });
     }
     for (const row of context.demand.values()) {
         row.waiting.clear();
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyStatus.ts
@@ -1,5 +1,6 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { TargetId } from "medlarlb-types/targetId";
+import { inputsAtMs } from "../crashes/inputsAtMs.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { markAllPools } from "../pools/markAllPools.js";
 import { recordDemand } from "../placement/recordDemand.js";
@@ -20,8 +21,17 @@
             }
         }
     }
-    for (const { targetId, backlogTokens, running, runs } of status.loads) {
-        context.targets.get(targetId as TargetId)?.peerLoads.set(instanceId, { zone, backlogTokens, running, runs, atMs: context.nowMs });
+    const arrivedAtMs = Math.min(context.previousStepMs, inputsAtMs(context));
+    context.statusArrivedAtMs.set(instanceId, arrivedAtMs);
+    for (const { targetId, backlogTokens, running, runs, contextTokens, wantsMemory } of status.loads) {
+        const target = context.targets.get(targetId as TargetId);
+        target?.peerLoads.set(
+            instanceId,
+            { zone, backlogTokens, running, runs, contextTokens, wantsMemory, atMs: context.nowMs, arrivedAtMs },
+        );
+        if (target !== undefined && contextTokens !== undefined) {
+            target.memory.peerReportAtMs = context.nowMs;
+        }
     }
     context.zoneLastSeenAtMs.set(zone, context.nowMs);
     if (ofZone) {
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyTarget.ts
@@ -2,6 +2,7 @@
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import { logEvent } from "../calls/logEvent.js";
 import type { GatewayContext } from "../gatewayContext.js";
+import { holdOpenAttempts } from "../capacity/holdOpenAttempts.js";
 import { isKnownLeaving } from "../leaving/isKnownLeaving.js";
 import { recordLeaving } from "../leaving/recordLeaving.js";
 import { dropManagedEngine } from "../placement/dropManagedEngine.js";
@@ -38,6 +39,7 @@
     const target = createPoolTarget(entry, msPerWorkUnit, context.nowMs);
     target.leaving = isKnownLeaving(context, entry);
     context.targets.set(entry.targetId, target);
+    holdOpenAttempts(context, target);
     indexTargets(context);
     setTargetModels(context, target, listModels(entry));
     const former = context.formerTargets.get(entry.targetId);
--- a/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callAttempt.ts
@@ -15,6 +15,8 @@
     aheadTokens: number;
     /** Upper bound of the engine memory that the run uses, in tokens. */
     contextTokens: number;
+    /** Parts of its prompt, which requests on the same engine may share. */
+    promptParts: readonly { key: string; tokens: number }[];
     sentAtMs: number;
     predictedMs: number;
     answerStartedAtMs: number | undefined;
--- a/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/createPoolTarget.ts
@@ -14,6 +14,13 @@
     peerLoads: new Map(),
     reportedLoad: undefined,
     workTime: undefined,
+    memory: {
+        copies: new Map(),
+        abandoned: [],
+        reports: [],
+        wantedAtMs: Number.NEGATIVE_INFINITY,
+        peerReportAtMs: Number.NEGATIVE_INFINITY,
+    },
     requestLimit: undefined,
     limitBucket: { tokens: 0, atMs: nowMs },
     permits: [],
--- a/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/poolTarget.ts
@@ -3,6 +3,7 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { TargetEntry } from "medlarlb-types/targetEntry";
 import type { RequestId } from "medlarlb-types/requestId";
+import type { TargetMemory } from "../capacity/targetMemory.js";
 import type { WorkTime } from "../capacity/workTime.js";
 import type { TokenBucket } from "../limits/tokenBucket.js";
 import type { CallAttempt } from "./callAttempt.js";
@@ -17,6 +18,12 @@
     running: number;
     /** Number of running requests by model. */
     runs: Record<string, number>;
+    /** Tokens of its memory that the requests of the instance use at most; undefined if the memory is ample. */
+    contextTokens?: number | undefined;
+    /** Whether a request waits there for more. */
+    wantsMemory?: boolean | undefined;
+    /** Earliest time at which the report may have arrived: `atMs`, or before a pause of this process. */
+    arrivedAtMs?: number;
     atMs: number;
 }
 
@@ -40,6 +47,7 @@
     reportedLoad: { running: number; waiting: number; slots: number; atMs: number } | undefined;
     /** Duration of work that the target reports; undefined if it sends no such figure. */
     workTime: WorkTime | undefined;
+    memory: TargetMemory;
     /** Requests per second that the target takes from all instances together; undefined if it names no limit. */
     requestLimit: number | undefined;
     /** Requests that may be sent to it now, which this instance hands out as its planner or uses itself. */
--- a/packages/medlarlb-decisions/src/gateway/status/createLoadDigestBuilder.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/createLoadDigestBuilder.ts
@@ -26,18 +26,20 @@
     const isFresh = (atMs: number): boolean => context.nowMs - atMs < maxAgeMs;
     const reachableZones = [...context.zoneLastSeenAtMs.keys(), zone].filter(each => !isZoneUnreachable(context, each));
     const planningZones = [...new Set([...context.plannerLastSeenAtMs.keys(), zone])].filter(each => hasActivePlanner(context, each));
-    const totals: { target: PoolTarget; backlogTokens: number; running: number }[] = [];
+    const totals: { target: PoolTarget; backlogTokens: number; running: number; contextTokens: number }[] = [];
     for (const target of context.targets.values()) {
         let backlogTokens = target.pendingTokens;
         let running = target.activeAttempts.size;
+        let contextTokens = target.memory.reports.at(-1)?.tokens ?? 0;
         for (const load of target.peerLoads.values()) {
             if (isFresh(load.atMs)) {
                 backlogTokens += load.backlogTokens;
                 running += load.running;
+                contextTokens += load.contextTokens ?? 0;
             }
         }
         if (running > 0) {
-            totals.push({ target, backlogTokens, running });
+            totals.push({ target, backlogTokens, running, contextTokens });
         }
     }
     return recipient => ({
@@ -47,10 +49,13 @@
         planningZones,
         loads: totals.flatMap(({ target, ...total }) => {
             const recipientLoad = target.peerLoads.get(recipient);
-            const excluded = recipientLoad !== undefined && isFresh(recipientLoad.atMs) ? recipientLoad : { backlogTokens: 0, running: 0 };
+            const hasFreshLoad = recipientLoad !== undefined && isFresh(recipientLoad.atMs);
+            const excluded = hasFreshLoad ? recipientLoad : { backlogTokens: 0, running: 0, contextTokens: 0 };
             const running = total.running - excluded.running;
             const backlogTokens = total.backlogTokens - excluded.backlogTokens;
-            return running <= 0 ? [] : [{ targetId: target.entry.targetId, backlogTokens, running }];
+            const contextTokens = total.contextTokens - (excluded.contextTokens ?? 0);
+            const memory = contextTokens > 0 ? { contextTokens } : {};
+            return running <= 0 ? [] : [{ targetId: target.entry.targetId, backlogTokens, running, ...memory }];
         }),
     });
 };
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -1,4 +1,5 @@
 import { relayObservations } from "../observations/relayObservations.js";
+import { reportMemory } from "../capacity/reportMemory.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { recordDemand } from "../placement/recordDemand.js";
 import type { InstanceId } from "medlarlb-types/instanceId";
@@ -40,8 +41,9 @@
                 runs[attempt.model] = (runs[attempt.model] ?? 0) + 1;
             }
         }
-        if (target.activeAttempts.size > 0) {
-            loads.push({ targetId, backlogTokens: target.pendingTokens, running: target.activeAttempts.size, runs });
+        const memory = reportMemory(context, target);
+        if (target.activeAttempts.size > 0 || memory.contextTokens !== undefined) {
+            loads.push({ targetId, backlogTokens: target.pendingTokens, running: target.activeAttempts.size, runs, ...memory });
         }
     }
     return loads;
@@ -67,7 +69,9 @@
  */
 const sendInSmallGroup = (context: GatewayContext, status: InstanceStatus): void => {
     const { zone, instanceId } = context.settings;
-    const sendsToAll = context.fence !== undefined || !hasReachablePlanner(context);
+    // Engines may hold requests of instances of all zones.
+    const usesMemory = status.loads.some(each => each.contextTokens !== undefined);
+    const sendsToAll = context.fence !== undefined || usesMemory || !hasReachablePlanner(context);
     const to = new Set(context.members.filter(member => sendsToAll || member.zone === zone).map(member => member.id));
     context.planners.forEach(planner => to.add(planner));
     to.delete(instanceId);
--- a/packages/medlarlb-decisions/src/gateway/status/sumZoneStatuses.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sumZoneStatuses.ts
@@ -9,6 +9,9 @@
     const row = totals.get(load.targetId) ?? { targetId: load.targetId, backlogTokens: 0, running: 0, runs: {} };
     row.backlogTokens += load.backlogTokens;
     row.running += load.running;
+    if (load.contextTokens !== undefined) {
+        row.contextTokens = (row.contextTokens ?? 0) + load.contextTokens;
+    }
     for (const [model, runs] of Object.entries(load.runs)) {
         row.runs[model] = (row.runs[model] ?? 0) + runs;
     }
--- a/packages/medlarlb-types/src/instanceStatus.ts
+++ b/packages/medlarlb-types/src/instanceStatus.ts
@@ -16,6 +16,17 @@
     arrivals: { service: string; model: string; tokens: number; requests: number }[];
     /** Requests that wait for a target now. */
     waiting: { service: string; model: string; requests: number }[];
-    /** Load of this instance on targets: prompt tokens not yet processed, running requests, and running requests by model. */
-    loads: { targetId: string; backlogTokens: number; running: number; runs: Record<string, number> }[];
+    /**
+     * Load of this instance on targets: prompt tokens not yet processed, running requests, and running requests by model.
+     * Where an engine's memory may run out, `contextTokens` is the memory that these requests use at most, and `wantsMemory` tells
+     * that others wait for more.
+     */
+    loads: {
+        targetId: string;
+        backlogTokens: number;
+        running: number;
+        runs: Record<string, number>;
+        contextTokens?: number;
+        wantsMemory?: boolean;
+    }[];
 }
--- a/packages/medlarlb-types/src/loadDigest.ts
+++ b/packages/medlarlb-types/src/loadDigest.ts
@@ -10,7 +10,7 @@
     /** Zones whose planner may send orders, as far as the sending planner knows. */
     planningZones: ZoneId[];
     /** Load on targets by all instances but the receiver: prompt tokens not yet processed, and running requests. */
-    loads: { targetId: string; backlogTokens: number; running: number }[];
+    loads: { targetId: string; backlogTokens: number; running: number; contextTokens?: number }[];
     /** Requests that wait for a target at all instances but the receiver. */
     waiting: { service: string; model: string; requests: number }[];
 }
