Count engines' memory where a setting asks for it, and keep shares of quotas when the store loses entries

Cause: engines crash when the requests that they hold exceed their memory, and nothing counted it over all instances. And after an outage in which the store let leases end, all instances registered anew and had no share of any quota for 14.5 s. Change: merges the counting of memory (docs/design/target-capacity.md) behind policy.engineMemoryRatio, 0 by default, because its effect on deployments whose engines preempt wasn't measured.

--- a/packages/medlarlb-daemon/src/gateway/createRegistration.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRegistration.ts
@@ -45,10 +45,13 @@
     let lease: StoreLease | undefined;
     let timer: NodeJS.Timeout | undefined;
     let stopped = false;
+    /** Time until which the latest entry of this process would be in the list if the store hadn't lost it. */
+    let validUntilMs = Number.NEGATIVE_INFINITY;
 
     const reportValid = (sentAtMs: number, wasListed: boolean): void => {
         if (!stopped) {
-            onRegistered(sentAtMs + LEASE_TTL_MS - SUSPENSION_MARGIN_MS, wasListed);
+            validUntilMs = sentAtMs + LEASE_TTL_MS - SUSPENSION_MARGIN_MS;
+            onRegistered(validUntilMs, wasListed);
         }
     };
 
@@ -69,6 +72,8 @@
 
     const register = async (): Promise<boolean> => {
         const sentAtMs = now();
+        // The others count an instance whose entry has gone for longer than an entry is valid.
+        const isStillCounted = sentAtMs < validUntilMs;
         const granted = await store.grantLease(LEASE_TTL_MS);
         if (granted.isErr) {
             return false;
@@ -78,7 +83,7 @@
         const outcome = isReplaced ? await replaceEntry(granted.value) : { isOk: change.isOk, wasListed: false };
         if (outcome.isOk) {
             lease = granted.value;
-            reportValid(sentAtMs, outcome.wasListed);
+            reportValid(sentAtMs, outcome.wasListed || isStillCounted);
         }
         return outcome.isOk;
     };
--- a/packages/medlarlb-daemon/src/gateway/readDecisionSettings.ts
+++ b/packages/medlarlb-daemon/src/gateway/readDecisionSettings.ts
@@ -13,6 +13,7 @@
     retryWindowMs: limits.retryWindowSeconds * MS_PER_SECOND,
     retryExtra: limits.retryExtra,
     extraWorkRatio: policy.extraWorkRatio,
+    engineMemoryRatio: policy.engineMemoryRatio,
     storeLoadWindowMs: limits.storeLoadWindowSeconds * MS_PER_SECOND,
     storeLoadFactor: limits.storeLoadFactor,
     quotaWindowMs: limits.quotaWindowSeconds * MS_PER_SECOND,
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
@@ -21,6 +21,13 @@
         defaultValue: "0",
         remedy: "write the second attempts of slow requests as a share of the targets' work, such as 0.05, or 0 for none",
     },
+    {
+        section: "policy",
+        key: "engineMemoryRatio",
+        kind: "number",
+        defaultValue: "0",
+        remedy: "write the part of an engine's memory that requests may hold, such as 1, or 0 if memory isn't to be counted",
+    },
     limit("graceSeconds", "write the time in s that a planned stop may take", "8"),
     limit("leaseMs", "write the shortest time in ms between the orders of two successive planners of a zone", "3000"),
     limit("retryRatio", "write the retries as a share of the requests of a service, such as 0.2", "0.2"),
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createSettings.ts
@@ -10,6 +10,7 @@
     retryWindowMs: 10_000,
     retryExtra: 56,
     extraWorkRatio: 0,
+    engineMemoryRatio: 0,
     storeLoadWindowMs: 5_000,
     storeLoadFactor: 1.1,
     quotaWindowMs: 8_000,
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualCallers.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualCallers.ts
@@ -24,7 +24,7 @@
     const clock = createVirtualClock();
     const { now, at, after } = clock;
     const instances = Array.from({ length: options.instances }, (_, index) => {
-        const settings = createSettings(`i${index}`, `z${index % zones}`);
+        const settings = { ...createSettings(`i${index}`, `z${index % zones}`), engineMemoryRatio: 1 };
         const inputs: GatewayInput[] = [];
         const decisions = createGatewayDecisions(settings, random);
         return { index, settings, decisions, inputs, isPaused: false, nextStepAtMs: Number.POSITIVE_INFINITY };
--- a/packages/medlarlb-decisions/src/gateway/calls/queueNewCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/queueNewCall.ts
@@ -15,7 +15,9 @@
     countRequest(budget, context.settings.retryWindowMs, context.nowMs);
     countWork(context, metadata);
     if (metadata.model !== undefined) {
-        const { service, model, promptTokens } = metadata;
+        const { service, model, promptTokens, outputTokens } = metadata;
+        const largest = context.largestContextTokens.get(service) ?? 0;
+        context.largestContextTokens.set(service, Math.max(largest, promptTokens + outputTokens));
         addArrivals(context.arrivals, [{ service, model, tokens: promptTokens, requests: 1 }]);
     }
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/routeCalls.ts
@@ -1,4 +1,7 @@
 import { hasFreePlace } from "../capacity/hasFreePlace.js";
+import { hasMemory } from "../capacity/hasMemory.js";
+import { isMemoryAmple } from "../capacity/isMemoryAmple.js";
+import { memoryRefusal } from "../capacity/memoryRefusal.js";
 import { crashRefusal } from "../crashes/crashRefusal.js";
 import { awaitPermit } from "../limits/awaitPermit.js";
 import { hasPlainCapacity } from "../fairness/hasPlainCapacity.js";
@@ -44,7 +47,8 @@
     if (row.metadata.model === undefined) {
         return (target.workTime === undefined || hasFreePlace(target, context.nowMs)) && hasPlainCapacity(context, row, target);
     }
-    return prediction.waitMs <= MAX_ENGINE_WAIT_MS && countInFlight(target, context.nowMs) < target.entry.slots;
+    const hasFreeSlot = countInFlight(target, context.nowMs) < target.entry.slots;
+    return prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasFreeSlot && hasMemory(context, row, target);
 };
 
 /** Has a pool checked again after a time, or earlier if another call of it needs it. */
@@ -131,7 +135,7 @@
     if (refuseWithdrawnKey(context, row)) {
         return false;
     }
-    const refusal = crashRefusal(context, row);
+    const refusal = crashRefusal(context, row) ?? memoryRefusal(context, row);
     if (refusal !== undefined) {
         failCall(context, row, refusal);
         return false;
@@ -152,6 +156,16 @@
     return held === "promised" || (held !== "refused" && context.nowMs + answerInMs <= row.nextEventDeadlineAtMs);
 };
 
+/**
+ * Predicts how long requests of other instances keep a call waiting. Instances that wait for an engine's memory each have their part
+ * of it. If they waited for each other, too, it would stay free.
+ */
+const peersAheadMs = (context: GatewayContext, row: CallRow, choice: NonNullable<ReturnType<typeof chooseTarget>>): number => {
+    const { target, replicas } = choice;
+    const isMemoryShared = row.metadata.model !== undefined && !isMemoryAmple(context, target);
+    return isMemoryShared ? 0 : peerQueueWaitMs(context, row, replicas, target.msPerWorkUnit);
+};
+
 /**
  * Sends or refuses one waiting call, or leaves it waiting. `queueMsByPool` holds the predicted work of the calls that were
  * left waiting before it.
@@ -179,7 +193,7 @@
     // Streams that go on wait for one software version only, beside those that any target may begin.
     const queue = `${pool.key}/${row.origin?.softwareVersion ?? ""}`;
     const ownQueueMs = queueMsByPool.get(queue) ?? 0;
-    const queuedMs = ownQueueMs + peerQueueWaitMs(context, row, choice.replicas, choice.target.msPerWorkUnit);
+    const queuedMs = ownQueueMs + peersAheadMs(context, row, choice);
     const mayStart = ownQueueMs === 0 && queuedMs + choice.prediction.waitMs <= MAX_ENGINE_WAIT_MS && hasCapacity(context, row, choice);
     if (mayStart || isLastChance(context, row, choice.prediction)) {
         if (!renewCharge(context, row)) {
--- a/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/sendCall.ts
@@ -2,6 +2,7 @@
 import type { CallAttempt } from "../rows/callAttempt.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
+import { listPromptParts } from "../capacity/listPromptParts.js";
 import { callPriority } from "../workspaces/callPriority.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { chooseCopyTarget } from "./chooseCopyTarget.js";
@@ -33,6 +34,7 @@
         uncachedTokens: prediction.uncachedTokens,
         aheadTokens: prediction.aheadTokens,
         contextTokens: metadata.promptTokens + metadata.outputTokens,
+        promptParts: listPromptParts(row),
         sentAtMs: context.nowMs,
         predictedMs: prediction.answerMs,
         answerStartedAtMs: undefined,
@@ -42,6 +44,7 @@
     target.permits.shift();
     row[kind === "hedge" ? "hedge" : "currentAttempt"] = attempt;
     target.activeAttempts.set(metadata.callId, attempt);
+    copyTarget?.memory.copies.set(metadata.callId, attempt);
     target.pendingTokens += prediction.uncachedTokens;
     scheduleHedge(context, row);
     scheduleCallCheck(context, row);
--- a/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
+++ b/packages/medlarlb-decisions/src/gateway/crashes/recordAbandoned.ts
@@ -1,3 +1,4 @@
+import { holdAbandoned } from "../capacity/holdAbandoned.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { CallAttempt } from "../rows/callAttempt.js";
 import type { CallRow } from "../rows/callRow.js";
@@ -5,9 +6,10 @@
 /** Number of abandoned requests that are kept of a target. */
 const MAX_ABANDONED = 128;
 
-const record = (context: GatewayContext, row: CallRow, attempt: CallAttempt | undefined): void => {
-    const target = attempt === undefined ? undefined : context.targets.get(attempt.targetId);
-    if (target === undefined || attempt?.answerStartedAtMs !== undefined) {
+const record = (context: GatewayContext, row: CallRow, attempt: CallAttempt): void => {
+    holdAbandoned(context, attempt);
+    const target = context.targets.get(attempt.targetId);
+    if (target === undefined || attempt.answerStartedAtMs !== undefined) {
         return;
     }
     target.abandonedRequests.push({ keys: row.crashKeys, atMs: context.nowMs });
@@ -19,5 +21,5 @@
 /** Records that attempts of a call are given up without an answer. Their targets may still run them, and end under them. */
 export const recordAbandoned = (context: GatewayContext, row: CallRow, ...attempts: CallAttempt[]): void => {
     const abandoned = attempts.length > 0 ? attempts : [row.currentAttempt, row.hedge];
-    abandoned.forEach(attempt => record(context, row, attempt));
+    abandoned.filter(attempt => attempt !== undefined).forEach(attempt => record(context, row, attempt));
 };
--- a/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewaySettings.ts
@@ -15,6 +15,8 @@
     retryExtra: number;
     /** Second attempts of slow requests, as a share of the work of a service's targets, over all instances; 0 for none. */
     extraWorkRatio: number;
+    /** Part of an engine's memory that requests of all instances may hold; 0 if memory isn't counted. */
+    engineMemoryRatio: number;
     /** Window of the limit on loads from the weight store, in ms. */
     storeLoadWindowMs: number;
     /** Factor by which loads in a window may exceed the store's rate. */
--- a/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
+++ b/packages/medlarlb-decisions/src/gateway/status/sendStatus.ts
@@ -3,6 +3,7 @@
 import { listRankedServices } from "../fairness/listRankedServices.js";
 import { recordUrgencies } from "../fairness/recordUrgencies.js";
 import { reportUse } from "../fairness/reportUse.js";
+import { reportMemory } from "../capacity/reportMemory.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import { recordDemand } from "../placement/recordDemand.js";
 import type { InstanceId } from "medlarlb-types/instanceId";
@@ -46,8 +47,9 @@
                 runs[attempt.model] = (runs[attempt.model] ?? 0) + 1;
             }
         }
-        if (target.activeAttempts.size > 0) {
-            loads.push({ targetId, backlogTokens: target.pendingTokens, running: target.activeAttempts.size, runs });
+        const memory = reportMemory(context, target);
+        if (target.activeAttempts.size > 0 || memory.contextTokens !== undefined) {
+            loads.push({ targetId, backlogTokens: target.pendingTokens, running: target.activeAttempts.size, runs, ...memory });
         }
     }
     return loads;
@@ -75,7 +77,10 @@
  */
 const sendInSmallGroup = (context: GatewayContext, status: InstanceStatus): void => {
     const { zone, instanceId } = context.settings;
-    const sendsToAll = context.fence !== undefined || !hasReachablePlanner(context) || listRankedServices(context).size > 0;
+    // Engines may hold requests of instances of all zones.
+    const usesMemory = status.loads.some(each => each.contextTokens !== undefined);
+    const concernsAll = usesMemory || listRankedServices(context).size > 0;
+    const sendsToAll = context.fence !== undefined || concernsAll || !hasReachablePlanner(context);
     const to = new Set(context.members.filter(member => sendsToAll || member.zone === zone).map(member => member.id));
     context.planners.forEach(planner => to.add(planner));
     to.delete(instanceId);
--- a/packages/medlarlb-fakes/src/bench/measureSteps.ts
+++ b/packages/medlarlb-fakes/src/bench/measureSteps.ts
@@ -119,6 +119,7 @@
         retryWindowMs: 10_000,
         retryExtra: 56,
         extraWorkRatio: 0,
+        engineMemoryRatio: 0,
         storeLoadWindowMs: 5_000,
         storeLoadFactor: 1.1,
         quotaWindowMs: 8_000,
--- a/packages/medlarlb-types/src/instanceStatus.ts
+++ b/packages/medlarlb-types/src/instanceStatus.ts
@@ -21,8 +21,19 @@
      * model name for their plain requests.
      */
     waiting: { service: string; model: string; requests: number; urgencies?: Urgency[] }[];
-    /** Load of this instance on targets: prompt tokens not yet processed, running requests, and running requests by model. */
-    loads: { targetId: string; backlogTokens: number; running: number; runs: Record<string, number> }[];
+    /**
+     * Load of this instance on targets: prompt tokens not yet processed, running requests, and running requests by model.
+     * Where an engine's memory may run out, `contextTokens` is the memory that these requests use at most, and `wantsMemory` tells
+     * that others wait for more.
+     */
+    loads: {
+        targetId: string;
+        backlogTokens: number;
+        running: number;
+        runs: Record<string, number>;
+        contextTokens?: number;
+        wantsMemory?: boolean;
+    }[];
     /** Ms of accrual of quotas that the sender lends to the receiver, and the number of instances that share the quotas. */
     lent?: { ms: number; sharers: number } | undefined;
     /** Recent use by workspace. It is missing if there are no workspaces, and in most messages. */
