--- a/packages/medlarlb-decisions/src/gateway/capacity/reportMemory.ts
+++ b/packages/medlarlb-decisions/src/gateway/capacity/reportMemory.ts
@@ -17,6 +17,9 @@
  */
 export const reportMemory = (context: GatewayContext, target: PoolTarget): MemoryReport => {
     const { memory } = target;
+    if (context.settings.engineMemoryRatio <= 0) {
+        return {};
+    }
     memory.abandoned = memory.abandoned.filter(each => each.untilMs > context.nowMs);
     const tokens = isMemoryAmple(context, target) ? 0 : heldTokens(target, context.nowMs);
     const isWanted = !isMemoryAmple(context, target) && context.nowMs - memory.wantedAtMs <= WANTED_VALID_MS;
--- a/packages/medlarlb-decisions/src/gateway/quotas/askHub.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/askHub.ts
@@ -23,6 +23,9 @@
 /** Asks the hub for the tokens that waiting requests need, in one message for all workspaces, with one query open for each. */
 export const askHub = (context: GatewayContext): void => {
     const { quotas, nowMs, settings } = context;
+    if (quotas.toAsk.size === 0) {
+        return;
+    }
     const rows = [...quotas.toAsk].filter(row => (row.waiting.length > 0 || row.wantedAgain > 0)
         && (row.query === undefined || nowMs - row.query.askedAtMs >= QUERY_TIMEOUT_MS));
     quotas.toAsk.clear();
