Wait for a hub that doesn't answer before refusing a request over its quota

Cause: hubs on small machines take some hundred ms to read a new configuration. While the hub answers, a request waits 40 ms as before.

--- a/packages/medlarlb-decisions/src/gateway/quotas/admitCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/admitCall.ts
@@ -8,7 +8,7 @@
 import { refuseOverQuota } from "./refuseOverQuota.js";
 import { takeHeld } from "./takeHeld.js";
 
-/** Longest time in ms that a request waits for a grant. */
+/** Longest time in ms that a request waits for a grant of a hub that answers. */
 const MAX_GRANT_WAIT_MS = 40;
 
 /**
@@ -41,7 +41,7 @@
         return;
     }
     const untilMs = nowMs + MAX_GRANT_WAIT_MS;
-    row.waiting.push({ call, untilMs });
+    row.waiting.push({ call, sinceMs: nowMs, untilMs });
     quotas.toAsk.add(row);
     quotas.nextCheckMs = Math.min(quotas.nextCheckMs, untilMs);
 };
--- a/packages/medlarlb-decisions/src/gateway/quotas/askHub.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/askHub.ts
@@ -2,13 +2,11 @@
 import type { QuotaWant } from "medlarlb-types/quotaWant";
 import type { GatewayContext } from "../gatewayContext.js";
 import { applyQuotaWanted } from "./applyQuotaWanted.js";
+import { QUERY_TIMEOUT_MS } from "./queryTimeoutMs.js";
 import { quotaCost } from "./quotaCost.js";
 import type { QuotaRow } from "./quotaRow.js";
 import { readRecentUse } from "./readRecentUse.js";
 
-/** Time in ms after which a query without an answer is given up. Its answer is then void. */
-const QUERY_TIMEOUT_MS = 100;
-
 /** Time in ms that the recent use covers. */
 const RECENT_MS = 300;
 
@@ -36,7 +34,7 @@
     const { sequence } = quotas;
     const hub: InstanceId = quotas.hub;
     const wants = rows.map(row => {
-        row.query = { sequence, askedAtMs: nowMs };
+        row.query = { sequence, askedAtMs: nowMs, firstAskedAtMs: row.query?.firstAskedAtMs ?? nowMs };
         const want = describeWant(context, row);
         row.wantedAgain = 0;
         return want;
--- a/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/quotas/quotaRow.ts
@@ -46,11 +46,11 @@
     hubQuery: { sequence: number; askedAtMs: number; unanswered: Set<InstanceId>; gained: number } | undefined;
     /** As an instance: granted tokens, and the latest query to the hub. */
     held: HeldTokens[];
-    query: { sequence: number; askedAtMs: number } | undefined;
+    query: { sequence: number; askedAtMs: number; firstAskedAtMs: number } | undefined;
     /** Use by the callers of this instance. */
     use: RecentUse;
     /** Requests that wait for tokens, in the order of their arrival. */
-    waiting: { call: CallRow; untilMs: number }[];
+    waiting: { call: CallRow; sinceMs: number; untilMs: number }[];
     /** Cost of a request whose charge has expired while it waited for a target, or 0. */
     wantedAgain: number;
     /** Time at which the quota allows a request again, and before which the hub isn't asked. */
