Tell scripts that can't run from broken rules

Cause: Node exits with 1 when it can't load a script, for example without the stand-ins' build, which read as a broken rule.

What was done: one shell script plays each case. It checks that both builds are there, and maps the outcomes of the case to 1, 0 and 2. It passes signals on, so that no process is left.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,3 @@
 #!/usr/bin/env bash
-# Plays the case and writes record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves
-# out the disruption.
-cd "$(dirname "$0")" && exec node case.mjs
+# Plays the case and writes record.txt. TROUBLE=0 leaves out the disruption.
+folder=$(cd "$(dirname "$0")" && pwd) && exec "$folder/../support/play.sh" "$folder"
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -136,5 +136,5 @@
 overlaps.forEach(({ id, overlapMs }) => record(`${id} went on at i-2; i-1 worked on it for ${overlapMs} ms more`));
 record(`streams ${outcomes.length}, whole ${outcomes.filter(each => each.status === 200 && each.error === undefined).length}`);
 const broken = overlaps.filter(each => each.overlapMs > MAX_OVERLAP_MS);
-play.end(broken.length > 0 ? 1 : 0, `requests that went on at another engine: ${overlaps.length}; the engine before still worked on ${broken.length} of them `
+play.end(broken.length > 0 ? "broken" : "held", `requests that went on at another engine: ${overlaps.length}; the engine before still worked on ${broken.length} of them `
 + `over ${MAX_OVERLAP_MS} ms later (any breaks TWICE)`);
--- a/review/support/playWrongBytes.mjs
+++ b/review/support/playWrongBytes.mjs
@@ -114,5 +114,5 @@
     const runs = new Map(engines.flatMap(engine => engine.runs.map(run => [run.id, run])));
     const verdict = judge({ outcomes, runs, gateways, machines, wrongFromMs, routeTimeoutMs: ROUTE_TIMEOUT_MS, faultyEngine: "i-3" });
     record(`requests ${outcomes.length}, answered with 200 ${outcomes.filter(each => each.status === 200 && each.error === undefined).length}`);
-    play.end(verdict.isBroken ? 1 : 0, verdict.text);
+    play.end(verdict.isBroken ? "broken" : "held", verdict.text);
 };
--- a/review/support/startCase.mjs
+++ b/review/support/startCase.mjs
@@ -12,7 +12,8 @@
 const root = new URL("../../", import.meta.url).pathname;
 const RUN_LIMIT_MS = 115_000;
 const READY_LIMIT_MS = 15_000;
-const COULD_NOT_RUN = 2;
+/** Exit status by the outcome. Node itself exits with 1 if it can't load a script. */
+const exitStatuses = { held: 0, couldNotRun: 2, broken: 3 };
 const METRICS_PORT = 9464;
 
 /** Bounds of the sheet of Karoo Aurora Alerts (SYSTEM.md). */
@@ -80,16 +81,18 @@
     const nowMs = () => Math.round(performance.now() - startedAtMs);
     const record = text => void lines.push(`${String(nowMs()).padStart(6)} ${text}`);
 
-    const end = (status, verdict) => {
+    /** Ends the case with its outcome, a key of `exitStatuses`. */
+    const end = (outcome, verdict) => {
         record(verdict);
         console.log(verdict);
         children.forEach(child => child.kill("SIGKILL"));
         writeFileSync(join(folder, "record.txt"), `${lines.join("\n")}\n`);
         rmSync(temporary, { recursive: true, force: true });
-        process.exit(status);
+        process.exit(exitStatuses[outcome]);
     };
-    setTimeout(() => end(COULD_NOT_RUN, "the case took too long"), RUN_LIMIT_MS).unref();
-    process.once("uncaughtException", err => end(COULD_NOT_RUN, `the case couldn't run: ${err.stack}`));
+    setTimeout(() => end("couldNotRun", "the case took too long"), RUN_LIMIT_MS).unref();
+    ["SIGINT", "SIGTERM"].forEach(signal => process.once(signal, () => end("couldNotRun", `the case was ended by ${signal}`)));
+    process.once("uncaughtException", err => end("couldNotRun", `the case couldn't run: ${err.stack}`));
 
     const isReady = address => new Promise(resolve => {
         const req = get(`http://${address}/api/readiness`, { timeout: 1_000 }, res => {
@@ -144,7 +147,7 @@
                 return gateway;
             }
         }
-        return end(COULD_NOT_RUN, `a gateway didn't become ready: ${gateway.errors}`);
+        return end("couldNotRun", `a gateway didn't become ready: ${gateway.errors}`);
     };
 
     return { hasTrouble: process.env.TROUBLE !== "0", nowMs, record, end, sleep, listen, isReady, createMachine, startGateway };
