--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -71,7 +71,7 @@
 const engines = Array.from({ length: ENGINES }, (_, index) => {
     const id = `i-${index + 1}`;
     const heldModels = MODELS.slice(index * MODELS_PER_ENGINE, (index + 1) * MODELS_PER_ENGINE);
-    return createPlacedEngine({ id, heldModels, slots: SLOTS, onOrder, onChange: () => writeEntry(id) });
+    return createPlacedEngine({ id, heldModels, slots: SLOTS, record, onOrder, onChange: () => writeEntry(id) });
 });
 const addresses = new Map();
 const writeEntry = id => store.put(`servers/${id}`, JSON.stringify({
@@ -104,7 +104,7 @@
 let isOver = false;
 let hot = MODELS.slice(0, HOT_MODELS);
 const runClient = async (machine, name) => {
-    const client = createClient({ name, record: () => undefined, nowMs });
+    const client = createClient({ name, record, nowMs });
     while (!isOver) {
         const models = Math.random() < 0.75 ? hot : MODELS;
         await client.send({
--- a/review/support/createPlacedEngine.mjs
+++ b/review/support/createPlacedEngine.mjs
@@ -16,7 +16,7 @@
  * Creates a stand-in of a model engine that carries out orders, one at a time, and streams answers for the models that it holds. It
  * doesn't check fencing tokens (`require_fence` is false). `onChange` is called when the models that it holds have changed.
  */
-export const createPlacedEngine = ({ id, heldModels, slots, onOrder, onChange }) => {
+export const createPlacedEngine = ({ id, heldModels, slots, record, onOrder, onChange }) => {
     const models = new Set(heldModels);
     const onDisk = new Set(heldModels);
     let orderCount = 0;
@@ -71,6 +71,7 @@
         res.on("close", () => {
             clearInterval(timer);
             active -= 1;
+            record(`engine ${id} ran ${requestId} up to event ${event} of ${EVENT_COUNT}`);
         });
     };
 
