Treat control characters in a target's headers as a malformed response (LOST)

Seen by callers: one control character in a header of a faulty target's answer ended the instance that got it, and all requests on it lost their connections. With a length, the caller of that answer had none before its deadline (504).

Cause: the parser accepted control characters in header values, and Node refuses to write them to the caller. The error left a callback of setImmediate, or was caught where the exchange was over and nobody learnt of it.

Change: only the characters of RFC 9110, 5.5 are accepted, so that the response is malformed and its request is repeated or answered with 502 at once; an error of the handler of an answer's end fails its own request.

--- a/packages/medlarlb-targets/src/createResponseParser.ts
+++ b/packages/medlarlb-targets/src/createResponseParser.ts
@@ -22,7 +22,8 @@
 const TOO_LONG_HEAD = `the header section of the response is longer than ${MAX_HEAD_BYTES} bytes`;
 const TOO_LONG_LINE = `a line of the response is longer than ${MAX_LINE_BYTES} bytes`;
 const NO_STATUS_LINE = "the first line isn't the status line of an HTTP/1.1 response";
-const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*$/;
+/** Control characters, which no header may have, make a response malformed: a message can't be written with them again. */
+const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
 const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,8})([ \t]*(?:;[^\r\n]*)?)$/;
 const DECIMAL = /^\d{1,15}$/;
 const HEX_RADIX = 16;
--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -114,7 +114,13 @@
         else {
             close();
         }
-        completed.handlers.onEnd(endedWithConnection);
+        try {
+            completed.handlers.onEnd(endedWithConnection);
+        }
+        catch (err) {
+            // The request fails, whose exchange is over. Outside of this block the error would end the process.
+            completed.handlers.onFailure({ sent: true, malformed: true, reason: (err as Error).message });
+        }
     };
 
     const history = (): ConnectionHistory => ({ ageMs: now() - openedAtMs, carriedRequests });
