--- a/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -1,3 +1,4 @@
+import { setTimeout } from "node:timers/promises";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { GatewayCommand } from "medlarlb-decisions/gateway/gatewayCommand";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
@@ -22,6 +23,8 @@
     logEvent: (event: string, fields: Record<string, unknown>) => void;
 }
 
+type Executors = { [Kind in GatewayCommand["kind"]]: (command: Extract<GatewayCommand, { kind: Kind }>) => void };
+
 /** Creates the function that carries out the commands of the decisions. */
 export const createCommandExecutor = (options: ExecutorOptions): ((command: GatewayCommand) => void) => {
     const { callProxy, peers, observationGossip, engines, plannerLease, orderMs, now, push, logEvent } = options;
@@ -55,69 +58,46 @@
     const probe = async ({ targetId, startedAtMs, address }: Extract<GatewayCommand, { kind: "probe" }>): Promise<void> =>
         push({ kind: "probed", targetId, startedAtMs, state: await probeListening(address) });
 
-    return (command: GatewayCommand): void => {
-        switch (command.kind) {
-            case "send":
-                callProxy.send(command);
-                break;
-            case "abort":
-                callProxy.abort(command.callId, command.attempt);
-                break;
-            case "answer":
-                callProxy.answer(command);
-                break;
-            case "order":
-                void sendOrder(command);
-                break;
-            case "report":
-                void requestReport(command);
-                break;
-            case "probe":
-                void probe(command);
-                break;
-            case "want": {
-                const { to, service, model, adapter, targetId } = command;
-                peers.send(to, { kind: "wanted", service, model, adapter, targetId });
-                break;
-            }
-            case "requestPermit":
-                peers.send(command.to, { kind: "permitWanted", targetId: command.targetId });
-                break;
-            case "answerPermit":
-                peers.send(command.to, { kind: "permit", answer: command.answer });
-                break;
-            case "askQuota":
-                peers.send(command.to, { kind: "quotaWanted", sequence: command.sequence, wants: command.wants });
-                break;
-            case "grantQuota":
-                peers.send(command.to, { kind: "quotaGranted", sequence: command.sequence, grants: command.grants });
-                break;
-            case "shareOrigins":
-                peers.send(command.to, { kind: "streamOrigins", origins: command.origins });
-                break;
-            case "askOrigin":
-                sendToAll(command.to, { kind: "originWanted", requestId: command.requestId });
-                break;
-            case "shareStatus":
-                sendToAll(command.to, { kind: "status", status: command.status });
-                break;
-            case "shareDigest":
-                peers.send(command.to, { kind: "digest", digest: command.digest });
-                break;
-            case "shareNews":
-                sendToAll(command.to, { kind: "news", news: command.news });
-                break;
-            case "shareObservations": {
-                const { to, reporterZone, observations, byGossip } = command;
-                sendToAll(to, { kind: "observations", reporterZone, observations });
-                if (byGossip) {
-                    observationGossip.publish(observations);
-                }
-                break;
+    const checkRun = async (command: Extract<GatewayCommand, { kind: "checkRun" }>): Promise<void> => {
+        const { callId, attempt, targetId, address, callerRequestId, delayMs } = command;
+        await setTimeout(delayMs);
+        const requestedAtMs = now();
+        const found = engines.findRun({ targetId, address }, callerRequestId);
+        const listening = await probeListening(address);
+        const reported = listening === "refused" ? "ended" : await found;
+        const state = listening === "silent" && reported === "unknown" ? "unreachable" : reported;
+        push({ kind: "runChecked", callId, attempt, state, requestedAtMs });
+    };
+
+    const executors: Executors = {
+        send: callProxy.send,
+        abort: ({ callId, attempt }) => callProxy.abort(callId, attempt),
+        answer: callProxy.answer,
+        order: command => void sendOrder(command),
+        report: command => void requestReport(command),
+        probe: command => void probe(command),
+        checkRun: command => void checkRun(command),
+        want: ({ to, service, model, adapter, targetId }) => peers.send(to, { kind: "wanted", service, model, adapter, targetId }),
+        requestPermit: ({ to, targetId }) => peers.send(to, { kind: "permitWanted", targetId }),
+        answerPermit: ({ to, answer }) => peers.send(to, { kind: "permit", answer }),
+        askQuota: ({ to, sequence, wants }) => peers.send(to, { kind: "quotaWanted", sequence, wants }),
+        grantQuota: ({ to, sequence, grants }) => peers.send(to, { kind: "quotaGranted", sequence, grants }),
+        shareOrigins: ({ to, origins }) => peers.send(to, { kind: "streamOrigins", origins }),
+        askOrigin: ({ to, requestId }) => sendToAll(to, { kind: "originWanted", requestId }),
+        shareStatus: ({ to, status }) => sendToAll(to, { kind: "status", status }),
+        shareDigest: ({ to, digest }) => peers.send(to, { kind: "digest", digest }),
+        shareNews: ({ to, news }) => sendToAll(to, { kind: "news", news }),
+        shareObservations: ({ to, reporterZone, observations, byGossip }) => {
+            sendToAll(to, { kind: "observations", reporterZone, observations });
+            if (byGossip) {
+                observationGossip.publish(observations);
             }
-            case "log":
-                logEvent(command.event, command.fields);
-                break;
-        }
+        },
+        log: ({ event, fields }) => logEvent(event, fields),
+    };
+
+    return (command: GatewayCommand): void => {
+        const execute = executors[command.kind] as (command: GatewayCommand) => void;
+        execute(command);
     };
 };
--- a/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/calls.test.ts
@@ -1,101 +1,11 @@
 import { expect } from "chai";
 import { brandAs } from "medlarlb-types/brandAs";
 import type { RequestId } from "medlarlb-types/requestId";
-import type { Route } from "medlarlb-types/route";
-import { createGatewayDecisions } from "../createGatewayDecisions.js";
 import type { GatewayCommand } from "../gatewayCommand.js";
-import type { GatewayInput } from "../gatewayInput.js";
-import { createSettings } from "./support/createSettings.js";
-import { joinGroup } from "./support/joinGroup.js";
-
-type Send = Extract<GatewayCommand, { kind: "send" }>;
+import { createTestGateway } from "./support/createTestGateway.js";
 
 const callId = brandAs<RequestId>("c1");
 
-const createTestGateway = (route: Partial<Route>, softwareVersions: (string | undefined)[] = ["v1", "v1", "v1"]) => {
-    let nowMs = 1_000;
-    const decisions = createGatewayDecisions(createSettings("i1", "z"), () => 0.5);
-    joinGroup(decisions, { kind: "instances", count: 1, listed: [brandAs("i1")], planners: new Map(), members: [], zoneOrder: [] }, nowMs);
-    const step = (...inputs: GatewayInput[]): GatewayCommand[] => {
-        nowMs += 10;
-        return decisions.step(nowMs, inputs);
-    };
-    const models = new Map([["m", { name: "m", weightsMb: 1, adapterMb: 0, storeLoadMs: 1, diskLoadMs: 1, memoryLoadMs: 1 }]]);
-    const engine = { slots: 64, contextTokens: 100_000, weightsMb: 10, adapterSlots: 0, storeLoadsPerSecond: 1, copiesRuns: true, models };
-    step({
-        kind: "config",
-        config: {
-            version: 1,
-            routes: [],
-            services: new Map([["llm", { name: "llm", healthPath: "/", maxConnections: 9, engine }]]),
-            limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-        },
-    }, ...["e1", "e2", "e3"].map((id, index): GatewayInput => ({
-        kind: "target",
-        entry: {
-            targetId: id as never,
-            service: "llm",
-            address: `10.0.0.${index}:80`,
-            zone: "z" as never,
-            softwareVersion: softwareVersions[index],
-            slots: 64,
-            leaving: false,
-            startedAtMs: 0,
-            remainingMs: undefined,
-            models: [{ name: "m", version: 1, adapters: [] }],
-            inMemory: [],
-            onDisk: [],
-        },
-    })));
-    const listSends = (commands: GatewayCommand[]): Send[] => commands.filter((each): each is Send => each.kind === "send");
-    const listStatuses = (commands: GatewayCommand[]) => commands.flatMap(each => (each.kind === "answer" ? [each.status] : []));
-    const call = (): Send => {
-        const fullRoute: Route = {
-            name: "r",
-            host: "h",
-            prefix: "/",
-            kind: "streaming",
-            timeoutMs: 9_000,
-            latencyTargetMs: 800,
-            gapTargetMs: 400,
-            priority: 1,
-            maxAttempts: 1,
-            resumable: false,
-            destinations: [],
-            ...route,
-        };
-        const sent = listSends(step({
-            kind: "call",
-            metadata: {
-                callId,
-                fingerprint: brandAs(callId),
-                callerRequestId: "r1",
-                route: fullRoute,
-                service: "llm",
-                model: "m",
-                adapter: undefined,
-                promptTokens: 1_000,
-                outputTokens: 200,
-                expectedTokens: 200,
-                promptParts: [],
-                arrivedAtMs: nowMs,
-                latencyTargetAtMs: nowMs + 800,
-                firstEventDeadlineAtMs: nowMs + 3_200,
-                deadlineAtMs: nowMs + 9_000,
-            },
-        }))[0];
-        if (sent === undefined) {
-            throw new Error("the gateway sent no request for the call");
-        }
-        return sent;
-    };
-    const createFailure = (attempt: number, ran: "no" | "unknown", cause: "cut" | "full" | "notHeld" | "garbled"): GatewayInput =>
-        ({ kind: "failed", callId, attempt, ran, cause, reason: "test" });
-    /** Runs several steps without inputs and returns their commands. */
-    const repeatStep = (stepCount = 20): GatewayCommand[] => Array.from({ length: stepCount }, () => step()).flat();
-    return { view: decisions.view, step, call, createFailure, repeatStep, listSends, listStatuses };
-};
-
 describe("call attempts", () => {
     it("sends a call again when a target refuses it without having run it", () => {
         const { step, call, createFailure, repeatStep, listSends } = createTestGateway({});
@@ -112,11 +22,11 @@
     });
 
     it("resumes a stream from its copy when its engine is lost, and ends it with 502 when the copy is refused", () => {
-        const { step, call, createFailure, repeatStep, listSends, listStatuses } = createTestGateway({});
+        const { step, call, createFailure, createCheck, repeatStep, listSends, listStatuses } = createTestGateway({});
         const first = call();
         expect(first.copyToAddress).to.be.a("string");
         step({ kind: "begun", callId, attempt: 1 });
-        const [second] = listSends([...step(createFailure(1, "unknown", "cut")), ...repeatStep()]);
+        const [second] = listSends([...step(createFailure(1, "unknown", "cut")), ...step(createCheck("ended")), ...repeatStep()]);
         expect(second).to.include({ fromCopy: true, address: first.copyToAddress });
         const commands = [...step(createFailure(2, "no", "notHeld")), ...repeatStep()];
         expect(listSends(commands)).to.deep.equal([]);
@@ -124,12 +34,12 @@
     });
 
     it("has the copy of a stream's state kept, and the stream resumed, only by an engine of its software version", () => {
-        const { step, call, createFailure, repeatStep, listSends } = createTestGateway({}, ["v1", "v2", "v1"]);
+        const { step, call, createFailure, createCheck, repeatStep, listSends } = createTestGateway({}, ["v1", "v2", "v1"]);
         const first = call();
         const copyTo = { "10.0.0.0:80": "10.0.0.2:80", "10.0.0.1:80": undefined, "10.0.0.2:80": "10.0.0.0:80" }[first.address];
         expect(first.copyToAddress).to.equal(copyTo);
         step({ kind: "begun", callId, attempt: 1 });
-        const sends = listSends([...step(createFailure(1, "unknown", "cut")), ...repeatStep()]);
+        const sends = listSends([...step(createFailure(1, "unknown", "cut")), ...step(createCheck("ended")), ...repeatStep()]);
         expect(sends.map(send => send.address)).to.deep.equal(copyTo === undefined ? [] : [copyTo]);
     });
 
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualMemoryGroup.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualMemoryGroup.ts
@@ -226,10 +226,22 @@
         }
     });
 
+    const checkRun = (instance: number, { callId, attempt, address, delayMs }: Extract<GatewayCommand, { kind: "checkRun" }>): void =>
+        after(delayMs + DELAY_MS, () => {
+            const engine = findEngine(address);
+            const isListed = [...engine?.runs ?? []].some(run => run.callId === callId && !run.isCopy);
+            const state = engine?.isUp !== true ? "ended" : (isListed ? "listed" : "notListed");
+            const requestedAtMs = now();
+            after(DELAY_MS, () => group.give(instance, { kind: "runChecked", callId, attempt, state, requestedAtMs }));
+        });
+
     const execute = (instance: number, command: GatewayCommand): void => {
         if (command.kind === "send") {
             send(instance, command);
         }
+        else if (command.kind === "checkRun") {
+            checkRun(instance, command);
+        }
         else if (command.kind === "answer") {
             answers.push({ callId: command.callId, status: command.status, atMs: now(), reason: command.reason });
             endRuns(command.callId);
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -36,6 +36,7 @@
 import { applyQuotaWanted } from "./quotas/applyQuotaWanted.js";
 import { applyRegistered } from "./quotas/applyRegistered.js";
 import { updateSharers } from "./quotas/updateSharers.js";
+import { applyRunChecked } from "./resumption/applyRunChecked.js";
 import { recordListContact } from "./retries/recordListContact.js";
 import { updateGroupView } from "./retries/updateGroupView.js";
 import { applyOriginRequest } from "./streams/applyOriginRequest.js";
@@ -106,6 +107,7 @@
     streamOrigins: (context, { origins }) => applyStreamOrigins(context, origins),
     originWanted: (context, { from, requestId }) => applyOriginRequest(context, from, requestId),
     probed: applyProbed,
+    runChecked: applyRunChecked,
     observations: applyObservations,
     stop: context => {
         for (const row of [...context.calls.values()].filter(each => each.pool !== undefined)) {
--- a/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/retryCall.ts
@@ -1,4 +1,3 @@
-import type { AnswerEvidence } from "medlarlb-types/answerEvidence";
 import type { FailureCause } from "../failureCause.js";
 import type { CallRow } from "../rows/callRow.js";
 import type { GatewayContext } from "../gatewayContext.js";
@@ -6,15 +5,9 @@
 import { failCall } from "./failCall.js";
 import { endCurrentAttempt } from "./endCurrentAttempt.js";
 import { enqueueCall } from "./enqueueCall.js";
+import type { Failure } from "./failure.js";
 import { logEvent } from "./logEvent.js";
 
-interface Failure {
-    ran: "no" | "unknown";
-    cause: FailureCause;
-    reason: string;
-    evidence?: AnswerEvidence | undefined;
-}
-
 /**
  * Delay in ms before a request is sent again: after a target without room or without the model has refused it, and after a cut
  * until probes have shown whether the target has ended, and the instances have told each other.
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -53,6 +53,8 @@
     | { kind: "report"; targetId: TargetId; address: string }
     /** Finds out with a new connection whether a target that cut a request still runs. */
     | { kind: "probe"; targetId: TargetId; startedAtMs: number; address: string }
+    /** Finds out, after a delay, whether an engine still runs the request of an attempt whose connection has ended. */
+    | { kind: "checkRun"; callId: RequestId; attempt: number; targetId: TargetId; address: string; callerRequestId: string; delayMs: number }
     /** The `share` commands send this instance's status, a load digest, a placement update, or observations of targets to others. */
     | { kind: "shareStatus"; to: InstanceId[]; status: InstanceStatus }
     | { kind: "shareDigest"; to: InstanceId; digest: LoadDigest }
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -11,6 +11,7 @@
 import type { QuotaGrant } from "medlarlb-types/quotaGrant";
 import type { QuotaWant } from "medlarlb-types/quotaWant";
 import type { RequestId } from "medlarlb-types/requestId";
+import type { RunState } from "medlarlb-types/runState";
 import type { RoutingConfig } from "medlarlb-types/routingConfig";
 import type { StreamOrigin } from "medlarlb-types/streamOrigin";
 import type { TargetEntry } from "medlarlb-types/targetEntry";
@@ -69,6 +70,8 @@
     | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string; evidence?: AnswerEvidence | undefined }
     /** A new connection to a target has shown whether it still runs. */
     | { kind: "probed"; targetId: TargetId; startedAtMs: number; state: ListeningState }
+    /** It was checked, from `requestedAtMs` on, whether an engine still runs the request of an attempt whose connection has ended. */
+    | { kind: "runChecked"; callId: RequestId; attempt: number; state: RunState; requestedAtMs: number }
     /** Observations of other instances. `reporterZone` is undefined if they came by gossip, which spreads by itself. */
     | { kind: "observations"; observations: TargetObservation[]; reporterZone: ZoneId | undefined; ageMs: number }
     /** Another instance tells who began streams, or asks it of one. */
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -23,6 +23,7 @@
         excludedTargets: new Set(),
         delivered: false,
         nextEventDeadlineAtMs: metadata.firstEventDeadlineAtMs,
+        formerRun: undefined,
         modelRequestedAtMs: Number.NEGATIVE_INFINITY,
         adapterTargetId: undefined,
         origin: undefined,
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFailed.ts
@@ -1,4 +1,3 @@
-import { resumeCall } from "../calls/resumeCall.js";
 import { logEvent } from "../calls/logEvent.js";
 import { probeTarget } from "../crashes/probeTarget.js";
 import { recordCut } from "../crashes/recordCut.js";
@@ -9,6 +8,7 @@
 import { setTargetModels } from "../pools/setTargetModels.js";
 import { failHedgedAttempt } from "../hedging/failHedgedAttempt.js";
 import type { CallAttempt } from "../rows/callAttempt.js";
+import { resumeAfterCut } from "../resumption/resumeAfterCut.js";
 import type { PoolTarget } from "../rows/poolTarget.js";
 import type { CallRow } from "../rows/callRow.js";
 import { recordOutcome } from "./recordOutcome.js";
@@ -103,7 +103,7 @@
     if (failHedgedAttempt(context, row, input.attempt, input.ran)) {
         return;
     }
-    if (input.cause === "cut" && resumeCall(context, row, input.reason)) {
+    if (input.cause === "cut" && resumeAfterCut(context, row, input)) {
         return;
     }
     retryCall(context, row, input);
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -2,6 +2,7 @@
 import type { Fingerprint } from "medlarlb-types/fingerprint";
 import type { TargetId } from "medlarlb-types/targetId";
 import type { QuotaCharge } from "../quotas/quotaCharge.js";
+import type { FormerRun } from "../resumption/formerRun.js";
 import type { CallAttempt } from "./callAttempt.js";
 import type { ModelPool } from "./modelPool.js";
 
@@ -35,6 +36,8 @@
     delivered: boolean;
     /** Time at which the caller leaves unless its first, or after a broken stream its next, event has arrived. */
     nextEventDeadlineAtMs: number;
+    /** The run of the current attempt, whose connection has ended, while it isn't known whether the run has ended, too. */
+    formerRun: FormerRun | undefined;
     /** Time when a model or adapter was last requested from a planner for this call. */
     modelRequestedAtMs: number;
     /** Engine on which the adapter was last requested. */
