--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -189,6 +189,21 @@
         expect(instanceCounts.at(-1)).to.equal(0);
     });
 
+    // ONE: a process that started after the return took it that no planner was active, since the store named none.
+    it("takes leases for lost when it reads the store first in a later era, and when the store comes back, but not in the first era", async () => {
+        for (const era of [0, 1]) {
+            const { events, restore } = createFixture();
+            restore([{ key: "op/config", value: "config 1", revision: 5 }], era);
+            sync.start();
+            await sleep(50);
+            expect(events).to.deep.equal(era === 0 ? ["config 1"] : ["leases lost", "config 1"]);
+            restore([{ key: "op/config", value: "config 2", revision: 5 }]);
+            await waitUntil(() => events.includes("config 2"), 2_000);
+            expect(events.slice(-3)).to.deep.equal(["leases lost", "store restored", "config 2"]);
+            sync.stop();
+        }
+    });
+
     it("has seen the list when it asked for changes, not when they came", async () => {
         const { contacts } = createFixture();
         sync.start();
--- a/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
@@ -88,7 +88,7 @@
             /** Has the store come back from a copy without leases, and the directory tell so. */
             restoreStore: (): void => {
                 hasLostLeases = true;
-                lease.noteStoreRestored();
+                lease.noteLeasesLost();
                 lease.setHolder(undefined);
             },
             delayChanges: (): void => {
@@ -149,6 +149,17 @@
         expect(lease.isValid()).to.equal(true);
     });
 
+    // ONE: a process that had started after the return waited for orders of a former planner, but not for its lease.
+    it("is used by a process that has started since the store lost leases only when a former holder's time and orders are past", async () => {
+        const { lease, advance } = createFixture();
+        lease.noteLeasesLost();
+        lease.setHolder(undefined);
+        await advance(9_200);
+        expect(lease.isValid()).to.equal(false);
+        await advance(1_000);
+        expect(lease.isValid()).to.equal(true);
+    });
+
     it("is not acquired while another instance holds it", async () => {
         const { lease, advance, changes } = createFixture();
         lease.setHolder({ instance: "other" as never, revision: 9, active: true });
--- a/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
@@ -66,6 +66,7 @@
             onPlanners: () => undefined,
             onListContact: atMs => contacts.push(atMs),
             onStoreRestored: () => events.push("store restored"),
+            onLeasesLost: () => events.push("leases lost"),
             onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
         },
     });
@@ -81,9 +82,9 @@
         contacts,
         instanceCounts,
         relay,
-        /** Has the store come back from a copy that has the given entries. */
-        restore: (entries: StoreEntry[]): void => {
-            items = entries.map(entry => ({ ...entry, revision: storeEras.join(2, entry.revision) }));
+        /** Has the store come back, in a later era, from a copy that has the given entries. */
+        restore: (entries: StoreEntry[], era = 2): void => {
+            items = entries.map(entry => ({ ...entry, revision: storeEras.join(era, entry.revision) }));
         },
         change: (entry: StoreEntry): void => {
             items = [...items.filter(item => item.key !== entry.key), entry];
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -136,8 +136,13 @@
 
     /** Applies all entries of the store as of a revision. Known entries that they lack were removed. */
     const applyAll = (items: StoreEntry[], listRevision: number, source: Source): void => {
-        const isRestored = revision !== undefined && storeEras.eraOf(listRevision) > storeEras.eraOf(revision);
+        const era = storeEras.eraOf(listRevision);
+        const isRestored = revision !== undefined && era > storeEras.eraOf(revision);
         relistAtMs = Number.POSITIVE_INFINITY;
+        // A process that reads the store first in a later era can't know for how long the store has been back.
+        if (isRestored || (revision === undefined && era > 0)) {
+            handlers.onLeasesLost();
+        }
         if (isRestored) {
             outages.recordEnd(now());
             relistAtMs = now() + REGISTRATION_GRACE_MS;
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -231,10 +231,8 @@
                 pushInstances();
             },
             onListContact: atMs => loop.note({ kind: "listContact", atMs }),
-            onStoreRestored: () => {
-                plannerLease.noteStoreRestored();
-                registration.renewNow();
-            },
+            onStoreRestored: () => registration.renewNow(),
+            onLeasesLost: plannerLease.noteLeasesLost,
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -63,8 +63,8 @@
     let heldLease: HeldLease | undefined;
     /** Time until which no other instance can be active, since this one held the lease until the store lost it. */
     let exclusiveUntilMs = Number.NEGATIVE_INFINITY;
-    /** Time at which the store was found to have come back without its leases. */
-    let restoredAtMs = Number.NEGATIVE_INFINITY;
+    /** Time up to which the store may have lost leases whose holders don't know it yet. */
+    let leasesLostUntilMs = Number.NEGATIVE_INFINITY;
     /** Planner of the zone that the store names. */
     let storedHolder: StoredPlanner | undefined;
     let isHolderKnown = false;
@@ -128,7 +128,7 @@
         }
         const isOwnLease = previousHolder?.active === true || now() < exclusiveUntilMs;
         // A holder that can't reach the store goes on until its lease would have expired.
-        const othersEndAtMs = Math.max(now(), restoredAtMs + LEASE_TTL_MS);
+        const othersEndAtMs = Math.max(now(), leasesLostUntilMs + LEASE_TTL_MS);
         const change = await store.change({
             conditions: [{ key, revision: previousHolder?.revision ?? 0 }],
             puts: [{ key, value: plannerEntry.encode(instanceId, false), lease: lease.value }],
@@ -223,9 +223,9 @@
     const stopTicking = every(TICK_INTERVAL_MS, tick);
     return {
         isValid,
-        /** Notes that the store has come back from an older copy, without its leases. */
-        noteStoreRestored: (): void => {
-            restoredAtMs = now();
+        /** Notes that the store may have lost leases up to now, as when it has come back from an older copy. */
+        noteLeasesLost: (): void => {
+            leasesLostUntilMs = now();
             nextCallAtMs = 0;
         },
         /** Sets the planner of the zone that the store names, with the revision of its entry. */
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -16,6 +16,11 @@
     onPlanners: (planners: Map<ZoneId, StoredPlanner>) => void;
     /** Called when the store is found to have come back from an older copy, before its entries are reported. */
     onStoreRestored: () => void;
+    /**
+     * Called when the store may have lost leases up to now: it is found to have come back from an older copy, or had done so at some
+     * time before it was read first.
+     */
+    onLeasesLost: () => void;
     /** Called when the store becomes reachable or unreachable. */
     onReachabilityChange: (reachable: boolean, reason: string) => void;
 }
