Prove a stream's version by the list only for as long as callers may wait (ORDER)

Seen by callers: streams of two software versions in one text, when all instances were killed, the old version had just left, and a caller took its stream up later than its route's time-out after the start.

Cause: instances that began a stream keep its version for 10 s beyond the deadline, since a caller may wait longer than its route allows. The proof by the store's list looked back by the time-out only, which after a start of all instances doesn't reach the stream's beginning.

Change: both look back by the time-out and the same margin. Two waits of streamOrigins.test.ts that stood for the former time are longer; their checks are unchanged, and one more refusal is expected.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
@@ -118,10 +118,24 @@
         replaced.step({ kind: "targetGone", targetId: brandAs("t1") });
         replaced.wait(5_000);
         expect(listReasons([...replaced.step(replaced.createCall(true)), ...replaced.wait(900)])).to.have.length(1);
+        // A caller may wait 10 s longer than its route's time-out of 6 s.
+        replaced.wait(9_000);
+        expect(listReasons([...replaced.step(replaced.createCall(true)), ...replaced.wait(900)])).to.have.length(1);
         replaced.wait(2_000);
         expect(listTargets([...replaced.step(replaced.createCall(true)), ...replaced.wait(100)]), "once that is long ago").to.deep.equal(["t0"]);
     });
 
+    // ORDER: an instance that had just started took the only version that it had seen for that of a stream begun before its start.
+    it("is refused without a word of its beginning while the list has been known for a shorter time than its caller may wait", () => {
+        const { step, wait, createCall } = createInstance(["v1", "v1"]);
+        // After such a gap, the list counts as known from the next contact on, as after a start.
+        wait(6_000, true);
+        wait(14_000);
+        expect(listReasons([...step(createCall(true)), ...wait(900)])).to.have.length(1);
+        wait(2_000);
+        expect(listTargets([...step(createCall(true)), ...wait(100)])).to.have.length(1);
+    });
+
     it("never goes on at targets that state no version", () => {
         const { step, wait, createCall, tell } = createInstance([undefined, undefined]);
         step(tell(undefined));
@@ -156,7 +170,7 @@
     it("is told when a version is listed again that the service had long before", () => {
         const { step, wait, entryOf, createCall } = createInstance(["v1", "v2"]);
         step({ kind: "targetGone", targetId: brandAs("t0") });
-        wait(7_000);
+        wait(17_000);
         step(createCall());
         expect(listTold(step(begun)), "while the service has one version").to.deep.equal([]);
         expect(listTold(step(entryOf(0)))).to.have.length(2);
--- a/packages/medlarlb-decisions/src/gateway/streams/recordStreamStart.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/recordStreamStart.ts
@@ -3,6 +3,7 @@
 import type { CallRow } from "../rows/callRow.js";
 import { findOnlyVersion } from "./findOnlyVersion.js";
 import { keepOwnOrigin } from "./keepOwnOrigin.js";
+import { TAKE_UP_MARGIN_MS } from "./takeUpMarginMs.js";
 import { tellOrigins } from "./tellOrigins.js";
 
 /** Age in ms of the contact with the store's list up to which a service of one version counts as such for all instances. */
@@ -20,7 +21,7 @@
     row.origin ??= { service, softwareVersion: attempt.softwareVersion };
     const untoldId = keepOwnOrigin(context, row);
     const { nowMs } = context;
-    const onlyVersion = findOnlyVersion(context, service, nowMs - route.timeoutMs, nowMs - MAX_CONTACT_AGE_MS);
+    const onlyVersion = findOnlyVersion(context, service, nowMs - route.timeoutMs - TAKE_UP_MARGIN_MS, nowMs - MAX_CONTACT_AGE_MS);
     if (onlyVersion === undefined && untoldId !== undefined) {
         tellOrigins(context, [untoldId]);
     }
--- a/packages/medlarlb-decisions/src/gateway/streams/resolveOrigin.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/resolveOrigin.ts
@@ -4,6 +4,7 @@
 import { askForOrigin } from "./askForOrigin.js";
 import { expireOrigins } from "./expireOrigins.js";
 import { findOnlyVersion } from "./findOnlyVersion.js";
+import { TAKE_UP_MARGIN_MS } from "./takeUpMarginMs.js";
 
 /** Times in ms after its arrival at which others are asked who began a call's stream. A message about it may be on its way. */
 const ASK_TIMES_MS = [0, 50, 150, 400];
@@ -19,7 +20,8 @@
     const { requestId } = resumedStream;
     expireOrigins(context);
     const known = requestId === undefined ? undefined : context.streamOrigins.get(requestId);
-    const onlyVersion = known === undefined ? findOnlyVersion(context, service, arrivedAtMs - route.timeoutMs, arrivedAtMs) : undefined;
+    const earliestStartMs = arrivedAtMs - route.timeoutMs - TAKE_UP_MARGIN_MS;
+    const onlyVersion = known === undefined ? findOnlyVersion(context, service, earliestStartMs, arrivedAtMs) : undefined;
     if (known !== undefined || onlyVersion !== undefined) {
         row.origin = { service: known?.service ?? service, softwareVersion: known === undefined ? onlyVersion : known.softwareVersion };
         const source = known === undefined ? "the only version" : "its beginning";
--- a/packages/medlarlb-fakes/src/__tests__/streamVersions.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/streamVersions.test.ts
@@ -16,6 +16,8 @@
 /** Time in ms by which changes of entries are known. */
 const KNOWN_MS = 1_000;
 const NOT_RUN_STATUS = 503;
+/** Latest time in ms after a start of all instances at which a caller takes its stream up: later than its route's time-out of 6 s. */
+const LATEST_TAKE_UP_MS = 12_000;
 
 type Parts = Awaited<ReturnType<ReturnType<typeof createStreamCaller>["begin"]>>[];
 
@@ -156,4 +158,19 @@
         expect(countWhole(streams), "streams that went on").to.be.above(STREAMS / 2);
         await startGateway();
     });
+
+    // ORDER: an instance that had just started took the only version that it had seen for that of a stream begun before its start.
+    it("join no streams from two versions after all instances were killed, whenever their callers take them up", async () => {
+        const begun = await playAll(async index => [await caller.begin(addressOf(index), 4)]);
+        expect(new Set(begun.flatMap(([part]) => part?.events.map(event => event.version) ?? [])).size, "versions that began streams").to.equal(2);
+        [0, 2, 4].forEach(index => store.remove(`servers/e${index}`));
+        gateways.splice(0).forEach(gateway => gateway.stop());
+        await startGateway();
+        await startGateway();
+        const streams = await Promise.all(begun.map(async (parts, index) => {
+            await sleep(index * LATEST_TAKE_UP_MS / STREAMS);
+            return [...parts, await caller.takeUp(addressOf(index), parts)];
+        }));
+        expect(countMixed(streams)).to.equal(0);
+    }).timeout(60_000);
 });
