Send a request that a target has refused before on a new connection (REFUSED)

Seen by callers: 503, "not run", for requests that the target ran.

Cause: a connection carries no request whose id it has carried, so that a copy of a refusal meets no request that it names. The ids were kept for each connection. A target that writes the copy on another kept connection, on which the refused request comes again, was believed.

Change: the pool remembers the requests that targets have refused or failed, and opens a new connection for one that comes again at the same target.

--- a/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/foreignAnswers.test.ts
@@ -14,6 +14,8 @@
 const DEADLINE_MS = 2_000;
 /** Time in ms by which an answer at the deadline may differ from it. */
 const DEADLINE_MARGIN_MS = 250;
+/** Deadline in ms in which an instance sends a refused request again a few times only. */
+const SHORT_DEADLINE_MS = 150;
 const PROMISE_STATUSES = [408, 421, 429, 503];
 
 /** Writes a whole answer. Without an id it bears none. */
@@ -66,10 +68,11 @@
         socket.write(answer(req));
     };
 
-    const sendRequest = async (path: string): Promise<{ id: string; status: number; text: string }> => {
+    const sendRequest = async (path: string, ownId?: string, deadlineMs = DEADLINE_MS) => {
         sequence += 1;
-        const id = `r${sequence}`;
-        const res = await request(`http://${gateway.caller}${path}`, { method: "POST", headers: { "host": ROUTE_HOST, "x-request-id": id, "x-deadline-ms": String(DEADLINE_MS) }, body: "x" });
+        const id = ownId ?? `r${sequence}`;
+        const headers = { "host": ROUTE_HOST, "x-request-id": id, "x-deadline-ms": String(deadlineMs) };
+        const res = await request(`http://${gateway.caller}${path}`, { method: "POST", headers, body: "x" });
         return { id, status: res.statusCode, text: await res.body.text().catch(() => "cut") };
     };
 
@@ -140,6 +143,35 @@
         expect(runs).to.deep.equal(answers.map(each => each.id));
     }).timeout(30_000);
 
+    // REFUSED: the copy was believed if it came on another kept connection than the refusal.
+    for (const sender of ["this instance", "its caller"]) {
+        it(`believes no copy of a refusal, on any kept connection, when ${sender} sends the request again`, async () => {
+            script = runWith(writeOwnAnswer);
+            await Promise.all(Array.from({ length: 8 }, () => sendRequest("/unsafe/x")));
+            runs.length = 0;
+            const refused = new Set<string>();
+            const refusal = (req: ScriptedRequest): string => writeAnswer(503, [req.id], ["X-Not-Run: 1"]);
+            let isCallerWaiting = sender === "its caller";
+            script = (req, socket) => {
+                if (isCallerWaiting || !refused.has(req.id)) {
+                    refused.add(req.id);
+                    socket.write(refusal(req));
+                    return;
+                }
+                runs.push(req.id);
+                socket.write((req.previousIds.length > 0 ? refusal(req) : "") + writeOwnAnswer(req));
+            };
+            const ids = Array.from({ length: 4 }, (_, index) => `again-${sender}-${index}`);
+            const sendAll = (deadlineMs: number) => Promise.all(ids.map(id => sendRequest("/unsafe/x", id, deadlineMs)));
+            if (isCallerWaiting) {
+                expect((await sendAll(SHORT_DEADLINE_MS)).map(each => each.status)).to.deep.equal(ids.map(() => 503));
+                isCallerWaiting = false;
+            }
+            expect((await sendAll(DEADLINE_MS)).map(each => each.status)).to.deep.equal(ids.map(() => 200));
+            expect([...runs].sort()).to.deep.equal(ids);
+        }).timeout(30_000);
+    }
+
     it("passes on no status that says that a request hasn't run if its target doesn't say so", async () => {
         for (const status of PROMISE_STATUSES.filter(each => each !== 421)) {
             for (const headers of [["X-Response-Stamp: s"], []]) {
--- a/packages/medlarlb-targets/src/createConnectionPool.ts
+++ b/packages/medlarlb-targets/src/createConnectionPool.ts
@@ -21,6 +21,9 @@
 const STATED_IDLE_RATIO = 0.5;
 /** Idle connections that are kept for one target. */
 const MAX_IDLE_CONNECTION_COUNT = 32;
+/** Failed requests, at all targets together, that are remembered: those of minutes at the load of one instance. */
+const MAX_FAILED_REQUESTS = 4_096;
+const MIN_FAILURE_STATUS = 400;
 /** Interval in ms at which connections that have been idle too long are closed. */
 const CLEANUP_INTERVAL_MS = 2_000;
 
@@ -30,6 +33,18 @@
  */
 export const createConnectionPool = ({ now, countConnection, readAnswerId }: PoolOptions) => {
     const idleByAddress = new Map<string, IdleConnection[]>();
+    /** Requests that a target has refused or failed, as `ADDRESS ID`, the latest last. */
+    const failedRequests = new Set<string>();
+
+    const rememberFailure = (address: string, requestId: string): void => {
+        const key = `${address} ${requestId}`;
+        failedRequests.delete(key);
+        failedRequests.add(key);
+        const [oldest] = failedRequests;
+        if (failedRequests.size > MAX_FAILED_REQUESTS && oldest !== undefined) {
+            failedRequests.delete(oldest);
+        }
+    };
 
     const discard = (address: string, connection: IdleConnection["connection"]): void => {
         const idle = idleByAddress.get(address) ?? [];
@@ -66,7 +81,10 @@
         return connection;
     };
 
-    /** Returns the idle connection that was used last and hasn't carried a request with this id, or a new one. */
+    /**
+     * Returns the idle connection that was used last and hasn't carried a request with this id, or a new one. A request that has failed
+     * at the target before always gets a new one.
+     */
     const acquire = (address: string, { requestId }: TargetRequestMessage): IdleConnection["connection"] => {
         if (requestId === "") {
             // Only the first answer of a connection can be told to be that of a request without an id.
@@ -74,7 +92,9 @@
         }
         const idle = idleByAddress.get(address) ?? [];
         idle.filter(each => now() >= each.untilMs).forEach(each => each.connection.close());
-        const position = idle.findLastIndex(each => !each.connection.hasCarried(requestId));
+        // A target may write the answer to a failed request once more, on any connection that it knows.
+        const hasFailed = requestId !== undefined && failedRequests.has(`${address} ${requestId}`);
+        const position = hasFailed ? -1 : idle.findLastIndex(each => !each.connection.hasCarried(requestId));
         const [latest] = position < 0 ? [] : idle.splice(position, 1);
         if (latest === undefined) {
             // The new connection takes the place of one, because targets accept a limited number of them.
@@ -99,6 +119,12 @@
             let ended = false;
             connection.send(message, {
                 ...handlers,
+                onHead: (status, headers, history) => {
+                    if (status >= MIN_FAILURE_STATUS && message.requestId !== undefined) {
+                        rememberFailure(address, message.requestId);
+                    }
+                    handlers.onHead(status, headers, history);
+                },
                 onEnd: endedWithConnection => {
                     ended = true;
                     handlers.onEnd(endedWithConnection);
