Have the stand-in of an engine list its streams in reports

Change: the stand-in lists the streams that it is sending. No check changes.

Evidence: workspaces.test.ts, 1 of 11 failed before, none after.

--- a/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createUserEngineServer.ts
@@ -40,11 +40,14 @@
     let refusals = 0;
     let delayMs = 0;
     let streamCount = 0;
+    /** Ids of the requests whose streams it is sending. They end with their connections. */
+    const openStreams = new Set<string>();
     let version = softwareVersion;
 
     /** Sends the events of a stream from `firstEvent` on. */
-    const sendEventStream = (res: ServerResponse, firstEvent: number): void => {
+    const sendEventStream = (res: ServerResponse, requestId: string, firstEvent: number): void => {
         let event = firstEvent;
+        openStreams.add(requestId);
         streamCount += 1;
         const runVersion = version === undefined ? "" : ` of ${version}`;
         const cutAtEvent = streamCount % 2 === 0 ? firstEvent + 1 + streamCount % 5 : Number.POSITIVE_INFINITY;
@@ -64,7 +67,10 @@
                 res.end();
             }
         }, eventIntervalMs);
-        res.on("close", () => clearInterval(timer));
+        res.on("close", () => {
+            clearInterval(timer);
+            openStreams.delete(requestId);
+        });
     };
 
     const executeRequest = (req: IncomingMessage, res: ServerResponse, body: string): void => {
@@ -102,7 +108,7 @@
             return;
         }
         if (req.url?.startsWith("/stream/") === true) {
-            sendEventStream(res, Number(req.headers["last-event-id"] ?? "0") + 1);
+            sendEventStream(res, requestId, Number(req.headers["last-event-id"] ?? "0") + 1);
             return;
         }
         const answer = (): void => void res.writeHead(200, { "content-type": "text/plain" }).end(`answer of ${id}`);
@@ -122,7 +128,8 @@
         }
         req.on("end", () => {
             if (req.url === "/api/report") {
-                res.end(JSON.stringify({ models: [], in_flight: false, seq: orderCount }));
+                const streams = [...openStreams].map(requestId => [requestId, 0, 0, 5]);
+                res.end(JSON.stringify({ models: [], in_flight: false, seq: orderCount, runs: streams }));
                 return;
             }
             if (req.url === "/api/order") {
