--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -20,6 +20,7 @@
 import { createConnectionPool } from "medlarlb-targets/createConnectionPool";
 import { createLoop } from "../createLoop.js";
 import type { GatewaySettingsFile } from "../settings/gatewaySettingsFile.js";
+import { createMemoryWatch } from "../shared/createMemoryWatch.js";
 import { listenAt } from "../shared/listenAt.js";
 import { repeatEvery } from "../shared/repeatEvery.js";
 import { waitUntil } from "../shared/waitUntil.js";
@@ -30,9 +31,9 @@
 import { createObservationGossip } from "./createObservationGossip.js";
 import { createDirectorySync } from "./createDirectorySync.js";
 import { createGatewayPlannerLease } from "./createGatewayPlannerLease.js";
-import { createGatewayMetrics } from "./createGatewayMetrics.js";
+import type { createGatewayMetrics } from "./createGatewayMetrics.js";
 import { createIngressServer } from "./createIngressServer.js";
-import { createLog } from "./createLog.js";
+import type { createLog } from "./createLog.js";
 import { createRegistration } from "./createRegistration.js";
 import { describeGroup } from "./describeGroup.js";
 import { parseSeeds } from "./parseSeeds.js";
@@ -49,17 +50,21 @@
 const READINESS_DETECTION_MS = 2_500;
 /** Time in ms for which an instance waits for a configuration from the store before it requests it from another instance. */
 const CONFIG_PULL_DELAY_MS = 500;
+/** Interval in ms at which the memory of the process is checked. */
+const MEMORY_CHECK_MS = 5_000;
 
 /** Assembles an instance that routes requests by the operator's configuration in the platform's store. */
-export const createGateway = (settings: GatewaySettingsFile) => {
+export const createGateway = (
+    settings: GatewaySettingsFile,
+    metrics: ReturnType<typeof createGatewayMetrics>,
+    log: ReturnType<typeof createLog>,
+) => {
     const instanceId = brandAs<InstanceId>(settings.peer.address);
     const zone = brandAs<ZoneId>(settings.instance.zone);
     const bootId = brandAs<BootId>(randomUUID());
     const now = (): number => performance.now();
     const generator = xoroshiro128plus(Date.now() ^ process.pid);
     const random = (): number => uniformFloat64(generator);
-    const metrics = createGatewayMetrics();
-    const log = createLog(instanceId, () => metrics.events.inc({ event: "logDropped" }));
     const logEvent = (event: string, fields: Record<string, unknown>): void => {
         metrics.events.inc({ event });
         log.write(event, fields);
@@ -273,7 +278,8 @@
             directory.start();
             pullFromPeers({ seeds, zone, peers, directory, random });
             registration.start();
-            logEvent("started", { zone, bootId });
+            logEvent("started", { zone, bootId, pid: process.pid });
+            repeatEvery(MEMORY_CHECK_MS, createMemoryWatch(logEvent));
         },
         /**
          * Stops within the grace period: reports unready, releases the planner lease, and lets open requests finish. Requests
--- a/packages/medlarlb-daemon/src/gateway/createGatewayMetrics.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayMetrics.ts
@@ -1,7 +1,8 @@
 import { createServer } from "node:http";
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { createWorkspaceAnswers } from "./createWorkspaceAnswers.js";
 
+const MS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_MS = [5, 10, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
 const ERROR_BUCKETS_MS = [-800, -400, -200, -100, -50, -20, 0, 20, 50, 100, 200, 400, 800, 1_600];
 
@@ -13,6 +14,16 @@
     const storeCalls = new Counter({ name: "medlarlb_store_calls_total", help: "Calls to the platform's store", labelNames: ["call"], registers: [registry] });
     const peerBytes = new Counter({ name: "medlarlb_peer_bytes_total", help: "Bytes to and from other instances", labelNames: ["direction"], registers: [registry] });
     const connections = new Counter({ name: "medlarlb_target_connections_total", help: "Connections opened to targets", registers: [registry] });
+    const gauge = (name: string, help: string, read: () => number) => new Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect(): void {
+            this.set(read());
+        },
+    });
+    gauge("medlarlb_process_resident_bytes", "Memory of the process", () => process.memoryUsage.rss());
+    gauge("medlarlb_process_start_time_seconds", "Start of the process, as Unix time", () => performance.timeOrigin / MS_PER_SECOND);
     const histogram = (name: string, help: string, buckets: number[]) => new Histogram({ name, help, buckets, registers: [registry] });
     const server = createServer((_req, res) => {
         registry.metrics().then(text => res.end(text), err => res.writeHead(500).end(String(err)));
--- a/packages/medlarlb-daemon/src/gateway/createLog.ts
+++ b/packages/medlarlb-daemon/src/gateway/createLog.ts
@@ -23,6 +23,8 @@
             logger.info({ event, ...fields });
             timer ??= setTimeout(flush, FLUSH_INTERVAL_MS).unref();
         },
+        writeFatal: (event: string, fields: Record<string, unknown>): void => logger.fatal({ event, ...fields }),
+        /** Writes all lines that wait. */
         close: (): void => {
             clearTimeout(timer);
             output.flushSync();
--- a/packages/medlarlb-daemon/src/gatewayMain.ts
+++ b/packages/medlarlb-daemon/src/gatewayMain.ts
@@ -1,11 +1,15 @@
 import { readFileSync } from "node:fs";
 import { createGateway } from "./gateway/createGateway.js";
+import { createGatewayMetrics } from "./gateway/createGatewayMetrics.js";
+import { createLog } from "./gateway/createLog.js";
 import { gatewaySettingRules } from "./settings/gatewaySettingRules.js";
 import type { GatewaySettingsFile } from "./settings/gatewaySettingsFile.js";
 import { parseSettings } from "./settings/parseSettings.js";
+import { reportProcessEnd } from "./shared/reportProcessEnd.js";
 
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_CANNOT_START = 1;
+const EXIT_CANNOT_STOP = 3;
 
 const fail = (code: number, message: string): never => {
     console.error(message);
@@ -24,10 +28,24 @@
         fail(EXIT_BAD_SETTINGS, faults.map(({ line, key, message, remedy }) => `${path}:${line}: ${key}: ${message}; ${remedy}`).join("\n")));
 };
 
-const gateway = createGateway(readSettings(process.env.MEDLARLB_CONFIG ?? "medlarlb-gateway.ini"));
+const settings = readSettings(process.env.MEDLARLB_CONFIG ?? "medlarlb-gateway.ini");
+const metrics = createGatewayMetrics();
+const log = createLog(settings.peer.address, () => metrics.events.inc({ event: "logDropped" }));
+reportProcessEnd(log);
+
+/** Ends the process because of a failed start or stop, with the reason in the log. */
+const end = (status: number, event: string, reason: string): never => {
+    log.writeFatal(event, { reason });
+    return fail(status, reason);
+};
+
+const gateway = createGateway(settings, metrics, log);
 process.once("SIGTERM", () => {
-    gateway.stop().then(() => process.exit(0), () => process.exit(EXIT_CANNOT_START));
+    gateway.stop().then(
+        () => process.exit(0),
+        (err: Error) => end(EXIT_CANNOT_STOP, "stopFailed", `the planned stop failed: ${err.message}`),
+    );
 });
 // A running instance doesn't reload its settings. Without this handler, SIGHUP would end the process.
 process.on("SIGHUP", () => undefined);
-gateway.start().catch((err: Error) => fail(EXIT_CANNOT_START, `the gateway can't start: ${err.message}`));
+gateway.start().catch((err: Error) => end(EXIT_CANNOT_START, "startFailed", `the gateway can't start: ${err.message}`));
