--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -50,6 +50,7 @@
     return {
         ...addresses,
         log,
+        hasEnded: (): boolean => (child.exitCode ?? child.signalCode ?? undefined) !== undefined,
         /** Freezes the process until it is resumed, as if its machine stood still. */
         freeze: (): void => void child.kill("SIGSTOP"),
         resume: (): void => void child.kill("SIGCONT"),
