Take instances' ids and seeds that are no address for none (FAULT)

Callers saw: requests that a process had read got no answer, and new ones found nobody: an entry under the project's own prefix whose id has an impossible port, or none, ended every process as soon as it had read the list, and each new one again, until the entry was gone. Cause: ids of instances were branded from keys and seeds without a check, and used as addresses later; createConnection throws for such a port, outside of any try block. The class: a value from outside is branded unchecked. Change: parseAddress is the one check, used where ids and addresses come in: entries of instances (createGroupEntries, decodeInstanceEntry), of targets, seeds, settings. createPeerNetwork checks, too, since peers tell addresses. A broken entry costs itself, with the log event entryBroken; a broken seed itself, with seedBroken; a setting's port is checked at the start.

--- a/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
@@ -62,6 +62,7 @@
             onConfig: text => events.push(text),
             onTargetEntry: (id, text) => events.push(`${id} ${text}`),
             onTargetGone: id => events.push(`${id} gone`),
+            onBrokenEntry: key => events.push(`${key} broken`),
             onInstances: instances => instanceCounts.push(instances.length),
             onPlanners: () => undefined,
             onListContact: atMs => contacts.push(atMs),
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -1,19 +1,16 @@
 import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
 import type { EntryOrigin } from "medlarlb-types/entryOrigin";
 import type { InstanceId } from "medlarlb-types/instanceId";
-import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { MetadataStore } from "medlarlb-types/metadataStore";
-import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import { storeEras } from "medlarlb-types/storeEras";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
-import type { ZoneId } from "medlarlb-types/zoneId";
 import { createStoreOutages } from "medlarlb-decisions/gateway/directory/createStoreOutages";
 import type { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDelay } from "../shared/createDelay.js";
 import type { DirectoryHandlers } from "./directoryHandlers.js";
+import { createGroupEntries } from "./createGroupEntries.js";
 import { createTargetReports } from "./createTargetReports.js";
 import { directoryKeys } from "./directoryKeys.js";
-import { plannerEntry } from "./plannerEntry.js";
 
 type Source = Omit<EntryOrigin, "revision">;
 
@@ -65,28 +62,11 @@
     let stopped = false;
     let consecutiveFailures = 0;
     const outages = createStoreOutages();
+    const groupEntries = createGroupEntries(handlers.onBrokenEntry);
     const targetReports = createTargetReports({ now, targetPrefix, handlers, outageEndedAtMs: outages.endedAtMs });
     /** Times of the check before the last and of the last one. */
     let checkTimesMs: [number, number] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
-    const listInstances = (): ListedInstance[] =>
-        [...entriesByKey.values()].filter(entry => entry.key.startsWith(directoryKeys.instance(""))).flatMap(entry => {
-            try {
-                const { zone } = JSON.parse(entry.value ?? "") as { zone: ZoneId };
-                const id = entry.key.slice(directoryKeys.instance("").length);
-                return [{ id, role: "daemon" as const, zone, address: id, state: "live" as const }];
-            }
-            catch {
-                return [];
-            }
-        });
-
-    const listPlanners = (): Map<ZoneId, StoredPlanner> => {
-        const prefix = directoryKeys.planner("");
-        return new Map([...entriesByKey.values()].filter(entry => entry.key.startsWith(prefix))
-            .map(entry => [entry.key.slice(prefix.length) as ZoneId, plannerEntry.decode(entry.value ?? "", entry.revision)]));
-    };
-
     const applyEntry = (entry: StoreEntry, source: Source, fromCopy: boolean): boolean => {
         const previous = entriesByKey.get(entry.key);
         const isKnown = revision !== undefined && entry.revision <= revision;
@@ -107,14 +87,15 @@
         else if (entry.key.startsWith(targetPrefix)) {
             targetReports.report(entry, previous?.value, origin, fromCopy);
         }
+        groupEntries.apply(entry, origin);
         return entry.key.startsWith(directoryKeys.prefix) && entry.value !== previous?.value;
     };
 
     const applyEntries = (entries: StoreEntry[], source: Source, fromCopy = false): void => {
         const instancesOrPlannersChanged = entries.map(entry => applyEntry(entry, source, fromCopy)).some(Boolean);
         if (instancesOrPlannersChanged || revision === undefined) {
-            handlers.onInstances(listInstances());
-            handlers.onPlanners(listPlanners());
+            handlers.onInstances(groupEntries.instances());
+            handlers.onPlanners(groupEntries.planners());
         }
     };
 
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -112,7 +112,7 @@
         },
     });
 
-    const seeds = parseSeeds(settings.peer.seeds);
+    const seeds = parseSeeds(settings.peer.seeds, seed => logEvent("seedBroken", { seed, reason: "it is not an IP number and a port" }));
     const config = createConfigInForce({
         decode: decodeRoutingConfig,
         now,
@@ -225,6 +225,7 @@
                 push({ kind: "targetGone", targetId: brandAs(id), origin });
             },
             onTargetGone: (targetId, origin) => push({ kind: "targetGone", targetId, origin }),
+            onBrokenEntry: (key, reason, origin) => logEvent("entryBroken", { key, reason, origin }),
             onInstances: instances => {
                 listedInstances = instances;
                 peers.setListed(instances);
--- /dev/null
+++ b/packages/medlarlb-daemon/src/gateway/createGroupEntries.ts
@@ -0,0 +1,51 @@
+import type { EntryOrigin } from "medlarlb-types/entryOrigin";
+import type { ListedInstance } from "medlarlb-types/listedInstance";
+import type { StoreEntry } from "medlarlb-types/storeEntry";
+import type { StoredPlanner } from "medlarlb-types/storedPlanner";
+import type { ZoneId } from "medlarlb-types/zoneId";
+import { decodeInstanceEntry } from "./decodeInstanceEntry.js";
+import { directoryKeys } from "./directoryKeys.js";
+import { plannerEntry } from "./plannerEntry.js";
+
+const INSTANCE_PREFIX = directoryKeys.instance("");
+const PLANNER_PREFIX = directoryKeys.planner("");
+
+/**
+ * Creates the table of the entries that instances write in the platform's store. `onBroken` is called with the key of each entry that
+ * describes no instance, which counts as none.
+ */
+export const createGroupEntries = (onBroken: (key: string, reason: string, origin: EntryOrigin) => void) => {
+    const instances = new Map<string, ListedInstance>();
+    const planners = new Map<ZoneId, StoredPlanner>();
+
+    const applyInstance = (id: string, { key, value }: StoreEntry, origin: EntryOrigin): void => {
+        instances.delete(id);
+        if (value !== undefined) {
+            decodeInstanceEntry(id, value).match({
+                Ok: instance => void instances.set(id, instance),
+                Err: reason => onBroken(key, reason, origin),
+            });
+        }
+    };
+
+    const applyPlanner = (zone: ZoneId, { value, revision }: StoreEntry): void => {
+        planners.delete(zone);
+        if (value !== undefined) {
+            planners.set(zone, plannerEntry.decode(value, revision));
+        }
+    };
+
+    return {
+        /** Applies an entry that was written or, without a value, removed. */
+        apply: (entry: StoreEntry, origin: EntryOrigin): void => {
+            if (entry.key.startsWith(INSTANCE_PREFIX)) {
+                applyInstance(entry.key.slice(INSTANCE_PREFIX.length), entry, origin);
+            }
+            else if (entry.key.startsWith(PLANNER_PREFIX)) {
+                applyPlanner(entry.key.slice(PLANNER_PREFIX.length) as ZoneId, entry);
+            }
+        },
+        instances: (): ListedInstance[] => [...instances.values()],
+        planners: (): Map<ZoneId, StoredPlanner> => new Map(planners),
+    };
+};
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -10,6 +10,8 @@
     onConfig: (text: string, origin: EntryOrigin) => void;
     onTargetEntry: (id: string, text: string, origin: EntryOrigin) => void;
     onTargetGone: (targetId: TargetId, origin: EntryOrigin) => void;
+    /** Called with the key of each entry of an instance that describes none. */
+    onBrokenEntry: (key: string, reason: string, origin: EntryOrigin) => void;
     onInstances: (instances: ListedInstance[]) => void;
     /** Called with a time at which the store's list was as the handlers have last been told. */
     onListContact: (atMs: number) => void;
--- a/packages/medlarlb-daemon/src/settings/checkSetting.ts
+++ b/packages/medlarlb-daemon/src/settings/checkSetting.ts
@@ -1,12 +1,13 @@
+import { parseAddress } from "medlarlb-types/parseAddress";
 import type { SettingRule } from "./settingRule.js";
 
 const MIN_SECRET_LENGTH = 16;
 
 const checks: Record<SettingRule["kind"], (value: string) => boolean> = {
     name: value => /^[\w.-]+$/.test(value),
-    address: value => /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value),
-    optionalAddress: value => value === "" || /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value),
-    optionalAddresses: value => value.split(",").every(each => checks.optionalAddress(each.trim())),
+    address: value => parseAddress(value) !== undefined,
+    optionalAddress: value => value === "" || checks.address(value),
+    anyText: () => true,
     routingPolicy: value => ["predict", "twoChoices", "random"].includes(value),
     url: value => URL.canParse(value) && value.startsWith("http"),
     number: value => value.trim() !== "" && Number.isFinite(Number(value)) && Number(value) >= 0,
--- a/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
+++ b/packages/medlarlb-daemon/src/settings/gatewaySettingRules.ts
@@ -9,7 +9,7 @@
     { section: "caller", key: "address", kind: "address", remedy: "write the address for callers, such as address = 10.0.0.4:8080" },
     { section: "readiness", key: "address", kind: "address", remedy: "write the address of the readiness check, such as address = 10.0.0.4:8081" },
     { section: "peer", key: "address", kind: "address", remedy: "write the address for other instances, such as address = 10.0.0.4:7080" },
-    { section: "peer", key: "seeds", kind: "optionalAddresses", defaultValue: "", remedy: "write peer addresses of other instances, separated by commas" },
+    { section: "peer", key: "seeds", kind: "anyText", defaultValue: "", remedy: "write peer addresses of other instances, separated by commas" },
     { section: "peer", key: "key", kind: "secret", remedy: "write the secret that all instances share, of 16 characters or more" },
     { section: "store", key: "address", kind: "address", remedy: "write the address of the platform's store, such as address = 10.0.0.2:8142" },
     { section: "metrics", key: "address", kind: "address", remedy: "write the address of the metrics page, such as address = 10.0.0.4:9100" },
--- a/packages/medlarlb-daemon/src/settings/settingRule.ts
+++ b/packages/medlarlb-daemon/src/settings/settingRule.ts
@@ -2,7 +2,7 @@
 export interface SettingRule {
     section: string;
     key: string;
-    kind: "name" | "address" | "url" | "number" | "optionalNumber" | "secret" | "optionalAddress" | "optionalAddresses" | "routingPolicy";
+    kind: "name" | "address" | "url" | "number" | "optionalNumber" | "secret" | "optionalAddress" | "anyText" | "routingPolicy";
     defaultValue?: string;
     /** Instruction that is shown with a wrong or missing value. */
     remedy: string;
--- a/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
+++ b/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
@@ -86,4 +86,15 @@
         one.network.send(two.id, two.address, { kind: "pullRumours", digest: 0 });
         await waitUntil(() => two.received.length === 2);
     });
+
+    // FAULT: such an address ended the process.
+    it("sends nothing to an address where nothing can listen, and reports it", async () => {
+        const one = await createNode("one", KEY);
+        for (const address of ["127.0.0.1:99999", "127.0.0.1:-1", "x y", ""]) {
+            one.network.send(address as InstanceId, address, { kind: "pullDecisions", sequence: 1, after: 0 });
+            one.network.send(address as InstanceId, address, { kind: "pullDecisions", sequence: 2, after: 0 });
+            expect(one.closed.splice(0)).to.deep.equal([`the address ${address} of ${address} is not an IP number and a port`]);
+        }
+        one.network.close();
+    });
 });
--- a/packages/medlarlb-peers/src/createPeerNetwork.ts
+++ b/packages/medlarlb-peers/src/createPeerNetwork.ts
@@ -1,6 +1,7 @@
 import { createConnection, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import type { InstanceId } from "medlarlb-types/instanceId";
+import { parseAddress } from "medlarlb-types/parseAddress";
 import { createPeerConnection } from "./createPeerConnection.js";
 import { peerLimits } from "./peerLimits.js";
 import type { PeerMessage } from "./peerMessage.js";
@@ -53,8 +54,14 @@
     });
 
     const openConnection = (peerId: InstanceId, address: string): void => {
-        const [host, port] = address.split(":");
-        const socket = createConnection({ host: host ?? "", port: Number(port), timeout: peerLimits.connectTimeoutMs });
+        const target = parseAddress(address);
+        if (target === undefined) {
+            // Node throws at a port out of range, and looks other hosts up as names.
+            heldOffUntilMs.set(peerId, performance.now() + peerLimits.reconnectDelayMs);
+            options.onClosed(`the address ${address} of ${peerId} is not an IP number and a port`);
+            return;
+        }
+        const socket = createConnection({ ...target, timeout: peerLimits.connectTimeoutMs });
         trackSocket(socket);
         const connection = createPeerConnection(socket, options, {
             onReady: id => {
