Go on after errors of listening sockets (FAULT)

Callers saw: requests that a process had read got no answer when the process ended because of its second error at a listening socket. Cause: the listener that rejects a failed start stayed as the only one, and only for one error. It swallowed the first later error without a log line, and the second had no listener, which ends the process. The class: an event emitter's error without a listener. Change: listenAt and the server for peers replace it by one that logs each error: event serverError, or peerClosed for the server for peers.

--- a/packages/medlarlb-daemon/src/createDaemon.ts
+++ b/packages/medlarlb-daemon/src/createDaemon.ts
@@ -234,8 +234,8 @@
 
     const start = async (): Promise<void> => {
         await peers.start();
-        await listenAt(operatorServer, settings.operator.address);
-        await listenAt(callerServer, settings.caller.address);
+        await listenAt(operatorServer, settings.operator.address, err => log("the server for operators has an error: %s", err.message));
+        await listenAt(callerServer, settings.caller.address, err => log("the server for callers has an error: %s", err.message));
         configSync.start();
         plannerLease.start();
         await refreshInstances();
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -268,12 +268,14 @@
         res.writeHead(config.current() !== undefined && !stopping ? 200 : 503, { "content-length": "0" }).end();
     });
 
+    const reportServerError = (server: string) => (err: Error): void => logEvent("serverError", { server, reason: err.message });
+
     return {
         start: async (): Promise<void> => {
             await Promise.all([
-                listenAt(readiness, settings.readiness.address),
-                listenAt(ingress.server, settings.caller.address),
-                listenAt(metrics.server, settings.metrics.address),
+                listenAt(readiness, settings.readiness.address, reportServerError("readiness")),
+                listenAt(ingress.server, settings.caller.address, reportServerError("caller")),
+                listenAt(metrics.server, settings.metrics.address, reportServerError("metrics")),
             ]);
             await peers.start();
             directory.start();
--- a/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
+++ b/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
@@ -1,4 +1,4 @@
-import { createConnection } from "node:net";
+import { createConnection, Server } from "node:net";
 import { expect } from "chai";
 import { findFreePort } from "medlarlb-fakes/cluster/findFreePort";
 import { waitFor } from "medlarlb-fakes/cluster/waitFor";
@@ -37,6 +37,20 @@
     };
     afterEach(() => nodes.splice(0).forEach(node => node.network.close()));
 
+    // FAULT: the second error of the server, such as a lack of descriptors, ended the process.
+    it("reports each error of its server, and goes on", async () => {
+        const one = await start("one");
+        const two = await start("two");
+        const handles = (process as unknown as { _getActiveHandles: () => unknown[] })._getActiveHandles();
+        const servers = handles.filter(each => each instanceof Server);
+        const server = servers.find(each => (each.address() as { port?: number } | undefined)?.port === two.port);
+        server?.emit("error", new Error("accept EMFILE"));
+        server?.emit("error", new Error("accept EMFILE"));
+        expect(two.closed).to.deep.equal(["the server has an error: accept EMFILE", "the server has an error: accept EMFILE"]);
+        one.network.send(two.id, two.address, { kind: "pullRumours", digest: 0 });
+        await waitUntil(() => two.received.length === 1);
+    });
+
     it("delivers messages between instances that share the key", async () => {
         const one = await start("one");
         const two = await start("two");
--- a/packages/medlarlb-peers/src/createPeerNetwork.ts
+++ b/packages/medlarlb-peers/src/createPeerNetwork.ts
@@ -15,7 +15,7 @@
     host: string;
     port: number;
     onMessage: (peerId: InstanceId, message: PeerMessage, reply: (message: PeerMessage) => void) => void;
-    /** Called with the reason when a connection was closed because of a fault. */
+    /** Called with the reason when a connection was closed, or not accepted, because of a fault. */
     onClosed: (reason: string) => void;
     countBytes: (direction: "sent" | "received", bytes: number) => void;
 }
@@ -91,7 +91,11 @@
         listen: (): Promise<void> =>
             new Promise((resolve, reject) => {
                 server.once("error", reject);
-                server.listen(options.port, options.host, () => resolve());
+                server.listen(options.port, options.host, () => {
+                    server.off("error", reject);
+                    server.on("error", err => options.onClosed(`the server has an error: ${err.message}`));
+                    resolve();
+                });
             }),
         send: (peerId: InstanceId, address: string, message: PeerMessage): void => {
             if (outgoing.get(peerId)?.address !== address) {
