--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -69,13 +69,15 @@
     const writer = createCallerWriter(call, () => options.exchange()?.resume());
     const arrivals = createArrivalRecorder(options.now, events.onContact);
     const splitter = createSseSplitter();
-    const skipRepeated = createRepeatFilter(splitter.list);
+    const repeats = createRepeatFilter(splitter.list);
     let answerHeaders: AnswerHeaders | undefined;
     let evidence: AnswerEvidence | undefined;
     let status = 0;
     let mode: Mode = "undecided";
     const buffered = createByteCollector(MAX_BUFFERED_BYTES, "a buffered answer");
     let droppedBytes = 0;
+    /** Whether the caller has received part of the stream, of which further events may follow only. */
+    let isContinuation = false;
     let hasBegun = false;
     let hasFailed = false;
     let lastEventId = options.lastDeliveredId;
@@ -110,7 +112,7 @@
 
     const relayEvents = (chunk: Buffer): boolean => {
         const block = splitter.push(chunk);
-        const events = block === undefined || options.lastDeliveredId === undefined ? block : skipRepeated(block, lastEventId);
+        const events = block === undefined || options.lastDeliveredId === undefined ? block : repeats.skip(block, lastEventId);
         if (events === undefined || events.length === 0) {
             return true;
         }
@@ -193,8 +195,7 @@
         if (metadata.route.kind === "streaming" && success) {
             return "events";
         }
-        if (res.headersSent) {
-            // The caller has received part of a stream, so only further events of it may follow.
+        if (isContinuation) {
             failAndClose("error", `the target that should continue the stream answered ${status}`);
             return "drop";
         }
@@ -212,6 +213,11 @@
             fail("unknown", endedWithConnection ? "cut" : "garbled", "the stream ended inside an event");
             return;
         }
+        // Only a run that was seen to end with the caller's last event shows that the caller has them all.
+        if (isContinuation && !hasBegun && (lastEventId === undefined || repeats.latestRepeatedId() !== lastEventId)) {
+            fail("unknown", "garbled", "the target that should continue the stream sent no further event");
+            return;
+        }
         if (mode === "buffer" && status >= MIN_SERVER_ERROR_STATUS && metadata.route.kind === "safe" && metadata.route.maxAttempts > 1) {
             // The decisions may retry a safe request on another target. The caller gets this answer if they don't.
             call.failedAnswer = { status, headers: answerHeaders?.forwarded.flat() ?? [], body: buffered.take() };
@@ -237,6 +243,7 @@
                 events.onLoad(answerHeaders.load);
             }
             reportTargetState(answerHeaders);
+            isContinuation = res.headersSent;
             mode = chooseMode();
             if (mode === "drop" && (answerHeaders.contentLength ?? 0) > MAX_DROPPED_BYTES) {
                 dropBody(answerHeaders.contentLength ?? 0);
--- a/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
@@ -9,14 +9,22 @@
  */
 export const createRepeatFilter = (listEvents: ReturnType<typeof createSseSplitter>["list"]) => {
     let repeatedBytes = 0;
-    return (block: Buffer, lastDeliveredId: string | undefined): Buffer => {
-        const isRepeated = (id: string | undefined): boolean =>
-            id !== undefined && lastDeliveredId !== undefined && Number(id) <= Number(lastDeliveredId);
-        const rest = Buffer.concat(listEvents(block).filter(event => !isRepeated(event.id)).map(event => event.bytes));
-        repeatedBytes += block.length - rest.length;
-        if (repeatedBytes > MAX_REPEATED_BYTES) {
-            throw new Error(`the stream repeats more than ${MAX_REPEATED_BYTES} bytes that the caller has received`);
-        }
-        return rest;
+    let latestRepeatedId: string | undefined;
+    return {
+        /** Returns what is left of a block without the events up to the last delivered one. */
+        skip: (block: Buffer, lastDeliveredId: string | undefined): Buffer => {
+            const isRepeated = (id: string | undefined): boolean =>
+                id !== undefined && lastDeliveredId !== undefined && Number(id) <= Number(lastDeliveredId);
+            const events = listEvents(block);
+            latestRepeatedId = events.filter(event => isRepeated(event.id)).at(-1)?.id ?? latestRepeatedId;
+            const rest = Buffer.concat(events.filter(event => !isRepeated(event.id)).map(event => event.bytes));
+            repeatedBytes += block.length - rest.length;
+            if (repeatedBytes > MAX_REPEATED_BYTES) {
+                throw new Error(`the stream repeats more than ${MAX_REPEATED_BYTES} bytes that the caller has received`);
+            }
+            return rest;
+        },
+        /** Returns the id of the latest event that was dropped. */
+        latestRepeatedId: (): string | undefined => latestRepeatedId,
     };
 };
--- /dev/null
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -0,0 +1,107 @@
+import type { Socket } from "node:net";
+import { expect } from "chai";
+import { waitFor } from "../cluster/waitFor.js";
+import type { ScriptedRequest } from "../site/scriptedRequest.js";
+import { startStreamSite } from "./support/startStreamSite.js";
+
+type Answer = (req: ScriptedRequest, socket: Socket) => void;
+
+const EVENT_COUNT = 8;
+const DELIVERED = 3;
+/** Time in ms after which an engine breaks off, so that the gateway has read what came before. */
+const BREAK_MS = 30;
+const ENGINES = 3;
+
+const event = (id: number | string): string => `id: ${id}\ndata: event ${id}\n\n`;
+const events = (first: number, last: number): string =>
+    Array.from({ length: last - first + 1 }, (_, index) => event(first + index)).join("");
+const head = (req: ScriptedRequest, status: number, headers: readonly string[]): string =>
+    [`HTTP/1.1 ${status} Any`, `X-Request-Id: ${req.id}`, "X-Response-Stamp: s", ...headers, "", ""].join("\r\n");
+const chunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+const STREAM_HEADERS = ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"];
+const LAST_CHUNK = "0\r\n\r\n";
+
+/** Sends a stream, each part as a chunk of its own. */
+const stream = (...parts: string[]): Answer => (req, socket) =>
+    void socket.write(head(req, 200, STREAM_HEADERS) + parts.map(chunk).join("") + LAST_CHUNK);
+
+const answer = (status: number, headers: readonly string[], body = ""): Answer => (req, socket) =>
+    void socket.write(head(req, status, [...headers, `Content-Length: ${body.length}`]) + body);
+
+const breaks: Record<string, (socket: Socket) => void> = {
+    "closes its connection": socket => void socket.end(),
+    "resets its connection": socket => void socket.resetAndDestroy(),
+    "closes its connection inside an event": socket => void socket.end(chunk(`id: ${DELIVERED + 1}\nda`)),
+    "sends an error in place of a chunk": socket => void socket.write("HTTP/1.1 502 Bad Gateway\r\n\r\n"),
+    "ends its answer inside an event": socket => void socket.write(`${chunk("id: 4\nda")}${LAST_CHUNK}`),
+};
+
+/** Sends part of a stream as one chunk, and breaks off. */
+const broken = (text: string, breakOff = (socket: Socket): void => void socket.end()): Answer => (req, socket) => {
+    socket.write(head(req, 200, STREAM_HEADERS) + chunk(text));
+    setTimeout(() => breakOff(socket), BREAK_MS);
+};
+
+const begun = broken(events(1, DELIVERED));
+const NEXT = DELIVERED + 1;
+const rest: Answer = (req, socket) => stream(events(Number(req.lastEventId ?? "0") + 1, EVENT_COUNT))(req, socket);
+const WHOLE = events(1, EVENT_COUNT);
+
+/** Answers that can't continue a stream after its third event, with the reason in the log. */
+const refusedAnswers: Record<string, { next: Answer; reason: RegExp }> = {
+    "204": { next: (req, socket) => void socket.write(head(req, 204, [])), reason: /no further event/ },
+    "200 and a body of length 0": { next: answer(200, ["Content-Type: text/event-stream"]), reason: /no further event/ },
+    "a stream without events": { next: stream(), reason: /no further event/ },
+    "a stream that ends before the last event of its caller": { next: stream(events(1, 2)), reason: /no further event/ },
+};
+
+/** Each case has a service of its own, which has its own retry budget. */
+const cases: { name: string; parts: Answer[]; text: string; isWhole: boolean; reason?: RegExp; minorVersion?: 0 }[] = [
+    ...Object.entries(refusedAnswers).map(([name, { next, reason }]) =>
+        ({ name: `goes on at a third engine after ${name}`, parts: [begun, next, rest], text: WHOLE, isWhole: true, reason })),
+    ...Object.entries(refusedAnswers).map(([name, { next, reason }]) =>
+        ({ name: `breaks off when all others answer ${name}`, parts: [begun, next, next], text: events(1, DELIVERED), isWhole: false, reason })),
+    ...Object.entries(breaks).flatMap(([name, breakOff]) => [
+        { name: `goes on after an engine that ${name}`, parts: [broken(events(1, DELIVERED), breakOff), rest], text: WHOLE, isWhole: true },
+        {
+            name: `breaks off after an engine that ${name} when the others answer 204`,
+            parts: [broken(events(1, DELIVERED), breakOff), ...Array.from({ length: 2 }, () => answer(204, []))],
+            text: events(1, DELIVERED),
+            isWhole: false,
+        },
+    ]),
+    { name: "goes on over two breaks", parts: [begun, broken(events(NEXT, 6), breaks["sends an error in place of a chunk"]), rest], text: WHOLE, isWhole: true },
+    { name: "drops what is repeated", parts: [begun, stream(...events(1, EVENT_COUNT).split(/(?<=\n\n)/))], text: WHOLE, isWhole: true },
+    {
+        name: "breaks off after the last event when nothing shows that it was the last one",
+        parts: [broken(WHOLE), stream(), answer(204, [])],
+        text: WHOLE,
+        isWhole: false,
+    },
+    { name: "ends as whole when another run ends with the last event of its caller", parts: [broken(WHOLE), stream(WHOLE)], text: WHOLE, isWhole: true },
+];
+
+describe("A stream that a gateway process continues", () => {
+    let site: Awaited<ReturnType<typeof startStreamSite>>;
+
+    before(async () => {
+        site = await startStreamSite(cases.map((_, index) => `s${index}`), ENGINES, (req, socket, attempt) => {
+            const part = cases[Number(req.path.split("/")[1]?.slice(1))]?.parts[attempt];
+            part?.(req, socket);
+        });
+    });
+
+    after(() => site.stop());
+
+    for (const [index, { name, parts, text, isWhole, reason, minorVersion }] of cases.entries()) {
+        it(name, async () => {
+            const got = await site.send(`s${index}`, { minorVersion: minorVersion ?? 1 });
+            expect({ status: got.status, text: got.text, isWhole: got.isWhole }).to.deep.equal({ status: 200, text, isWhole });
+            expect(site.attemptsOf(got.id)).to.equal(parts.length);
+            await waitFor("the log names each failure", () => site.logOf(got.id).length === parts.length - (isWhole ? 1 : 0));
+            if (reason !== undefined) {
+                expect(site.logOf(got.id)[1]?.reason).to.match(reason);
+            }
+        });
+    }
+});
--- a/packages/medlarlb-fakes/src/site/createScriptedEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createScriptedEngineServer.ts
@@ -33,7 +33,9 @@
                 const [method = "", path = ""] = head.split(" ");
                 const id = readHeader(head, "x-request-id") ?? "";
                 received = received.slice(bodyEnd);
-                answer({ id, method, path, expectedTarget: readHeader(head, "x-expect-instance"), previousIds: [...previousIds] }, socket);
+                const expectedTarget = readHeader(head, "x-expect-instance");
+                const lastEventId = readHeader(head, "last-event-id");
+                answer({ id, method, path, expectedTarget, lastEventId, previousIds: [...previousIds] }, socket);
                 previousIds.push(id);
             }
         });
