Continue a stream only with the event after the last delivered one (ORDER)

Callers saw: after a break the continuation was joined whatever its events were: 1, 2, 3, 5 ... 8, or with a gap or an event twice further on, or with ids that are no numbers. An event with an empty id was dropped as repeated. Cause: the filter compared ids by Number() and dropped those up to the last delivered one, with the state before the block; nothing asked whether what followed was the next event. Change: events of a continuation up to the last delivered one are dropped as before, in rising order; then each has to be the next one. Otherwise the attempt has failed, with the ids in its reason, and another engine may go on. Ids that were delivered with steps above one may go on with any higher one. createStreamProgress holds what the caller has, for all attempts of a call, so that an attempt that was sent early compares with the present state. One test was wrong: an engine of endlessAnswers.test.ts continued after event 1 with event 9, which is such a gap. It sends event 2 now; the bound is the same.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -8,6 +8,7 @@
 import { createRepeatFilter } from "./createRepeatFilter.js";
 import { createSseSplitter } from "./createSseSplitter.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
+import type { createStreamProgress } from "./createStreamProgress.js";
 import type { IngressCall } from "./ingressCall.js";
 
 type AnswerHeaders = ReturnType<GatewayAdapter["readAnswer"]>;
@@ -36,9 +37,8 @@
     adapter: GatewayAdapter;
     events: RelayEvents;
     now: () => number;
-    /** Id of the last event that the caller received, if this attempt continues a stream. */
-    lastDeliveredId: string | undefined;
-    onDelivered: (eventId: string) => void;
+    /** What the caller has of the stream. */
+    progress: ReturnType<typeof createStreamProgress>;
     /** Called before the first part of the answer is passed on. Returns whether another attempt of the request hasn't answered first. */
     claimAnswer: () => boolean;
     /** Returns the exchange with the target, to pause or abort it. */
@@ -64,12 +64,12 @@
 
 /** Creates the handlers that check one response of a target and relay it to the caller. */
 export const createAnswerRelay = (options: RelayOptions): PooledResponseHandlers => {
-    const { call, adapter, events, targetId } = options;
+    const { call, adapter, events, targetId, progress } = options;
     const { res, metadata } = call;
     const writer = createCallerWriter(call, () => options.exchange()?.resume());
     const arrivals = createArrivalRecorder(options.now, events.onContact);
     const splitter = createSseSplitter();
-    const repeats = createRepeatFilter(splitter.list);
+    const repeats = createRepeatFilter(splitter.list, progress);
     let answerHeaders: AnswerHeaders | undefined;
     let evidence: AnswerEvidence | undefined;
     let status = 0;
@@ -78,9 +78,9 @@
     let droppedBytes = 0;
     /** Whether the caller has received part of the stream, of which further events may follow only. */
     let isContinuation = false;
+    const isTakenUp = call.lastEventId !== undefined;
     let hasBegun = false;
     let hasFailed = false;
-    let lastEventId = options.lastDeliveredId;
 
     const fail = (ran: "no" | "unknown", cause: FailureCause, reason: string): void => {
         if (!hasFailed) {
@@ -110,20 +110,23 @@
 
     const head = () => ({ status, headers: answerHeaders?.forwarded ?? [] });
 
+    const skipRepeated = (block: Buffer): Buffer => {
+        if (isContinuation) {
+            return repeats.continue(block);
+        }
+        return isTakenUp ? repeats.skip(block) : block;
+    };
+
     const relayEvents = (chunk: Buffer): boolean => {
         const block = splitter.push(chunk);
-        const events = block === undefined || options.lastDeliveredId === undefined ? block : repeats.skip(block, lastEventId);
+        const events = block === undefined ? block : skipRepeated(block);
         if (events === undefined || events.length === 0) {
             return true;
         }
         if (!beginAnswer()) {
             return true;
         }
-        const id = splitter.lastId(events);
-        if (id !== undefined) {
-            lastEventId = id;
-            options.onDelivered(id);
-        }
+        progress.record(splitter.count(events), splitter.lastId(events), () => splitter.list(events)[0]?.id);
         return writer.writeChunk(head(), events);
     };
 
@@ -214,7 +217,7 @@
             return;
         }
         // Only a run that was seen to end with the caller's last event shows that the caller has them all.
-        if (isContinuation && !hasBegun && (lastEventId === undefined || repeats.latestRepeatedId() !== lastEventId)) {
+        if (isContinuation && !hasBegun && (progress.lastId() === undefined || repeats.latestRepeatedId() !== progress.lastId())) {
             fail("unknown", "garbled", "the target that should continue the stream sent no further event");
             return;
         }
--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -6,6 +6,7 @@
 import type { PooledRequest } from "medlarlb-targets/pooledRequest";
 import { createAnswerRelay } from "./createAnswerRelay.js";
 import type { createGatewayMetrics } from "./createGatewayMetrics.js";
+import { createStreamProgress } from "./createStreamProgress.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
 import type { IngressCall } from "./ingressCall.js";
 
@@ -30,7 +31,7 @@
     exchanges: Map<number, PooledRequest>;
     /** Attempt whose answer the caller gets. */
     answering: number | undefined;
-    lastDeliveredId: string | undefined;
+    progress: ReturnType<typeof createStreamProgress>;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -45,7 +46,7 @@
 
     const accept = (call: IngressCall): void => {
         const { callId } = call.metadata;
-        openCalls.set(callId, { call, exchanges: new Map(), answering: undefined, lastDeliveredId: call.lastEventId });
+        openCalls.set(callId, { call, exchanges: new Map(), answering: undefined, progress: createStreamProgress(call.lastEventId) });
         call.res.once("close", () => {
             const openCall = openCalls.get(callId);
             openCalls.delete(callId);
@@ -112,7 +113,7 @@
             targetId,
             deadlineMs: command.deadlineMs,
             priority: command.priority,
-            lastEventId: openCall.lastDeliveredId,
+            lastEventId: openCall.progress.lastId(),
             copyToAddress: command.copyToAddress,
             continueFromAddress: command.fromCopy ? command.address : undefined,
             workspace: call.hasWorkspaces || hasWorkspaces() ? { name: command.workspace } : undefined,
@@ -122,10 +123,7 @@
             targetId,
             adapter,
             now,
-            lastDeliveredId: openCall.lastDeliveredId,
-            onDelivered: id => {
-                openCall.lastDeliveredId = id;
-            },
+            progress: openCall.progress,
             exchange: () => openCall.exchanges.get(attempt),
             claimAnswer: () => claimAnswer(openCall, attempt),
             events: {
--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -54,6 +54,14 @@
             }
             return events;
         },
+        /** Returns the number of events in a block. */
+        count: (block: Buffer): number => {
+            let count = 0;
+            for (let end = block.indexOf(BLANK_LINE); end >= 0; end = block.indexOf(BLANK_LINE, end + BLANK_LINE.length)) {
+                count += 1;
+            }
+            return count;
+        },
         /** Returns the id of the last event of a block that has one. */
         lastId: (block: Buffer): string | undefined => {
             const start = block.lastIndexOf(BLANK_LINE, block.length - BLANK_LINE.length - 1);
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -47,20 +47,29 @@
 const rest: Answer = (req, socket) => stream(events(Number(req.lastEventId ?? "0") + 1, EVENT_COUNT))(req, socket);
 const WHOLE = events(1, EVENT_COUNT);
 
-/** Answers that can't continue a stream after its third event, with the reason in the log. */
-const refusedAnswers: Record<string, { next: Answer; reason: RegExp }> = {
+/** Answers that can't continue a stream after its third event, with the reason in the log and the last event that is passed on. */
+const refusedAnswers: Record<string, { next: Answer; reason: RegExp; lastEvent?: number }> = {
     "204": { next: (req, socket) => void socket.write(head(req, 204, [])), reason: /no further event/ },
     "200 and a body of length 0": { next: answer(200, ["Content-Type: text/event-stream"]), reason: /no further event/ },
     "a stream without events": { next: stream(), reason: /no further event/ },
     "a stream that ends before the last event of its caller": { next: stream(events(1, 2)), reason: /no further event/ },
+    "events after a gap": { next: stream(events(NEXT + 1, EVENT_COUNT)), reason: /sent event 5 after event 3/ },
+    "repeated events and then a gap": { next: stream(events(1, DELIVERED) + events(NEXT + 1, EVENT_COUNT)), reason: /sent event 5 after event 3/ },
+    "a chunk of events with a gap": { next: stream(events(NEXT, 5) + events(7, EVENT_COUNT)), reason: /sent event 7 after event 5/ },
+    "events with a gap": { next: stream(event(NEXT), event(5), events(7, EVENT_COUNT)), reason: /sent event 7 after event 5/, lastEvent: 5 },
+    "events that begin anew": { next: stream(event(NEXT), event(5), events(NEXT, EVENT_COUNT)), reason: /sent event 4 after event 5/, lastEvent: 5 },
+    "an event twice": { next: stream(event(NEXT), event(NEXT), events(5, EVENT_COUNT)), reason: /sent event 4 after event 4/, lastEvent: NEXT },
+    "a chunk with an event twice": { next: stream(event(NEXT) + event(NEXT) + events(5, EVENT_COUNT)), reason: /sent event 4 after event 4/ },
+    "events whose ids are no numbers": { next: stream(event("four") + event("five")), reason: /sent event four after event 3/ },
+    "an event with an empty id": { next: stream(`${event("")}${events(NEXT, EVENT_COUNT)}`), reason: /sent event {2}after event 3/ },
 };
 
 /** Each case has a service of its own, which has its own retry budget. */
 const cases: { name: string; parts: Answer[]; text: string; isWhole: boolean; reason?: RegExp; minorVersion?: 0 }[] = [
     ...Object.entries(refusedAnswers).map(([name, { next, reason }]) =>
         ({ name: `goes on at a third engine after ${name}`, parts: [begun, next, rest], text: WHOLE, isWhole: true, reason })),
-    ...Object.entries(refusedAnswers).map(([name, { next, reason }]) =>
-        ({ name: `breaks off when all others answer ${name}`, parts: [begun, next, next], text: events(1, DELIVERED), isWhole: false, reason })),
+    ...Object.entries(refusedAnswers).map(([name, { next, reason, lastEvent = DELIVERED }]) =>
+        ({ name: `breaks off when all others answer ${name}`, parts: [begun, next, next], text: events(1, lastEvent), isWhole: false, reason })),
     ...Object.entries(breaks).flatMap(([name, breakOff]) => [
         { name: `goes on after an engine that ${name}`, parts: [broken(events(1, DELIVERED), breakOff), rest], text: WHOLE, isWhole: true },
         {
@@ -71,6 +80,12 @@
         },
     ]),
     { name: "goes on over two breaks", parts: [begun, broken(events(NEXT, 6), breaks["sends an error in place of a chunk"]), rest], text: WHOLE, isWhole: true },
+    {
+        name: "goes on when ids rise by more than one",
+        parts: [broken(event(10) + event(20)), stream(event(20), event(30))],
+        text: event(10) + event(20) + event(30),
+        isWhole: true,
+    },
     { name: "drops what is repeated", parts: [begun, stream(...events(1, EVENT_COUNT).split(/(?<=\n\n)/))], text: WHOLE, isWhole: true },
     {
         name: "breaks off after the last event when nothing shows that it was the last one",
--- a/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/endlessAnswers.test.ts
@@ -38,7 +38,11 @@
 const refusalHead = (status: number, req: ScriptedRequest, headers: readonly string[]): string =>
     head(status, [`X-Request-Id: ${req.id}`, "X-Not-Run: 1", ...headers]);
 
-const ownBody = (path: string): string => (/\/(?:stream|resumable)\//.test(path) ? "id: 9\ndata: whole\n\n" : "whole");
+/** Returns an answer's body: of a stream the event after the first one, or after those that the caller has. */
+const ownBody = (path: string): string => {
+    const eventId = path.startsWith("/late/") ? 2 : 9;
+    return /\/(?:stream|resumable)\//.test(path) ? `id: ${eventId}\ndata: whole\n\n` : "whole";
+};
 
 const writeOwnAnswer = (req: ScriptedRequest): string => {
     const body = ownBody(req.path);
