Continue a stream only with an answer of status 200 and events (ERROR)

Callers saw: the body of a 206, a 201 or a text/plain answer was joined to their stream. In the plain text of the test, the text of an error came at the end of the stream, which looked whole. Cause: the relay took each successful status and any content type for a further part of the stream. Change: a continuation has status 200 and the content type text/event-stream, or that with which the answer began; otherwise the attempt has failed. 204 is now refused by its status.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -10,6 +10,7 @@
 import type { GatewayAdapter } from "./gatewayAdapter.js";
 import type { createStreamProgress } from "./createStreamProgress.js";
 import type { IngressCall } from "./ingressCall.js";
+import { readMediaType } from "./readMediaType.js";
 
 type AnswerHeaders = ReturnType<GatewayAdapter["readAnswer"]>;
 
@@ -55,6 +56,8 @@
 /** Statuses by which a caller is told that its request has not run and won't. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MIN_SERVER_ERROR_STATUS = 500;
+const OK_STATUS = 200;
+const EVENT_STREAM_TYPE = "text/event-stream";
 
 /**
  * How the body is handled: discarded, buffered whole, relayed chunk by chunk, or relayed event by event. It is undecided
@@ -120,11 +123,11 @@
     const relayEvents = (chunk: Buffer): boolean => {
         const block = splitter.push(chunk);
         const events = block === undefined ? block : skipRepeated(block);
-        if (events === undefined || events.length === 0) {
+        if (events === undefined || events.length === 0 || !beginAnswer()) {
             return true;
         }
-        if (!beginAnswer()) {
-            return true;
+        if (!res.headersSent) {
+            progress.begin(readMediaType(head().headers));
         }
         progress.record(splitter.count(events), splitter.lastId(events), () => splitter.list(events)[0]?.id);
         return writer.writeChunk(head(), events);
@@ -173,6 +176,19 @@
         return "drop";
     };
 
+    const chooseContinuationMode = (): Mode => {
+        const mediaType = readMediaType(head().headers);
+        if (metadata.route.kind !== "streaming" || status !== OK_STATUS) {
+            failAndClose("error", `the target that should continue the stream answered ${status}`);
+            return "drop";
+        }
+        if (mediaType !== EVENT_STREAM_TYPE && mediaType !== progress.mediaType()) {
+            failAndClose("garbled", `the target that should continue the stream answered with ${mediaType ?? "no content type"}`);
+            return "drop";
+        }
+        return "events";
+    };
+
     const chooseMode = (): Mode => {
         if (answerHeaders === undefined) {
             return "drop";
@@ -195,13 +211,12 @@
             failAndClose("garbled", "the answer is encoded or lacks the target's signature");
             return "drop";
         }
+        if (isContinuation) {
+            return chooseContinuationMode();
+        }
         if (metadata.route.kind === "streaming" && success) {
             return "events";
         }
-        if (isContinuation) {
-            failAndClose("error", `the target that should continue the stream answered ${status}`);
-            return "drop";
-        }
         return (answerHeaders.contentLength ?? 0) > MAX_BUFFERED_BYTES ? startRelay() : "buffer";
     };
 
--- a/packages/medlarlb-daemon/src/gateway/createStreamProgress.ts
+++ b/packages/medlarlb-daemon/src/gateway/createStreamProgress.ts
@@ -11,12 +11,18 @@
     let lastId = takenUpAfterId;
     let firstNumber: number | undefined;
     let eventCount = 0;
+    let mediaType: string | undefined;
 
     /** Returns whether the ids of the delivered events rise by one, as far as their number shows. */
     const isConsecutive = (): boolean =>
         firstNumber === undefined || (parseId(lastId) ?? firstNumber) - firstNumber < eventCount;
 
     return {
+        /** Records the media type with which the answer to the caller begins. */
+        begin: (type: string | undefined): void => {
+            mediaType = type;
+        },
+        mediaType: (): string | undefined => mediaType,
         /** Records that the caller gets further events. */
         record: (count: number, latestId: string | undefined, readFirstId: () => string | undefined): void => {
             eventCount += count;
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -18,7 +18,8 @@
 const head = (req: ScriptedRequest, status: number, headers: readonly string[]): string =>
     [`HTTP/1.1 ${status} Any`, `X-Request-Id: ${req.id}`, "X-Response-Stamp: s", ...headers, "", ""].join("\r\n");
 const chunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
-const STREAM_HEADERS = ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"];
+const EVENT_TYPE = ["Content-Type: text/event-stream"];
+const STREAM_HEADERS = [...EVENT_TYPE, "Transfer-Encoding: chunked"];
 const LAST_CHUNK = "0\r\n\r\n";
 
 /** Sends a stream, each part as a chunk of its own. */
@@ -49,8 +50,12 @@
 
 /** Answers that can't continue a stream after its third event, with the reason in the log and the last event that is passed on. */
 const refusedAnswers: Record<string, { next: Answer; reason: RegExp; lastEvent?: number }> = {
-    "204": { next: (req, socket) => void socket.write(head(req, 204, [])), reason: /no further event/ },
-    "200 and a body of length 0": { next: answer(200, ["Content-Type: text/event-stream"]), reason: /no further event/ },
+    "204": { next: (req, socket) => void socket.write(head(req, 204, [])), reason: /answered 204/ },
+    "206 and events": { next: answer(206, EVENT_TYPE, events(NEXT, EVENT_COUNT)), reason: /answered 206/ },
+    "201 and events": { next: answer(201, EVENT_TYPE, events(NEXT, EVENT_COUNT)), reason: /answered 201/ },
+    "plain text": { next: answer(200, ["Content-Type: text/plain"], `${events(NEXT, EVENT_COUNT)}failed\n\n`), reason: /text\/plain/ },
+    "a body without a content type": { next: answer(200, [], events(NEXT, EVENT_COUNT)), reason: /no content type/ },
+    "200 and a body of length 0": { next: answer(200, EVENT_TYPE), reason: /no further event/ },
     "a stream without events": { next: stream(), reason: /no further event/ },
     "a stream that ends before the last event of its caller": { next: stream(events(1, 2)), reason: /no further event/ },
     "events after a gap": { next: stream(events(NEXT + 1, EVENT_COUNT)), reason: /sent event 5 after event 3/ },
@@ -86,6 +91,12 @@
         text: event(10) + event(20) + event(30),
         isWhole: true,
     },
+    {
+        name: "goes on when the content type is spelt otherwise",
+        parts: [begun, answer(200, ["Content-Type: Text/Event-Stream; charset=utf-8"], events(NEXT, EVENT_COUNT))],
+        text: WHOLE,
+        isWhole: true,
+    },
     { name: "drops what is repeated", parts: [begun, stream(...events(1, EVENT_COUNT).split(/(?<=\n\n)/))], text: WHOLE, isWhole: true },
     {
         name: "breaks off after the last event when nothing shows that it was the last one",
@@ -98,24 +109,26 @@
 
 describe("A stream that a gateway process continues", () => {
     let site: Awaited<ReturnType<typeof startStreamSite>>;
+    let answers: Awaited<ReturnType<typeof site.send>>[] = [];
 
     before(async () => {
         site = await startStreamSite(cases.map((_, index) => `s${index}`), ENGINES, (req, socket, attempt) => {
             const part = cases[Number(req.path.split("/")[1]?.slice(1))]?.parts[attempt];
             part?.(req, socket);
         });
+        answers = await Promise.all(cases.map(({ minorVersion }, index) => site.send(`s${index}`, { minorVersion })));
     });
 
     after(() => site.stop());
 
-    for (const [index, { name, parts, text, isWhole, reason, minorVersion }] of cases.entries()) {
+    for (const [index, { name, parts, text, isWhole, reason }] of cases.entries()) {
         it(name, async () => {
-            const got = await site.send(`s${index}`, { minorVersion: minorVersion ?? 1 });
-            expect({ status: got.status, text: got.text, isWhole: got.isWhole }).to.deep.equal({ status: 200, text, isWhole });
-            expect(site.attemptsOf(got.id)).to.equal(parts.length);
-            await waitFor("the log names each failure", () => site.logOf(got.id).length === parts.length - (isWhole ? 1 : 0));
+            const { id, ...got } = answers[index] ?? expect.fail("no answer");
+            expect(got).to.deep.equal({ status: 200, text, isWhole });
+            expect(site.attemptsOf(id)).to.equal(parts.length);
+            await waitFor("the log names each failure", () => site.logOf(id).length === parts.length - (isWhole ? 1 : 0));
             if (reason !== undefined) {
-                expect(site.logOf(got.id)[1]?.reason).to.match(reason);
+                expect(site.logOf(id)[1]?.reason).to.match(reason);
             }
         });
     }
--- a/packages/medlarlb-fakes/src/__tests__/support/startStreamSite.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startStreamSite.ts
@@ -18,7 +18,7 @@
 
 interface SendOptions {
     /** Minor version of the caller's HTTP/1. */
-    minorVersion?: 0 | 1;
+    minorVersion?: 0 | 1 | undefined;
     lastEventId?: string | undefined;
 }
 
