Pass on no later revision of the store than that of the changes (ORDER)

A follower could miss the entry of a target for good, such as one of a new software version, and would go on to prove that its service has one version only, also by reads of its own, which ask for changes after the revision it takes for known.

Cause: a watcher passed on the changes between the revision it had asked for and the store's answer, but named the revision that it knew by then. While its call was under way, another watcher may have told it of later changes. A follower that was cut off from that other watcher, or whose connection to it had just been replaced, took those for known, too.

Evidence: a test of the directory with a call under way, in which another watcher tells of revision 8: the message named 5 to 8 with the changes up to 6 only (failing: "deep property 'revision' of 6, but got 8").

Why it works: the message names the revision of the store's answer, so that a follower knows each change up to it. The watcher's next message begins after its own revision; a follower that is behind reads the store.

--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -88,6 +88,23 @@
         expect(relays[0]).to.deep.include({ after: 5, revision: 6, items: [{ key: "op/config", value: "config 2", revision: 6 }] });
     });
 
+    // ORDER: a follower that missed another watcher's message took its changes for known, and never learned of a new version.
+    it("passes on no later revision than that of the changes that it passes on, also if another watcher has told it of later ones", async () => {
+        const { relays, change } = createFixture();
+        sync.start();
+        await sleep(100);
+        change({ key: "servers/e1", value: "entry", revision: 6 });
+        sync.applyRelay(brandAs<InstanceId>("c:1"), {
+            after: 5,
+            revision: 8,
+            items: [{ key: "servers/e1", value: "entry", revision: 6 }, { key: "servers/e2", value: "entry", revision: 8 }],
+            contactAgeMs: 5_000,
+            outageEndedAgoMs: undefined,
+        });
+        await waitUntil(() => relays.length > 0, 2_000);
+        expect(relays[0]).to.deep.include({ after: 5, revision: 6, items: [{ key: "servers/e1", value: "entry", revision: 6 }] });
+    });
+
     it("watches the store itself if the watcher has lost contact with the store", async () => {
         const { calls } = createFixture();
         sync.start();
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -99,14 +99,14 @@
         }
     };
 
-    /** Passes on changes that this instance has read itself. */
-    const relayChanges = (after: number, items: StoreEntry[], askedAtMs: number): void => {
+    /** Passes on changes that this instance has read itself, up to a revision. It may know later ones from another watcher. */
+    const relayChanges = (after: number, changes: { items: StoreEntry[]; revision: number }, askedAtMs: number): void => {
         if (role.shouldRelay(now())) {
             const outage = outages.latest();
             relay({
                 after,
-                revision: revision ?? after,
-                items,
+                revision: Math.max(after, changes.revision),
+                items: changes.items,
                 contactAgeMs: 0,
                 readAgeMs: now() - askedAtMs,
                 outageEndedAgoMs: outage === undefined ? undefined : now() - outage.endedAtMs,
@@ -174,7 +174,7 @@
         revision = Math.max(revision ?? after, changes.value.revision);
         handlers.onListContact(askedAtMs);
         outages.recordContact(now());
-        relayChanges(after, changes.value.items, askedAtMs);
+        relayChanges(after, changes.value, askedAtMs);
         return true;
     };
 
