Decode messages of other instances once, where they come in (FAULT)

Callers: every instance that got a message with a missing field or one of another type ended, and with it all of its open requests.

Cause: `PeerMessage` was only asserted after CBOR was decoded. An exception in a handler of the connection cost that connection, but messages for the decisions are handled in the next step, outside of it. NaN and numbers such as 1e308 were taken too, also as revisions of the store and versions of gossip.

Change: each connection decodes its messages by kind. One that can't be read is dropped, and the log event `messageBroken` names sender, kind and reason, once for each kind and connection. The connection stays, so that the sender doesn't count as gone. Gossip entries and observations are decoded one by one: an odd entry that spreads costs no probe. A handshake that can't be read closes its connection.

--- a/packages/medlarlb-daemon/src/createDaemon.ts
+++ b/packages/medlarlb-daemon/src/createDaemon.ts
@@ -112,6 +112,7 @@
         onMembers: alive => push({ kind: "members", alive }),
         onDemand: counts => push({ kind: "demand", instance: instanceId, counts }),
         decisionsAfter: decisionHistory.after,
+        onBroken: (from, kind, reason) => log("left out a message of kind %s from %s: %s", kind, from, reason),
         onClosed: reason => {
             metrics.count("peer.closed");
             log("peer connection closed: %s", reason);
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -131,6 +131,7 @@
         logEvent,
     });
 
+    const reportBrokenMessage = (from: string, kind: string, reason: string): void => logEvent("messageBroken", { from, kind, reason });
     const peers = createPeerGroup({
         self: { id: instanceId, bootId, zone, address: settings.peer.address, operatorAddress: "", incarnation: 0, leaving: false },
         key: settings.peer.key,
@@ -171,11 +172,12 @@
             }
         },
         decisionsAfter: () => ({ records: [], oldest: 0 }),
+        onBroken: reportBrokenMessage,
         onClosed: reason => logEvent("peerClosed", { reason }),
         countBytes: (direction, bytes) => metrics.peerBytes.inc({ direction }, bytes),
     });
 
-    const observationGossip = createObservationGossip(instanceId, () => peers, push);
+    const observationGossip = createObservationGossip(instanceId, () => peers, push, reportBrokenMessage);
     let planners = new Map<ZoneId, InstanceId>();
     /** Other instances of this zone that respond. */
     let zoneMembers: InstanceId[] = [];
--- a/packages/medlarlb-daemon/src/gateway/createObservationGossip.ts
+++ b/packages/medlarlb-daemon/src/gateway/createObservationGossip.ts
@@ -2,6 +2,7 @@
 import type { TargetObservation } from "medlarlb-types/targetObservation";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
 import type { createPeerGroup } from "medlarlb-peers/createPeerGroup";
+import { decodeObservations } from "medlarlb-peers/decodeObservations";
 import type { GossipEntry } from "medlarlb-peers/gossipEntry";
 
 const KEY_KIND = "crash";
@@ -16,6 +17,7 @@
     instanceId: InstanceId,
     peers: () => Pick<ReturnType<typeof createPeerGroup>, "publish" | "nextVersion">,
     push: (input: GatewayInput) => void,
+    onBroken: (from: string, kind: string, reason: string) => void,
 ) => {
     let published = 0;
     return {
@@ -26,9 +28,11 @@
         },
         /** Applies a gossip entry if it holds such observations. Its version is the time of day at which it was published. */
         receive: ({ key, version, value }: GossipEntry): void => {
-            if (key.startsWith(`${KEY_KIND}/`)) {
+            const [kind, reporter = ""] = key.split("/");
+            if (kind === KEY_KIND) {
                 const ageMs = Math.max(0, Date.now() - version);
-                push({ kind: "observations", observations: value as TargetObservation[], reporterZone: undefined, ageMs });
+                const observations = decodeObservations(value, reason => onBroken(reporter, key, reason));
+                push({ kind: "observations", observations, reporterZone: undefined, ageMs });
             }
         },
     };
--- a/packages/medlarlb-fakes/src/__tests__/support/createPeerStandIn.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/createPeerStandIn.ts
@@ -40,6 +40,7 @@
         onDemand: () => undefined,
         directorySince: () => directory,
         decisionsAfter: () => ({ records: [], oldest: 0 }),
+        onBroken: () => undefined,
         onClosed: () => undefined,
         countBytes: () => undefined,
     });
--- a/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
+++ b/packages/medlarlb-peers/src/__tests__/createPeerNetwork.test.ts
@@ -14,6 +14,7 @@
     const port = await findFreePort();
     const received: PeerMessage[] = [];
     const closed: string[] = [];
+    const broken: string[] = [];
     const network = createPeerNetwork({
         id,
         bootId: `boot-${id}`,
@@ -21,11 +22,12 @@
         host: "127.0.0.1",
         port,
         onMessage: (_peer, message) => received.push(message),
+        onBroken: (_peer, kind, reason) => broken.push(`${kind}: ${reason}`),
         onClosed: reason => closed.push(reason),
         countBytes: () => undefined,
     });
     await network.listen();
-    return { id: id as InstanceId, port, address: `127.0.0.1:${port}`, received, closed, network };
+    return { id: id as InstanceId, port, address: `127.0.0.1:${port}`, received, closed, broken, network };
 };
 
 describe("createPeerNetwork", () => {
@@ -91,6 +93,20 @@
         });
     }
 
+    it("drops messages that can't be read, reports each kind once, and keeps the connection", async () => {
+        const one = await start("one");
+        const two = await start("two");
+        for (const message of [{ kind: "pullRumours" }, { kind: "pullRumours", digest: "x" }, { kind: "later" }, { kind: "pullRumours", digest: 5 }]) {
+            one.network.send(two.id, two.address, message as never);
+        }
+        await waitUntil(() => two.received.length === 1);
+        expect(two.received).to.deep.equal([{ kind: "pullRumours", digest: 5 }]);
+        expect(two.broken).to.have.length(2);
+        expect(two.broken[0]).to.include("pullRumours: the field digest can't be read");
+        expect(two.broken[1]).to.equal("later: the kind isn't known");
+        expect(two.closed).to.deep.equal([]);
+    });
+
     it("opens a new connection after the old one was reset", async () => {
         const one = await start("one");
         const two = await start("two");
--- a/packages/medlarlb-peers/src/__tests__/frameCodec.test.ts
+++ b/packages/medlarlb-peers/src/__tests__/frameCodec.test.ts
@@ -17,8 +17,8 @@
     },
 };
 
-const roundTrip = (message: PeerMessage): PeerMessage[] => {
-    const messages: PeerMessage[] = [];
+const roundTrip = (message: PeerMessage): { kind: string }[] => {
+    const messages: { kind: string }[] = [];
     createFrameDecoder(1_000_000, each => messages.push(each))(encodeFrame(message));
     return messages;
 };
--- a/packages/medlarlb-peers/src/createFrameDecoder.ts
+++ b/packages/medlarlb-peers/src/createFrameDecoder.ts
@@ -1,7 +1,6 @@
 import { inflateRawSync } from "node:zlib";
 import { frameCodec } from "./frameCodec.js";
 import { frameLayout } from "./frameLayout.js";
-import type { PeerMessage } from "./peerMessage.js";
 
 const { lengthBytes, compressedFlag } = frameLayout;
 
@@ -9,7 +8,7 @@
  * Creates the decoder of one connection's bytes. It throws when a frame is too long, isn't CBOR, or holds no message.
  * The connection has to be closed then.
  */
-export const createFrameDecoder = (maxFrameBytes: number, onMessage: (message: PeerMessage) => void) => {
+export const createFrameDecoder = (maxFrameBytes: number, onMessage: (message: { kind: string }) => void) => {
     let buffered: Buffer = Buffer.alloc(0);
     return (chunk: Buffer): void => {
         buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
@@ -25,12 +24,12 @@
             }
             const body = buffered.subarray(lengthBytes, lengthBytes + length);
             const plain = isCompressed ? inflateRawSync(body, { maxOutputLength: maxFrameBytes }) : body;
-            const message = frameCodec.decode(plain) as PeerMessage | undefined;
+            const message = frameCodec.decode(plain) as { kind?: unknown } | null | undefined;
             buffered = buffered.subarray(lengthBytes + length);
-            if (typeof message !== "object" || typeof message.kind !== "string") {
+            if (typeof message !== "object" || typeof message?.kind !== "string") {
                 throw new Error("a frame holds no message");
             }
-            onMessage(message);
+            onMessage(message as { kind: string });
         }
     };
 };
--- a/packages/medlarlb-peers/src/createPeerConnection.ts
+++ b/packages/medlarlb-peers/src/createPeerConnection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import { brandAs } from "medlarlb-types/brandAs";
+import { decodePeerMessage } from "./decodePeerMessage.js";
 import { createFrameDecoder } from "./createFrameDecoder.js";
 import { encodeFrame } from "./encodeFrame.js";
 import { peerLimits } from "./peerLimits.js";
@@ -11,6 +12,8 @@
     /** Called once the other side has proved that it knows the shared key. */
     onReady: (peerId: InstanceId) => void;
     onMessage: (peerId: InstanceId, message: PeerMessage) => void;
+    /** Called with the first message of each kind that can't be read, or that holds a list of which a part can't. */
+    onBroken: (peerId: InstanceId, kind: string, reason: string) => void;
     /** `fault` is undefined when the connection was closed in order, or because it was idle. */
     onClose: (fault: string | undefined) => void;
     onSent: (bytes: number) => void;
@@ -23,6 +26,8 @@
 }
 
 const NONCE_BYTES = 16;
+/** Kinds of unreadable messages that one connection reports, so that it can't fill the log. */
+const MAX_BROKEN_KINDS = 32;
 
 const createMac = (key: string, nonce: string, id: string): Buffer => createHmac("sha256", key).update(`${nonce}/${id}`).digest();
 
@@ -33,13 +38,15 @@
 
 /**
  * Creates one connection between instances. Both sides prove with a fresh nonce that they know the shared key before
- * any other message is handled. A malformed or hostile frame closes only this connection.
+ * any other message is handled. A malformed or hostile frame closes only this connection, and a message that can't be read
+ * after the handshake is dropped.
  */
 export const createPeerConnection = (socket: Socket, self: ConnectionIdentity, handlers: ConnectionHandlers) => {
     const nonce = randomBytes(NONCE_BYTES).toString("base64");
     let peerId: InstanceId | undefined;
     let ready = false;
     let closed = false;
+    const brokenKinds = new Set<string>();
 
     const close = (fault?: string): void => {
         if (!closed) {
@@ -78,6 +85,24 @@
         handlers.onReady(peerId);
     };
 
+    const reportBroken = (kind: string, reason: string): void => {
+        if (!ready || peerId === undefined) {
+            close(`the handshake can't be read: ${reason}`);
+            return;
+        }
+        if (!brokenKinds.has(kind) && brokenKinds.size < MAX_BROKEN_KINDS) {
+            brokenKinds.add(kind);
+            handlers.onBroken(peerId, kind, reason);
+        }
+    };
+
+    const handleFrame = (frame: { kind: string }): void => {
+        const message = decodePeerMessage(frame, reason => reportBroken(frame.kind, reason));
+        if (message !== undefined) {
+            handleMessage(message);
+        }
+    };
+
     const handleMessage = (message: PeerMessage): void => {
         if (message.kind === "hello" && peerId === undefined) {
             handleHello(message);
@@ -94,7 +119,7 @@
     };
 
     const handshakeTimer = setTimeout(() => close("the handshake took too long"), peerLimits.handshakeTimeoutMs);
-    const decodeChunk = createFrameDecoder(peerLimits.maxFrameBytes, handleMessage);
+    const decodeChunk = createFrameDecoder(peerLimits.maxFrameBytes, handleFrame);
     socket.setNoDelay(true);
     socket.setTimeout(peerLimits.idleMs, () => close());
     socket.on("data", chunk => {
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -58,6 +58,7 @@
         host: host ?? "",
         port: Number(port),
         onMessage: (peerId, message, reply) => handleMessage(peerId, message, reply),
+        onBroken: options.onBroken,
         onClosed: options.onClosed,
         countBytes: options.countBytes,
     });
--- a/packages/medlarlb-peers/src/createPeerNetwork.ts
+++ b/packages/medlarlb-peers/src/createPeerNetwork.ts
@@ -15,6 +15,8 @@
     host: string;
     port: number;
     onMessage: (peerId: InstanceId, message: PeerMessage, reply: (message: PeerMessage) => void) => void;
+    /** Called with a message that can't be read, or only in part, once for each kind and connection. */
+    onBroken: (peerId: InstanceId, kind: string, reason: string) => void;
     /** Called with the reason when a connection was closed, or not accepted, because of a fault. */
     onClosed: (reason: string) => void;
     countBytes: (direction: "sent" | "received", bytes: number) => void;
@@ -48,6 +50,7 @@
         const connection = createPeerConnection(socket, options, {
             onReady: () => undefined,
             onMessage: (peerId, message) => options.onMessage(peerId, message, reply => connection.send(reply)),
+            onBroken: options.onBroken,
             onClose: reportFault,
             onSent: bytes => options.countBytes("sent", bytes),
         });
@@ -73,6 +76,7 @@
                 entry?.waiting.splice(0).forEach(connection.send);
             },
             onMessage: (id, message) => options.onMessage(id, message, reply => connection.send(reply)),
+            onBroken: options.onBroken,
             onClose: fault => {
                 if (!connection.isReady()) {
                     heldOffUntilMs.set(peerId, performance.now() + peerLimits.reconnectDelayMs);
--- a/packages/medlarlb-peers/src/peerGroupOptions.ts
+++ b/packages/medlarlb-peers/src/peerGroupOptions.ts
@@ -33,6 +33,8 @@
      */
     directorySince?: (since: number | undefined) => { items: StoreEntry[]; revision: number | undefined } | undefined;
     decisionsAfter: (sequence: number) => { records: DecisionRecord[]; oldest: number };
+    /** Called with a message that can't be read, or only in part, once for each kind and connection. */
+    onBroken: (from: InstanceId, kind: string, reason: string) => void;
     onClosed: (reason: string) => void;
     countBytes: (direction: "sent" | "received", bytes: number) => void;
 }
--- /dev/null
+++ b/packages/medlarlb-peers/src/schemas/targetObservationSchema.ts
@@ -0,0 +1,15 @@
+import { z } from "zod";
+import { fieldSchemas } from "./fieldSchemas.js";
+
+const { id, number } = fieldSchemas;
+
+const process = { targetId: id, startedAtMs: number };
+
+/** Schema of what an instance has learnt about targets. */
+export const targetObservationSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("ended"), ...process, fingerprints: z.array(id) }),
+    z.object({ kind: z.literal("alive"), ...process }),
+    z.object({ kind: z.literal("completed"), fingerprint: id, agoMs: z.number().min(0) }),
+    z.object({ kind: z.literal("limit"), ...process, perSecond: z.number().positive().optional() }),
+    z.object({ kind: z.literal("leaving"), ...process }),
+]);
