Have an input whose handler throws cost itself, not the process (FAULT)

Callers saw: all requests that a process had got no answer, when one input of its decisions held a value that a handler couldn't use. Cause: an error of any handler got out of the step and ended the process. Change: createGatewayDecisions takes a function that is called for such an error; by default it is thrown on, so that no test of decisions loses one. The gateway passes dropFailedInput: it logs itemFailed (with kind, request or target, reason, stack), removes a call that the input belongs to from each table, even if one removal fails, and answers it (502, or 503 without any attempt); a target counts as none until its next entry. Its comment says why other inputs, half applied, do no harm. Errors of the systems that run after the inputs still end the process. A call that isn't in a pool's queue no longer takes another one out of it. Test support that starts gateway processes throws when one logs itemFailed.

--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -9,6 +9,7 @@
 import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import { createGatewayDecisions } from "medlarlb-decisions/gateway/createGatewayDecisions";
+import { dropFailedInput } from "medlarlb-decisions/gateway/dropFailedInput";
 import type { GatewayCommand } from "medlarlb-decisions/gateway/gatewayCommand";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
 import { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
@@ -72,7 +73,7 @@
     let stopping = false;
     let closing = false;
 
-    const decisions = createGatewayDecisions(readDecisionSettings(settings), random);
+    const decisions = createGatewayDecisions(readDecisionSettings(settings), random, dropFailedInput);
     const loop = createLoop<GatewayInput, GatewayCommand>(decisions.step, command => executeCommand(command), now, decisions.nextStepAtMs);
     const push = loop.push;
 
--- a/packages/medlarlb-daemon/src/shared/reportProcessEnd.ts
+++ b/packages/medlarlb-daemon/src/shared/reportProcessEnd.ts
@@ -1,4 +1,5 @@
 import { performance } from "node:perf_hooks";
+import { describeError } from "medlarlb-types/describeError";
 import type { createLog } from "../gateway/createLog.js";
 import { describeMemory } from "./describeMemory.js";
 
@@ -11,8 +12,7 @@
  */
 export const reportProcessEnd = (log: ReturnType<typeof createLog>): void => {
     process.on("uncaughtExceptionMonitor", (err: unknown, origin) => {
-        const stack = err instanceof Error ? err.stack?.split("\n").slice(1, MAX_STACK_LINES).map(line => line.trim()) : undefined;
-        log.writeFatal("crashed", { reason: String(err), origin, stack });
+        log.writeFatal("crashed", { ...describeError(err, MAX_STACK_LINES), origin });
     });
     process.on("exit", status => {
         log.write("exited", { status, uptimeMs: Math.round(performance.now()), ...describeMemory() });
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createTestGateway.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createTestGateway.ts
@@ -18,9 +18,13 @@
  * Creates the decisions of one instance before three engines that hold one model, which make copies of their runs. `call` sends a
  * stream of 200 tokens on a route.
  */
-export const createTestGateway = (route: Partial<Route>, softwareVersions: (string | undefined)[] = ["v1", "v1", "v1"]) => {
+export const createTestGateway = (
+    route: Partial<Route>,
+    softwareVersions: (string | undefined)[] = ["v1", "v1", "v1"],
+    onInputError?: Parameters<typeof createGatewayDecisions>[2],
+) => {
     let nowMs = 1_000;
-    const decisions = createGatewayDecisions(createSettings("i1", "z"), () => 0.5);
+    const decisions = createGatewayDecisions(createSettings("i1", "z"), () => 0.5, onInputError);
     joinGroup(decisions, { kind: "instances", count: 1, listed: [brandAs("i1")], planners: new Map(), members: [], zoneOrder: [] }, nowMs);
     const step = (...inputs: GatewayInput[]): GatewayCommand[] => {
         nowMs += STEP_MS;
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -1,3 +1,4 @@
+import { endFailedCall } from "./calls/endFailedCall.js";
 import { failCall } from "./calls/failCall.js";
 import { recordContact } from "./calls/recordContact.js";
 import { logEvent } from "./calls/logEvent.js";
@@ -106,6 +107,12 @@
     },
     streamOrigins: (context, { origins }) => applyStreamOrigins(context, origins),
     originWanted: (context, { from, requestId }) => applyOriginRequest(context, from, requestId),
+    commandFailed: (context, { callId }) => {
+        const row = context.calls.get(callId);
+        if (row !== undefined) {
+            endFailedCall(context, callId, row.metadata.callerRequestId);
+        }
+    },
     probed: applyProbed,
     runChecked: applyRunChecked,
     observations: applyObservations,
--- a/packages/medlarlb-decisions/src/gateway/calls/dequeueCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/dequeueCall.ts
@@ -13,6 +13,9 @@
     if (row.attempts > 0) {
         endRetryWait(context, row.metadata.service);
     }
-    pool.waiting.splice(pool.waiting.indexOf(row), 1);
+    const position = pool.waiting.indexOf(row);
+    if (position >= 0) {
+        pool.waiting.splice(position, 1);
+    }
     dropEmptyPool(context, pool);
 };
--- a/packages/medlarlb-decisions/src/gateway/calls/removeCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/removeCall.ts
@@ -5,11 +5,12 @@
 import { endCurrentAttempt } from "./endCurrentAttempt.js";
 import { dequeueCall } from "./dequeueCall.js";
 
-/** Removes a call from every table. */
-export const removeCall = (context: GatewayContext, row: CallRow): void => {
-    endHedge(context, row);
-    returnCharge(context, row);
-    endCurrentAttempt(context, row);
-    dequeueCall(context, row);
+type Removal = (context: GatewayContext, row: CallRow) => void;
+
+const removals: readonly Removal[] = [endHedge, returnCharge, endCurrentAttempt, dequeueCall];
+
+/** Removes a call from every table. `run` carries out each removal. */
+export const removeCall = (context: GatewayContext, row: CallRow, run: (removal: () => void) => void = removal => removal()): void => {
+    removals.forEach(removal => run(() => removal(context, row)));
     context.calls.delete(row.metadata.callId);
 };
--- a/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
+++ b/packages/medlarlb-decisions/src/gateway/createGatewayDecisions.ts
@@ -15,12 +15,20 @@
 import { checkQuotas } from "./quotas/checkQuotas.js";
 import { sendStatus } from "./status/sendStatus.js";
 
+type InputErrorHandler = (context: GatewayContext, input: GatewayInput, err: unknown) => void;
+
+/** Ends the step with the error, as a test needs it. */
+const rethrow: InputErrorHandler = (_context, _input, err) => {
+    throw err;
+};
+
 /**
  * Creates the decision functions of one instance that routes by the operator's configuration of routes and services.
  * `step` applies inputs at a time of the steady clock and returns the commands to carry out. `nextStepAtMs` returns the time
- * by which the next step has to run even without inputs. `view` returns the tables.
+ * by which the next step has to run even without inputs. `view` returns the tables. `onInputError` is called when the handler of
+ * an input throws; `step` goes on with the next input if it returns. Other errors get out of `step`.
  */
-export const createGatewayDecisions = (settings: GatewaySettings, random: RandomSource) => {
+export const createGatewayDecisions = (settings: GatewaySettings, random: RandomSource, onInputError: InputErrorHandler = rethrow) => {
     const context = createGatewayContext(settings, random);
     return {
         step: (nowMs: number, inputs: readonly GatewayInput[]): GatewayCommand[] => {
@@ -28,7 +36,12 @@
             context.nowMs = nowMs;
             context.commands = [];
             for (const input of inputs) {
-                applyGatewayInput(context, input);
+                try {
+                    applyGatewayInput(context, input);
+                }
+                catch (err) {
+                    onInputError(context, input, err);
+                }
             }
             judgeCrashes(context);
             expireCalls(context);
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -68,6 +68,8 @@
     | { kind: "foreignAnswer"; callId: RequestId; targetId: TargetId; evidence: AnswerEvidence }
     /** An attempt has failed. `evidence` is missing if no answer had begun. */
     | { kind: "failed"; callId: RequestId; attempt: number; ran: "no" | "unknown"; cause: FailureCause; reason: string; evidence?: AnswerEvidence | undefined }
+    /** A command of a call threw an error. */
+    | { kind: "commandFailed"; callId: RequestId }
     /** A new connection to a target has shown whether it still runs. */
     | { kind: "probed"; targetId: TargetId; startedAtMs: number; state: ListeningState }
     /** It was checked, from `requestedAtMs` on, whether an engine still runs the request of an attempt whose connection has ended. */
--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -41,7 +41,14 @@
     writeFileSync(path, createGatewaySettings(addresses, seeds, policy));
     const child = spawn(process.execPath, [GATEWAY_SCRIPT], { env: { ...process.env, MEDLARLB_CONFIG: path }, stdio: ["ignore", "pipe", "inherit"] });
     const log: Record<string, unknown>[] = [];
-    createInterface({ input: child.stdout }).on("line", line => log.push(JSON.parse(line) as Record<string, unknown>));
+    createInterface({ input: child.stdout }).on("line", line => {
+        const record = JSON.parse(line) as Record<string, unknown>;
+        log.push(record);
+        if (record.event === "itemFailed") {
+            // A process survives such an error, and a test must not.
+            throw new Error(`an item of a gateway process has failed: ${line}`);
+        }
+    });
     await waitFor("the gateway is ready, or listens", async () => {
         const res = await request(`http://${addresses.readiness}/`).catch(() => undefined);
         await res?.body.dump();
