Have a command that fails cost itself, not the process (FAULT)

Callers saw: all requests that a process had got no answer, when one command of its decisions failed. Cause: an error of an executor got out of the loop's step, and the promises of orders, reports, probes and checks of runs were awaited by nobody, so that Node ended the process at their rejection; that of findRun even if it was awaited later.

--- a/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -1,5 +1,7 @@
 import { setTimeout } from "node:timers/promises";
+import { describeError } from "medlarlb-types/describeError";
 import type { InstanceId } from "medlarlb-types/instanceId";
+import type { RunState } from "medlarlb-types/runState";
 import type { GatewayCommand } from "medlarlb-decisions/gateway/gatewayCommand";
 import type { GatewayInput } from "medlarlb-decisions/gateway/gatewayInput";
 import type { createPeerGroup } from "medlarlb-peers/createPeerGroup";
@@ -11,6 +13,8 @@
 import type { createGatewayMetrics } from "./createGatewayMetrics.js";
 import type { createGatewayPlannerLease } from "./createGatewayPlannerLease.js";
 
+const FAILED_REASON = "an error inside this instance";
+
 interface ExecutorOptions {
     callProxy: ReturnType<typeof createCallProxy>;
     peers: ReturnType<typeof createPeerGroup>;
@@ -23,12 +27,30 @@
     logEvent: (event: string, fields: Record<string, unknown>) => void;
 }
 
-type Executors = { [Kind in GatewayCommand["kind"]]: (command: Extract<GatewayCommand, { kind: Kind }>) => void };
+type Executors = { [Kind in GatewayCommand["kind"]]: (command: Extract<GatewayCommand, { kind: Kind }>) => void | Promise<void> };
+type Conclusions = { [Kind in GatewayCommand["kind"]]?: (command: Extract<GatewayCommand, { kind: Kind }>) => GatewayInput };
+
+/** Inputs that tell the decisions of the failure of a command whose result they wait for. */
+const conclusions: Conclusions = {
+    send: ({ callId }) => ({ kind: "commandFailed", callId }),
+    order: ({ targetId }) => ({ kind: "ordered", targetId, answer: "unknown", reason: FAILED_REASON }),
+    report: ({ targetId }) => ({ kind: "reportFailed", targetId, reason: FAILED_REASON }),
+    probe: ({ targetId, startedAtMs }) => ({ kind: "probed", targetId, startedAtMs, state: "silent" }),
+    checkRun: ({ callId, attempt }) => ({ kind: "runChecked", callId, attempt, state: "unknown", requestedAtMs: Number.NEGATIVE_INFINITY }),
+};
 
-/** Creates the function that carries out the commands of the decisions. */
+/** Creates the function that carries out the commands of the decisions. A command that throws an error costs only itself. */
 export const createCommandExecutor = (options: ExecutorOptions): ((command: GatewayCommand) => void) => {
     const { callProxy, peers, observationGossip, engines, plannerLease, orderMs, now, push, logEvent } = options;
 
+    const logFailure = (command: GatewayCommand, err: unknown): void => logEvent("itemFailed", {
+        item: "command",
+        kind: command.kind,
+        call: "callId" in command ? command.callId : undefined,
+        target: "targetId" in command ? command.targetId : undefined,
+        ...describeError(err),
+    });
+
     /** Sends one message to several instances, which is encoded once. */
     const sendToAll = (ids: readonly InstanceId[], message: GatewayMessage): void => ids.forEach(id => peers.send(id, message));
 
@@ -62,7 +84,11 @@
         const { callId, attempt, targetId, address, callerRequestId, delayMs } = command;
         await setTimeout(delayMs);
         const requestedAtMs = now();
-        const found = engines.findRun({ targetId, address }, callerRequestId);
+        // It may fail before it is awaited, which Node takes for a rejection that nobody handles.
+        const found = engines.findRun({ targetId, address }, callerRequestId).catch((err: unknown): RunState => {
+            logFailure(command, err);
+            return "unknown";
+        });
         const listening = await probeListening(address);
         const reported = listening === "refused" ? "ended" : await found;
         const state = listening === "silent" && reported === "unknown" ? "unreachable" : reported;
@@ -73,10 +99,10 @@
         send: callProxy.send,
         abort: ({ callId, attempt }) => callProxy.abort(callId, attempt),
         answer: callProxy.answer,
-        order: command => void sendOrder(command),
-        report: command => void requestReport(command),
-        probe: command => void probe(command),
-        checkRun: command => void checkRun(command),
+        order: sendOrder,
+        report: requestReport,
+        probe,
+        checkRun,
         want: ({ to, service, model, adapter, targetId }) => peers.send(to, { kind: "wanted", service, model, adapter, targetId }),
         requestPermit: ({ to, targetId }) => peers.send(to, { kind: "permitWanted", targetId }),
         answerPermit: ({ to, answer }) => peers.send(to, { kind: "permit", answer }),
@@ -96,8 +122,21 @@
         log: ({ event, fields }) => logEvent(event, fields),
     };
 
+    const conclude = (command: GatewayCommand, err: unknown): void => {
+        logFailure(command, err);
+        const createInput = conclusions[command.kind] as ((command: GatewayCommand) => GatewayInput) | undefined;
+        if (createInput !== undefined) {
+            push(createInput(command));
+        }
+    };
+
     return (command: GatewayCommand): void => {
-        const execute = executors[command.kind] as (command: GatewayCommand) => void;
-        execute(command);
+        const execute = executors[command.kind] as (command: GatewayCommand) => void | Promise<void>;
+        try {
+            execute(command)?.catch((err: unknown) => conclude(command, err));
+        }
+        catch (err) {
+            conclude(command, err);
+        }
     };
 };
