Keep events without an id and other text out of a continued stream (ERROR)

Callers saw: an error's text, or its whole head (HTTP/1.1 502 Bad Gateway ...), in the middle of their stream, when the engine that went on sent it in its body: as an event without an id or as lines that are no event. An event without an id came twice when the continuation repeated it. Cause: the filter looked at ids only and passed on everything without one. Change: before the next event of a continuation, comments and retry times are dropped, events without an id among the repeated ones, too, and any other one fails the attempt, since nothing shows whether the caller has it. Lines that are neither fields nor comments fail it anywhere. After the next event, events without an id are passed on: they belong to the run.

--- a/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
@@ -3,6 +3,10 @@
 
 /** Largest number of bytes that a continued stream may repeat of what the caller has received. */
 const MAX_REPEATED_BYTES = 1_048_576;
+/** A line of an event-stream: a field or a comment. */
+const STREAM_LINE = /^(?:(?:data|event|id|retry)(?::|$)|:)/;
+const DATA_LINE = /^data(?::|$)/m;
+const CONTINUATION = "the target that should continue the stream";
 
 type StreamEvent = ReturnType<ReturnType<typeof createSseSplitter>["list"]>[number];
 
@@ -27,6 +31,33 @@
         return rest;
     };
 
+    /** Returns whether what has no id is passed on. It says nothing of its place, so that it may not come before the next event. */
+    const keepUnnamed = (event: StreamEvent): boolean => {
+        const text = event.bytes.toString("utf8");
+        if (!text.split("\n").every(line => line === "" || STREAM_LINE.test(line))) {
+            throw new Error(`${CONTINUATION} sent text that isn't an event`);
+        }
+        const precedesLastEvent = latestRepeatedId !== undefined && latestRepeatedId !== progress.lastId();
+        if (!hasNewEvent && !precedesLastEvent && DATA_LINE.test(text)) {
+            throw new Error(`${CONTINUATION} sent an event without an id before the next one`);
+        }
+        return hasNewEvent;
+    };
+
+    /** Returns whether an event is passed on, which is the next one after `previousId`, or dropped as repeated. */
+    const keepNext = ({ id }: StreamEvent, previousId: string | undefined): boolean => {
+        const isRising = latestRepeatedId === undefined || !progress.isUpTo(id, latestRepeatedId);
+        if (!hasNewEvent && isRising && progress.isUpTo(id, previousId)) {
+            latestRepeatedId = id;
+            return false;
+        }
+        if (!progress.isNext(id, previousId)) {
+            throw new Error(`${CONTINUATION} sent event ${id} after event ${previousId}`);
+        }
+        hasNewEvent = true;
+        return true;
+    };
+
     return {
         /** Returns what is left of a block of a stream that a caller takes up. */
         skip: (block: Buffer): Buffer =>
@@ -37,22 +68,11 @@
          */
         continue: (block: Buffer): Buffer => {
             let previousId = progress.lastId();
-            const rest: StreamEvent[] = [];
-            for (const event of listEvents(block)) {
-                const isRising = latestRepeatedId === undefined || !progress.isUpTo(event.id, latestRepeatedId);
-                const isRepeated = !hasNewEvent && isRising && progress.isUpTo(event.id, previousId);
-                if (isRepeated) {
-                    latestRepeatedId = event.id;
-                }
-                else if (event.id === undefined || progress.isNext(event.id, previousId)) {
-                    rest.push(event);
-                    previousId = event.id ?? previousId;
-                    hasNewEvent ||= event.id !== undefined;
-                }
-                else {
-                    throw new Error(`the target that should continue the stream sent event ${event.id} after event ${previousId}`);
-                }
-            }
+            const rest = listEvents(block).filter(event => {
+                const isKept = event.id === undefined ? keepUnnamed(event) : keepNext(event, previousId);
+                previousId = isKept ? event.id ?? previousId : previousId;
+                return isKept;
+            });
             return join(block, rest);
         },
         /** Returns the id of the latest event that was dropped from a continuation. */
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -47,6 +47,8 @@
 const NEXT = DELIVERED + 1;
 const rest: Answer = (req, socket) => stream(events(Number(req.lastEventId ?? "0") + 1, EVENT_COUNT))(req, socket);
 const WHOLE = events(1, EVENT_COUNT);
+const UNNAMED_EVENT = "data: event without an id\n\n";
+const COMMENT = ": comment\n\n";
 
 /** Answers that can't continue a stream after its third event, with the reason in the log and the last event that is passed on. */
 const refusedAnswers: Record<string, { next: Answer; reason: RegExp; lastEvent?: number }> = {
@@ -58,6 +60,20 @@
     "200 and a body of length 0": { next: answer(200, EVENT_TYPE), reason: /no further event/ },
     "a stream without events": { next: stream(), reason: /no further event/ },
     "a stream that ends before the last event of its caller": { next: stream(events(1, 2)), reason: /no further event/ },
+    "comments only": { next: stream(COMMENT, COMMENT), reason: /no further event/ },
+    "an event without an id": { next: stream("data: {\"error\":\"overloaded\"}\n\n"), reason: /without an id/ },
+    "an event without an id before the next one": { next: stream(UNNAMED_EVENT, events(NEXT, EVENT_COUNT)), reason: /without an id/ },
+    "an event without an id after the last one of its caller": {
+        next: stream(events(1, DELIVERED) + UNNAMED_EVENT, events(NEXT, EVENT_COUNT)),
+        reason: /without an id/,
+    },
+    "the head of an error inside a chunk": { next: stream("HTTP/1.1 502 Bad Gateway\nServer: x\n\n"), reason: /isn't an event/ },
+    "text that is no event": { next: stream("upstream failed\n\n", events(NEXT, EVENT_COUNT)), reason: /isn't an event/ },
+    "text that is no event after an event": {
+        next: stream(event(NEXT), "upstream failed\n\n", events(5, EVENT_COUNT)),
+        reason: /isn't an event/,
+        lastEvent: NEXT,
+    },
     "events after a gap": { next: stream(events(NEXT + 1, EVENT_COUNT)), reason: /sent event 5 after event 3/ },
     "repeated events and then a gap": { next: stream(events(1, DELIVERED) + events(NEXT + 1, EVENT_COUNT)), reason: /sent event 5 after event 3/ },
     "a chunk of events with a gap": { next: stream(events(NEXT, 5) + events(7, EVENT_COUNT)), reason: /sent event 7 after event 5/ },
@@ -97,6 +113,19 @@
         text: WHOLE,
         isWhole: true,
     },
+    { name: "goes on after a comment and a retry time", parts: [begun, stream(`${COMMENT}retry: 9\n\n`, events(NEXT, EVENT_COUNT))], text: WHOLE, isWhole: true },
+    {
+        name: "goes on with comments and events without ids after the next event",
+        parts: [begun, stream(event(NEXT), COMMENT, events(5, EVENT_COUNT), UNNAMED_EVENT)],
+        text: events(1, NEXT) + COMMENT + events(5, EVENT_COUNT) + UNNAMED_EVENT,
+        isWhole: true,
+    },
+    {
+        name: "drops an event without an id that is repeated",
+        parts: [broken(event(1) + UNNAMED_EVENT + events(2, DELIVERED)), stream(event(1), UNNAMED_EVENT, events(2, EVENT_COUNT))],
+        text: event(1) + UNNAMED_EVENT + events(2, EVENT_COUNT),
+        isWhole: true,
+    },
     { name: "drops what is repeated", parts: [begun, stream(...events(1, EVENT_COUNT).split(/(?<=\n\n)/))], text: WHOLE, isWhole: true },
     {
         name: "breaks off after the last event when nothing shows that it was the last one",
