Go on after the last event that has an id, not after what follows it (WHOLE)

Callers saw: a stream that broke right after a comment, or after an event without an id, in the same chunk as its last events, didn't go on, although other engines had the rest. Cause: lastId read the last part of a block only, against its own comment. The gateway then knew an earlier event as the last one, or none, and asked for the stream from there. Change: lastId looks further back until it finds an id.

--- a/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
@@ -21,4 +21,15 @@
             expect(splitter.bufferedBytes()).to.equal("id: 3\nda".length);
         }
     });
+
+    // A stream went on before events that its caller had when a comment was the last part of what was read at once.
+    it("finds the id of the last event that has one", () => {
+        const splitter = createSseSplitter();
+        const lastId = (text: string): string | undefined => splitter.lastId(Buffer.from(text));
+        expect(lastId("id: 1\ndata: one\n\nid: 2\ndata: two\n\n: comment\n\ndata: three\n\n")).to.equal("2");
+        expect(lastId("id: 1\ndata: one\n\n\n")).to.equal("1");
+        expect(lastId(": comment\n\ndata: one\n\n")).to.equal(undefined);
+        expect(lastId("\n\n")).to.equal(undefined);
+        expect(lastId("")).to.equal(undefined);
+    });
 });
--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -64,8 +64,14 @@
         },
         /** Returns the id of the last event of a block that has one. */
         lastId: (block: Buffer): string | undefined => {
-            const start = block.lastIndexOf(BLANK_LINE, block.length - BLANK_LINE.length - 1);
-            return readId(start < 0 ? block : block.subarray(start + BLANK_LINE.length));
+            let id: string | undefined;
+            for (let end = block.length; end > 0 && id === undefined;) {
+                const previous = end > BLANK_LINE.length ? block.lastIndexOf(BLANK_LINE, end - BLANK_LINE.length - 1) : -1;
+                const start = previous < 0 ? 0 : previous + BLANK_LINE.length;
+                id = readId(block.subarray(start, end));
+                end = start;
+            }
+            return id;
         },
     };
 };
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -126,6 +126,13 @@
         text: event(1) + UNNAMED_EVENT + events(2, EVENT_COUNT),
         isWhole: true,
     },
+    { name: "goes on after the last event, not after a comment behind it", parts: [broken(events(1, DELIVERED) + COMMENT), rest], text: events(1, DELIVERED) + COMMENT + events(NEXT, EVENT_COUNT), isWhole: true },
+    {
+        name: "goes on after the last event with an id",
+        parts: [broken(events(1, DELIVERED) + UNNAMED_EVENT), rest],
+        text: events(1, DELIVERED) + UNNAMED_EVENT + events(NEXT, EVENT_COUNT),
+        isWhole: true,
+    },
     { name: "drops what is repeated", parts: [begun, stream(...events(1, EVENT_COUNT).split(/(?<=\n\n)/))], text: WHOLE, isWhole: true },
     {
         name: "breaks off after the last event when nothing shows that it was the last one",
