Refuse by its head to continue a stream whose last event has no number

Callers saw, before the filter asked for ids: a stream of events without ids that broke off went on from its beginning, and ended as whole with its events twice. Cause: without an id of a last event there is no Last-Event-Id, so that the engine that goes on begins anew. Change: findContinuationFault holds all checks of a continuation's head, and has one more: the id of the last delivered event is a number. The reason in the log says so, in place of a reason about the first event that follows.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -7,6 +7,7 @@
 import { createCallerWriter } from "./createCallerWriter.js";
 import { createRepeatFilter } from "./createRepeatFilter.js";
 import { createSseSplitter } from "./createSseSplitter.js";
+import { findContinuationFault } from "./findContinuationFault.js";
 import type { GatewayAdapter } from "./gatewayAdapter.js";
 import type { createStreamProgress } from "./createStreamProgress.js";
 import type { IngressCall } from "./ingressCall.js";
@@ -56,8 +57,6 @@
 /** Statuses by which a caller is told that its request has not run and won't. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MIN_SERVER_ERROR_STATUS = 500;
-const OK_STATUS = 200;
-const EVENT_STREAM_TYPE = "text/event-stream";
 
 /**
  * How the body is handled: discarded, buffered whole, relayed chunk by chunk, or relayed event by event. It is undecided
@@ -177,16 +176,11 @@
     };
 
     const chooseContinuationMode = (): Mode => {
-        const mediaType = readMediaType(head().headers);
-        if (metadata.route.kind !== "streaming" || status !== OK_STATUS) {
-            failAndClose("error", `the target that should continue the stream answered ${status}`);
-            return "drop";
-        }
-        if (mediaType !== EVENT_STREAM_TYPE && mediaType !== progress.mediaType()) {
-            failAndClose("garbled", `the target that should continue the stream answered with ${mediaType ?? "no content type"}`);
-            return "drop";
+        const fault = findContinuationFault(metadata.route.kind === "streaming", status, readMediaType(head().headers), progress);
+        if (fault !== undefined) {
+            failAndClose(fault.cause, fault.reason);
         }
-        return "events";
+        return fault === undefined ? "events" : "drop";
     };
 
     const chooseMode = (): Mode => {
--- a/packages/medlarlb-daemon/src/gateway/createStreamProgress.ts
+++ b/packages/medlarlb-daemon/src/gateway/createStreamProgress.ts
@@ -31,6 +31,7 @@
         },
         /** Returns the id of the last event that the caller has. */
         lastId: (): string | undefined => lastId,
+        isNumbered: (): boolean => parseId(lastId) !== undefined,
         /** Returns whether an event is the next one, or may be so if the ids of the stream rise by more than one. */
         isNext: (id: string | undefined, previousId: string | undefined): boolean => {
             const [number, previous] = [parseId(id), parseId(previousId)];
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -133,6 +133,20 @@
         text: events(1, DELIVERED) + UNNAMED_EVENT + events(NEXT, EVENT_COUNT),
         isWhole: true,
     },
+    {
+        name: "breaks off when its events have no ids",
+        parts: [broken(UNNAMED_EVENT), stream(UNNAMED_EVENT, UNNAMED_EVENT), stream(UNNAMED_EVENT)],
+        text: UNNAMED_EVENT,
+        isWhole: false,
+        reason: /no number/,
+    },
+    {
+        name: "breaks off when its ids are no numbers",
+        parts: [broken(event("one") + event("two")), stream(event("three")), stream(event("three"))],
+        text: event("one") + event("two"),
+        isWhole: false,
+        reason: /no number/,
+    },
     { name: "drops what is repeated", parts: [begun, stream(...events(1, EVENT_COUNT).split(/(?<=\n\n)/))], text: WHOLE, isWhole: true },
     {
         name: "breaks off after the last event when nothing shows that it was the last one",
