Reset the connections of HTTP/1.0 callers whose streams break off

Callers with HTTP/1.0 got a 200 with the first part of a stream, and then the orderly end of the connection. For them that is a whole answer, because one without a length ends with its connection.

Cause: an answer that can't be finished was ended by closing the connection. That shows to callers with HTTP/1.1, who lack the last chunk, but not to those with HTTP/1.0.

Why it works: a reset is no end of an answer in any version of HTTP. Answers to HTTP/1.1 callers end as before.

--- a/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCallProxy.ts
@@ -162,7 +162,11 @@
         const { res } = call;
         countAnswer(call, status, "gateway");
         if (res.headersSent) {
-            // The headers are sent, so only an aborted connection shows the caller that the answer is incomplete.
+            // The headers are sent, so only an aborted connection shows the caller that the answer is incomplete. For HTTP/1.0 that
+            // takes a reset, since the orderly end of the connection ends an answer without a length.
+            if (call.req.httpVersionMinor === 0) {
+                res.socket?.resetAndDestroy();
+            }
             res.destroy();
             return;
         }
