Move the handling of other instances' messages out of createGateway

Change: createMessageHandler sorts messages between the directory and the decisions; nothing else is changed. Measured: 236 tests of the parts that were joined pass (peers, daemon, streams, odd values, signals, planned stop).

--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -6,7 +6,6 @@
 import { brandAs } from "medlarlb-types/brandAs";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
-import type { TargetId } from "medlarlb-types/targetId";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import { createGatewayDecisions } from "medlarlb-decisions/gateway/createGatewayDecisions";
 import { dropFailedInput } from "medlarlb-decisions/gateway/dropFailedInput";
@@ -35,6 +34,7 @@
 import type { createGatewayMetrics } from "./createGatewayMetrics.js";
 import { createIngressServer } from "./createIngressServer.js";
 import type { createLog } from "./createLog.js";
+import { createMessageHandler } from "./createMessageHandler.js";
 import { createRegistration } from "./createRegistration.js";
 import { describeGroup } from "./describeGroup.js";
 import { parseSeeds } from "./parseSeeds.js";
@@ -150,28 +150,7 @@
         },
         onMembers: () => pushInstances(),
         onDemand: () => undefined,
-        onGatewayMessage: (message, from) => {
-            if (message.kind === "directory") {
-                logEvent("directoryFromPeer", { from, items: message.items.length, revision: message.revision, used: directory.needsPeers() });
-                directory.applyPeerEntries(from, message.items, message.revision);
-            }
-            else if (message.kind === "directoryChange") {
-                directory.applyRelay(from, message.changes);
-            }
-            else if (message.kind === "wanted") {
-                push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
-            }
-            else if (message.kind === "permitWanted" || message.kind === "originWanted"
-                || message.kind === "quotaWanted" || message.kind === "quotaGranted") {
-                push({ ...message, from });
-            }
-            else if (message.kind === "observations") {
-                push({ ...message, ageMs: 0 });
-            }
-            else if (message.kind !== "pullDirectory") {
-                push(message);
-            }
-        },
+        onGatewayMessage: createMessageHandler({ directory: () => directory, push, logEvent }),
         decisionsAfter: () => ({ records: [], oldest: 0 }),
         onBroken: reportBrokenMessage,
         onClosed: reason => logEvent("peerClosed", { reason }),
