Fail requests and probes to addresses that nothing can have (FAULT)

Callers saw: all requests that a process had got no answer, after a target's address with an impossible port had reached a connection or a probe. Cause: createConnection throws for a port out of range, in createTargetConnection out of the step that sends, and in probeListening as a rejection that nobody awaited. A request to another one fails as not sent, a probe finds it silent, and no host name is looked up. A small request whose sending throws leaves no timer behind, which threw again when it fired.

--- a/packages/medlarlb-targets/src/__tests__/createTargetConnection.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createTargetConnection.test.ts
@@ -43,6 +43,34 @@
         });
     });
 
+    // FAULT: an address with an impossible port ended the process.
+    for (const address of ["127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1", "", "x y:80"]) {
+        it(`fails a request to the address "${address}", which nothing can have, as not sent`, async () => {
+            let closed = 0;
+            const reported = await new Promise<unknown>(resolve => {
+                const connection = createTargetConnection({
+                    address,
+                    now: () => performance.now(),
+                    readAnswerId: () => undefined,
+                    onOpen: () => undefined,
+                    onFree: () => undefined,
+                    onClose: () => {
+                        closed += 1;
+                    },
+                });
+                connection.send({ method: "GET", path: "/", headers: [], body: undefined, requestId: undefined }, {
+                    onForeignAnswer: () => undefined,
+                    onHead: () => undefined,
+                    onChunk: () => true,
+                    onEnd: () => undefined,
+                    onFailure: resolve,
+                });
+            });
+            expect(reported).to.deep.equal({ sent: false, malformed: false, reason: `${address} is not an IP number and a port` });
+            expect(closed).to.equal(1);
+        });
+    }
+
     const failure = { sent: true, malformed: true, reason: "the answer can't be passed on" };
 
     // LOST: the error ended the process, with all requests on it.
--- a/packages/medlarlb-targets/src/__tests__/createTextRequest.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createTextRequest.test.ts
@@ -97,4 +97,18 @@
         expect(chunked.isOk && chunked.value.text === body).to.equal(true);
         expect(sockets).to.have.length(1);
     });
+
+    // FAULT: the timer of a request that couldn't be sent threw when it fired, which ended the process.
+    it("rejects if the request can't be sent, and leaves no timer behind", async () => {
+        const send = createTextRequest({
+            send: () => {
+                throw new Error("the request can't be sent");
+            },
+            close: () => undefined,
+        });
+        const message = { method: "GET" as const, path: "/", headers: [], body: undefined, timeoutMs: 20, maxResponseBytes: 1 };
+        const outcome = await send("127.0.0.1:1", message).then(() => "sent", (err: Error) => err.message);
+        expect(outcome).to.equal("the request can't be sent");
+        await new Promise(resolve => setTimeout(resolve, 50));
+    });
 });
--- a/packages/medlarlb-targets/src/__tests__/probeListening.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/probeListening.test.ts
@@ -13,6 +13,13 @@
         expect(await probeListening(address)).to.equal("refused");
     });
 
+    // FAULT: the rejection of a probe, which nobody handled, ended the process.
+    it("takes an address that nothing can have for a silent one", async () => {
+        for (const address of ["127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1", "", "x y:80"]) {
+            expect(await probeListening(address)).to.equal("silent");
+        }
+    });
+
     it("closes its connection to a process that writes without end", async () => {
         let timer: NodeJS.Timeout | undefined;
         let writtenBytes: number | undefined;
--- a/packages/medlarlb-targets/src/createTargetConnection.ts
+++ b/packages/medlarlb-targets/src/createTargetConnection.ts
@@ -1,4 +1,5 @@
-import { createConnection } from "node:net";
+import { createConnection, Socket } from "node:net";
+import { parseAddress } from "medlarlb-types/parseAddress";
 import type { PooledResponseHandlers } from "./pooledResponseHandlers.js";
 import type { TargetRequestMessage } from "./targetRequestMessage.js";
 import type { ConnectionHistory } from "./connectionHistory.js";
@@ -58,7 +59,7 @@
  * of events costs the processor time of its reads, and most of that was spent there.
  */
 export const createTargetConnection = ({ address, now, readAnswerId, onOpen, onFree, onClose }: ConnectionOptions) => {
-    const [host, port] = address.split(":");
+    const target = parseAddress(address);
     let exchange: Exchange | undefined;
     let request: Buffer | undefined;
     let isOpen = false;
@@ -71,15 +72,21 @@
     /** Whether the handler of the present read has asked for more. */
     let mayRead = true;
 
-    const socket = createConnection({
-        host: host ?? "",
-        port: Number(port),
-        allowHalfOpen: true,
-        noDelay: true,
-        keepAlive: true,
-        keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
-        onread: { buffer: readBuffer, callback: bytesRead => handleRead(bytesRead) },
-    });
+    const openSocket = (): Socket => {
+        if (target === undefined) {
+            // Node throws at a port out of range, and looks other hosts up as names.
+            return new Socket().destroy(new Error(`${address} is not an IP number and a port`));
+        }
+        return createConnection({
+            ...target,
+            allowHalfOpen: true,
+            noDelay: true,
+            keepAlive: true,
+            keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
+            onread: { buffer: readBuffer, callback: bytesRead => handleRead(bytesRead) },
+        });
+    };
+    const socket = openSocket();
 
     const close = (): void => {
         if (!isClosed) {
