Have an error in a caller's request cost that request, not the process (FAULT)

Callers saw: all requests that a process had got no answer, when the handling of one request threw before it was passed on to the decisions. Cause: the callbacks of the server for callers (request, end of the body, malformed bytes) ran outside of any try block. Change: such an error is logged as itemFailed (item "caller", kind "request" or "connection"). The request gets 503, since it has not been passed on, and its connection closes; malformed bytes cost their connection.

--- a/packages/medlarlb-daemon/src/__tests__/ingressKeys.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/ingressKeys.test.ts
@@ -36,6 +36,9 @@
             now: () => performance.now(),
             random: () => 0,
             onCall: call => calls.push(call),
+            onError: (_kind, err) => {
+                throw err;
+            },
             onRejected: (...rejection) => rejections.push(rejection),
         });
         ingress.applyLimits(config);
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { BootId } from "medlarlb-types/bootId";
 import { brandAs } from "medlarlb-types/brandAs";
+import { describeError } from "medlarlb-types/describeError";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { ZoneId } from "medlarlb-types/zoneId";
@@ -104,6 +105,7 @@
         now,
         random,
         onCall: callProxy.accept,
+        onError: (kind, err) => logEvent("itemFailed", { item: "caller", kind, ...describeError(err) }),
         onRejected: (status, reason, request) => {
             metrics.answers.inc({ status, by: "ingress" });
             logEvent("rejected", { request, status, reason, configVersion: config.current()?.version });
@@ -145,9 +147,7 @@
         configSince: config.since,
         directorySince: since => directory.entriesSince(since),
         onConfig: config.receive,
-        onGossip: entry => {
-            observationGossip.receive(entry);
-        },
+        onGossip: entry => observationGossip.receive(entry),
         onMembers: () => pushInstances(),
         onDemand: () => undefined,
         onGatewayMessage: createMessageHandler({ directory: () => directory, push, logEvent }),
--- a/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
+++ b/packages/medlarlb-daemon/src/gateway/createIngressServer.ts
@@ -27,6 +27,8 @@
     onCall: (call: IngressCall) => void;
     /** Called for each request that is answered before it becomes a call. */
     onRejected: (status: number, reason: string, requestId: string) => void;
+    /** Called for each error that cost a request or a connection because nothing else handles it. */
+    onError: (kind: "request" | "connection", err: unknown) => void;
 }
 
 /** Length up to which headers are read, so that the operator's own limit can be checked. */
@@ -45,6 +47,8 @@
 /** Answer with which an idle connection ends (RFC 9110, 15.5.9): callers may repeat a request that they have sent meanwhile. */
 const IDLE_END = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+const FAILED_REASON = "an error inside this instance; try again soon";
+
 const countHeaderBytes = (req: IncomingMessage): number =>
     req.rawHeaders.reduce((sum, each) => sum + each.length + 2, (req.url ?? "").length);
 
@@ -60,14 +64,41 @@
     /** Connections that have been told that they close. A request on them has got its answer. */
     const endedConnections = new WeakSet<Socket>();
 
-    const reject = (req: IncomingMessage, res: ServerResponse, status: number, reason: string): void => {
-        options.onRejected(status, reason, adapter.readCall(req.headers).callerRequestId);
+    const sendProblem = (res: ServerResponse, status: number, reason: string): void => {
         const body = JSON.stringify({ title: reason, status });
         res.writeHead(status, { "content-type": "application/problem+json", "content-length": String(Buffer.byteLength(body)) });
         res.end(body);
     };
 
-    const readBody = (req: IncomingMessage, maxBytes: number, onBody: (body: Buffer | undefined) => void, onTooLong: () => void): void => {
+    const reject = (req: IncomingMessage, res: ServerResponse, status: number, reason: string): void => {
+        options.onRejected(status, reason, adapter.readCall(req.headers).callerRequestId);
+        sendProblem(res, status, reason);
+    };
+
+    /** Runs a part of a request's way until it is passed on. An error costs the request, which has not run then. */
+    const guard = (res: ServerResponse, run: () => void): void => {
+        try {
+            run();
+        }
+        catch (err) {
+            options.onError("request", err);
+            if (res.headersSent) {
+                res.destroy();
+                return;
+            }
+            options.onRejected(503, FAILED_REASON, "");
+            res.setHeader("connection", "close");
+            sendProblem(res, 503, FAILED_REASON);
+        }
+    };
+
+    const readBody = (
+        req: IncomingMessage,
+        res: ServerResponse,
+        maxBytes: number,
+        onBody: (body: Buffer | undefined) => void,
+        onTooLong: () => void,
+    ): void => {
         const chunks: Buffer[] = [];
         let bytes = 0;
         req.on("data", (chunk: Buffer) => {
@@ -76,14 +107,14 @@
                 chunks.push(chunk);
             }
         });
-        req.on("end", () => {
+        req.on("end", () => guard(res, () => {
             if (bytes > maxBytes) {
                 onTooLong();
                 return;
             }
             const hasBody = bytes > 0 || req.headers["content-length"] !== undefined || req.headers["transfer-encoding"] !== undefined;
             onBody(hasBody ? Buffer.concat(chunks) : undefined);
-        });
+        }));
     };
 
     const identify = (config: RoutingConfig, route: Route, req: IncomingMessage): CallerIdentity =>
@@ -120,7 +151,7 @@
             return;
         }
         const { lastEventId, resumedRequestId, deadlineMs, callerIdentity, ...metadata } = adapter.readCall(req.headers);
-        readBody(req, config.limits.maxBodyBytes, body => {
+        readBody(req, res, config.limits.maxBodyBytes, body => {
             // While a long body arrives, a key may be withdrawn.
             const latestConfig = options.config() ?? config;
             const identity = latestConfig === config ? firstIdentity : identify(latestConfig, route, req);
@@ -163,12 +194,12 @@
         keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
         noDelay: true,
         highWaterMark: STREAM_BUFFER_BYTES,
-    }, handle);
+    }, (req, res) => guard(res, () => handle(req, res)));
     server.on("connection", socket => {
         connections.set(socket, undefined);
         socket.once("close", () => connections.delete(socket));
     });
-    server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
+    const endFaultyConnection = (err: NodeJS.ErrnoException, socket: Socket): void => {
         if (!socket.writable || err.code === "ECONNRESET") {
             socket.destroy();
             return;
@@ -183,6 +214,15 @@
         const statusLines: Record<string, string> = { HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large", ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout" };
         options.onRejected(Number.parseInt(statusLines[err.code ?? ""] ?? "400", 10), err.message, "");
         socket.end(`HTTP/1.1 ${statusLines[err.code ?? ""] ?? "400 Bad Request"}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    };
+    server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
+        try {
+            endFaultyConnection(err, socket);
+        }
+        catch (unforeseen) {
+            options.onError("connection", unforeseen);
+            socket.destroy();
+        }
     });
     return {
         server,
