--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -147,6 +147,14 @@
         isWhole: false,
         reason: /no number/,
     },
+    { name: "goes on for a caller with HTTP/1.0", parts: [begun, rest], text: WHOLE, isWhole: true, minorVersion: 0 },
+    {
+        name: "breaks off so that a caller with HTTP/1.0 sees it",
+        parts: [begun, ...Array.from({ length: 2 }, () => answer(204, []))],
+        text: events(1, DELIVERED),
+        isWhole: false,
+        minorVersion: 0,
+    },
     { name: "drops what is repeated", parts: [begun, stream(...events(1, EVENT_COUNT).split(/(?<=\n\n)/))], text: WHOLE, isWhole: true },
     {
         name: "breaks off after the last event when nothing shows that it was the last one",
