Test text responses that are cut at any byte

The answers of the store and engines' reports and orders come through this client. No part of a response with a length, in chunks, after an interim response or without a body counted as a response on the present code, after an orderly end and after a reset. The test guards the requirement that a cut head or body is no answer.

--- a/packages/medlarlb-targets/src/__tests__/createTextRequest.test.ts
+++ b/packages/medlarlb-targets/src/__tests__/createTextRequest.test.ts
@@ -87,6 +87,28 @@
         expect(none.isErr && none.error.tooLong).to.equal(false);
     });
 
+    const cutResponses: Record<string, string> = {
+        "with a length": "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "in chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\n{\"a\":1}\r\n0\r\n\r\n",
+        "after an interim response": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "without a body": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    };
+    for (const [name, response] of Object.entries(cutResponses)) {
+        it(`takes no part of a response ${name} for the response, wherever its connection ends or is reset`, async () => {
+            for (let at = 0; at < response.length; at += 1) {
+                respond = socket => socket.end(response.slice(0, at));
+                expect((await send()).isErr, `ended after ${at} bytes`).to.equal(true);
+                respond = socket => {
+                    socket.write(response.slice(0, at));
+                    socket.resetAndDestroy();
+                };
+                expect((await send()).isErr, `reset after ${at} bytes`).to.equal(true);
+            }
+            respond = socket => socket.end(response);
+            expect((await send()).isOk).to.equal(true);
+        });
+    }
+
     it("returns a response of the longest length, also byte by byte, and uses the connection again", async () => {
         const body = "b".repeat(MAX_RESPONSE_BYTES);
         respond = socket => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
