Prove the only version of a service by a round trip of its own (ORDER)

What callers saw: a stream of a new software version that was taken up at an instance that was cut off from the store went on at the old version, if messages of the zone's watcher that had been held up on the way reached it then. On a calm site some take-ups were refused as not run at an instance that had every reason to let them go on.

Cause: an instance that follows the watcher of its zone took the age that the watcher states in a message, and its own time of receipt, for the time at which it knew the store's list. How long the message was on its way isn't in it. Such a message counted as the list of now, and the service as one of one version. The refusals: the next read of the list that begins after a take-up ends up to 900 ms later (a call of 400 ms under way, a pause of 100 ms, the next call), after the 800 ms at which a take-up is refused.

Why it works: contacts that follow from the age of a message no longer prove a version. When a caller takes up a stream of which nothing else is known, and the list would prove it, the instance asks the watcher (`listWanted`), which reads the store after the question came and answers with its number; the time of the question counts, if the instance knows all that the watcher knew. Without an answer within 500 ms it reads the store itself. The watcher's read is prompt, at most ten a second, and one read answers all that ask. Ordinary requests cost no message and no call. An instance asks one question at a time. The numbers begin at random, since an answer to an earlier process may still be on its way. Contacts in the support of tests that stand for reads of the store are marked as such.

--- a/packages/medlarlb-daemon/src/__tests__/createCommandExecutor.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createCommandExecutor.test.ts
@@ -19,6 +19,7 @@
             observationGossip: { publish: fail },
             engines: { order: reject, report: reject, findRun: reject } as never,
             plannerLease: { isValid: () => true },
+            confirmList: fail,
             orderMs: { observe: fail } as never,
             now: () => 1,
             push: input => pushed.push(input),
--- a/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
@@ -18,7 +18,10 @@
     const calls: string[] = [];
     const events: string[] = [];
     const relays: DirectoryRelay[] = [];
+    const answers: { to: readonly InstanceId[]; changes: DirectoryRelay }[] = [];
+    const questions: { to: InstanceId; sequence: number }[] = [];
     const contacts: number[] = [];
+    const provedContacts: number[] = [];
     const instanceCounts: number[] = [];
     let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
     let reachable = true;
@@ -57,7 +60,8 @@
         configKey: "op/config",
         targetPrefix: "servers/",
         role,
-        relay: changes => relays.push(changes),
+        relay: (changes, to) => (to === undefined ? relays.push(changes) : answers.push({ to, changes })),
+        askWatcher: (to, sequence) => questions.push({ to, sequence }),
         handlers: {
             onConfig: text => events.push(text),
             onTargetEntry: (id, text) => events.push(`${id} ${text}`),
@@ -65,7 +69,12 @@
             onBrokenEntry: key => events.push(`${key} broken`),
             onInstances: instances => instanceCounts.push(instances.length),
             onPlanners: () => undefined,
-            onListContact: atMs => contacts.push(atMs),
+            onListContact: (atMs, isProved) => {
+                contacts.push(atMs);
+                if (isProved) {
+                    provedContacts.push(atMs);
+                }
+            },
             onStoreRestored: () => events.push("store restored"),
             onLeasesLost: () => events.push("leases lost"),
             onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
@@ -80,7 +89,10 @@
         calls,
         events,
         relays,
+        answers,
+        questions,
         contacts,
+        provedContacts,
         instanceCounts,
         relay,
         /** Has the store come back, in a later era, from a copy that has the given entries. */
--- a/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
+++ b/packages/medlarlb-daemon/src/gateway/createCommandExecutor.ts
@@ -21,6 +21,8 @@
     observationGossip: Pick<ReturnType<typeof createObservationGossip>, "publish">;
     engines: ReturnType<typeof createEngineControl>;
     plannerLease: Pick<ReturnType<typeof createGatewayPlannerLease>, "isValid">;
+    /** Confirms the store's list by a round trip that begins now. */
+    confirmList: () => void;
     orderMs: ReturnType<typeof createGatewayMetrics>["orderMs"];
     now: () => number;
     push: (input: GatewayInput) => void;
@@ -41,7 +43,7 @@
 
 /** Creates the function that carries out the commands of the decisions. A command that throws an error costs only itself. */
 export const createCommandExecutor = (options: ExecutorOptions): ((command: GatewayCommand) => void) => {
-    const { callProxy, peers, observationGossip, engines, plannerLease, orderMs, now, push, logEvent } = options;
+    const { callProxy, peers, observationGossip, engines, plannerLease, confirmList, orderMs, now, push, logEvent } = options;
 
     const logFailure = (command: GatewayCommand, err: unknown): void => logEvent("itemFailed", {
         item: "command",
@@ -110,6 +112,7 @@
         grantQuota: ({ to, sequence, grants }) => peers.send(to, { kind: "quotaGranted", sequence, grants }),
         shareOrigins: ({ to, origins }) => peers.send(to, { kind: "streamOrigins", origins }),
         askOrigin: ({ to, requestId }) => sendToAll(to, { kind: "originWanted", requestId }),
+        confirmList,
         shareStatus: ({ to, status }) => sendToAll(to, { kind: "status", status }),
         shareDigest: ({ to, digest }) => peers.send(to, { kind: "digest", digest }),
         shareNews: ({ to, news }) => sendToAll(to, { kind: "news", news }),
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -9,6 +9,7 @@
 import { createDelay } from "../shared/createDelay.js";
 import type { DirectoryHandlers } from "./directoryHandlers.js";
 import { createGroupEntries } from "./createGroupEntries.js";
+import { createListConfirmation } from "./createListConfirmation.js";
 import { createTargetReports } from "./createTargetReports.js";
 import { directoryKeys } from "./directoryKeys.js";
 
@@ -22,8 +23,10 @@
     targetPrefix: string;
     /** Decides whether this instance watches the store or follows another instance that does. */
     role: ReturnType<typeof createWatchRole>;
-    /** Sends changes of the store to the other instances of this zone. */
-    relay: (changes: DirectoryRelay) => void;
+    /** Sends changes of the store to the other instances of this zone, or to some of them. */
+    relay: (changes: DirectoryRelay, to?: readonly InstanceId[]) => void;
+    /** Asks the instance that this one follows to read the store. */
+    askWatcher: (watcher: InstanceId, sequence: number) => void;
     handlers: DirectoryHandlers;
 }
 
@@ -40,6 +43,8 @@
 const INTERIM_WATCH_PAUSE_MS = 500;
 /** Interval in ms at which an instance that follows another one checks whether it still can. */
 const FOLLOWING_CHECK_MS = 150;
+/** Time in ms that a call waits for a change whose answer others wait for. */
+const PROMPT_WATCH_MS = 1;
 /** Number of consecutive failed calls from which the store counts as unreachable. */
 const UNREACHABLE_FAILURES = 2;
 /** Time in ms after the return of an older store within which instances register again. */
@@ -49,7 +54,7 @@
  * Creates the source of the configuration, targets, instances and planners that the platform's store lists. It watches the
  * store and passes changes on to the instances of its zone, or follows another instance that does so.
  */
-export const createDirectorySync = ({ store, now, configKey, targetPrefix, role, relay, handlers }: DirectorySyncOptions) => {
+export const createDirectorySync = ({ store, now, configKey, targetPrefix, role, relay, askWatcher, handlers }: DirectorySyncOptions) => {
     const entriesByKey = new Map<string, StoreEntry>();
     const pause = createDelay();
     /** Revision of the store up to which all changes are known. */
@@ -63,7 +68,16 @@
     let consecutiveFailures = 0;
     const outages = createStoreOutages();
     const groupEntries = createGroupEntries(handlers.onBrokenEntry);
+    const confirmation = createListConfirmation({
+        now,
+        watcher: () => role.watcher(now()),
+        askWatcher,
+        // A store that doesn't answer is called no more often.
+        hastenRead: () => (consecutiveFailures === 0 ? pause.end() : undefined),
+        onConfirmed: askedAtMs => handlers.onListContact(askedAtMs, true),
+    });
     const targetReports = createTargetReports({ now, targetPrefix, handlers, outageEndedAtMs: outages.endedAtMs });
+    let lastReadAtMs = Number.NEGATIVE_INFINITY;
     /** Times of the check before the last and of the last one. */
     let checkTimesMs: [number, number] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
@@ -99,20 +113,18 @@
         }
     };
 
-    /** Passes on changes that this instance has read itself, up to a revision. It may know later ones from another watcher. */
-    const relayChanges = (after: number, changes: { items: StoreEntry[]; revision: number }, askedAtMs: number): void => {
-        if (role.shouldRelay(now())) {
-            const outage = outages.latest();
-            relay({
-                after,
-                revision: Math.max(after, changes.revision),
-                items: changes.items,
-                contactAgeMs: 0,
-                readAgeMs: now() - askedAtMs,
-                outageEndedAgoMs: outage === undefined ? undefined : now() - outage.endedAtMs,
-                outageBeganAgoMs: outage === undefined || !Number.isFinite(outage.beganAtMs) ? undefined : now() - outage.beganAtMs,
-            });
-        }
+    /** Describes changes that this instance has read itself. It may know later ones from another watcher. */
+    const describeChanges = (after: number, revisionAfter: number, items: StoreEntry[], askedAtMs: number): DirectoryRelay => {
+        const outage = outages.latest();
+        return {
+            after,
+            revision: revisionAfter,
+            items,
+            contactAgeMs: 0,
+            readAgeMs: now() - askedAtMs,
+            outageEndedAgoMs: outage === undefined ? undefined : now() - outage.endedAtMs,
+            outageBeganAgoMs: outage === undefined || !Number.isFinite(outage.beganAtMs) ? undefined : now() - outage.beganAtMs,
+        };
     };
 
     /** Applies all entries of the store as of a revision. Known entries that they lack were removed. */
@@ -157,7 +169,10 @@
 
     const watchOnce = async (after: number): Promise<boolean> => {
         const askedAtMs = now();
-        const changes = await store.watch("", after, WATCH_TIMEOUT_MS);
+        const waitMs = confirmation.isReadWanted() ? PROMPT_WATCH_MS : WATCH_TIMEOUT_MS;
+        const askers = confirmation.beginRead();
+        lastReadAtMs = askedAtMs;
+        const changes = await store.watch("", after, waitMs);
         if (changes.isErr) {
             if (changes.error.kind === "compacted") {
                 isListNeeded = true;
@@ -172,9 +187,13 @@
         recordSuccess();
         applyEntries(changes.value.items, { source: "watch", ageMs: now() - askedAtMs });
         revision = Math.max(revision ?? after, changes.value.revision);
-        handlers.onListContact(askedAtMs);
+        handlers.onListContact(askedAtMs, true);
         outages.recordContact(now());
-        relayChanges(after, changes.value, askedAtMs);
+        if (role.shouldRelay(now())) {
+            relay(describeChanges(after, Math.max(after, changes.value.revision), changes.value.items, askedAtMs));
+        }
+        const known = describeChanges(revision, revision, [], askedAtMs);
+        askers.forEach((sequence, id) => relay({ ...known, sequence }, [id]));
         return true;
     };
 
@@ -209,7 +228,13 @@
         if (revision === undefined || isListNeeded || now() >= relistAtMs) {
             return await readAll() ? 0 : role.retryDelayMs();
         }
-        if (revision < neededRevision || role.shouldWatch(now())) {
+        confirmation.checkAnswer();
+        const isWatching = role.shouldWatch(now());
+        const waitMs = confirmation.isReadWanted() ? lastReadAtMs + WATCH_PAUSE_MS - now() : 0;
+        if (waitMs > 0) {
+            return waitMs;
+        }
+        if (revision < neededRevision || isWatching || confirmation.isReadWanted()) {
             const pauseMs = role.shouldRelay(now()) ? WATCH_PAUSE_MS : INTERIM_WATCH_PAUSE_MS;
             return await watchOnce(revision) ? pauseMs : role.retryDelayMs();
         }
@@ -219,7 +244,9 @@
     const followStore = async (): Promise<void> => {
         while (!stopped) {
             noteCheck();
-            await pause.wait(await followStoreOnce());
+            const delayMs = await followStoreOnce();
+            const isHastened = confirmation.isReadWanted() && consecutiveFailures === 0;
+            await pause.wait(isHastened ? Math.max(0, lastReadAtMs + WATCH_PAUSE_MS - now()) : delayMs);
         }
     };
 
@@ -244,6 +271,10 @@
                 applyAll(entries, peerRevision, source);
             }
         },
+        /** Confirms the list by a round trip that begins now. */
+        confirm: confirmation.confirm,
+        /** Reads the store for an instance that follows this one, and answers its question. */
+        readFor: confirmation.readFor,
         /** Applies changes that another instance of this zone passes on. */
         applyRelay: (from: InstanceId, changes: DirectoryRelay): void => {
             if (revision !== undefined && storeEras.eraOf(changes.revision) < storeEras.eraOf(revision)) {
@@ -257,6 +288,7 @@
             if (changes.after > revision) {
                 // Changes in between are missing. The store returns them at once.
                 neededRevision = Math.max(neededRevision, changes.after);
+                confirmation.applyAnswer(changes.sequence, false);
                 pause.end();
                 return;
             }
@@ -268,8 +300,9 @@
             applyEntries(changes.items, { source: "relay", from, ageMs: changes.readAgeMs });
             revision = Math.max(revision, changes.revision);
             if (changes.readAgeMs !== undefined) {
-                handlers.onListContact(Math.min(now() - changes.readAgeMs, checkTimesMs[0]));
+                handlers.onListContact(Math.min(now() - changes.readAgeMs, checkTimesMs[0]), false);
             }
+            confirmation.applyAnswer(changes.sequence, true);
         },
         stop: (): void => {
             stopped = true;
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -191,10 +191,8 @@
         configKey: storeKeys.config,
         targetPrefix: storeKeys.targetPrefix,
         role: watchRole,
-        relay: changes => {
-            const message = { kind: "directoryChange", changes } as const;
-            zoneMembers.forEach(id => peers.send(id, message));
-        },
+        relay: (changes, to = zoneMembers) => to.forEach(id => peers.send(id, { kind: "directoryChange", changes })),
+        askWatcher: (watcher, sequence) => peers.send(watcher, { kind: "listWanted", sequence }),
         handlers: {
             onConfig: config.offer,
             onTargetEntry: (id, text, origin) => {
@@ -219,7 +217,7 @@
                 plannerLease.setHolder(listedPlanners.get(zone));
                 pushInstances();
             },
-            onListContact: atMs => loop.note({ kind: "listContact", atMs }),
+            onListContact: (atMs, isProved) => loop.note({ kind: "listContact", atMs, isProved }),
             onStoreRestored: () => registration.renewNow(),
             onLeasesLost: plannerLease.noteLeasesLost,
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
@@ -241,6 +239,7 @@
         observationGossip,
         engines,
         plannerLease,
+        confirmList: directory.confirm,
         orderMs,
         now,
         push,
--- a/packages/medlarlb-daemon/src/gateway/createMessageHandler.ts
+++ b/packages/medlarlb-daemon/src/gateway/createMessageHandler.ts
@@ -6,7 +6,7 @@
 import type { createDirectorySync } from "./createDirectorySync.js";
 
 interface HandlerOptions {
-    directory: () => Pick<ReturnType<typeof createDirectorySync>, "needsPeers" | "applyPeerEntries" | "applyRelay">;
+    directory: () => Pick<ReturnType<typeof createDirectorySync>, "needsPeers" | "applyPeerEntries" | "applyRelay" | "readFor">;
     push: (input: GatewayInput) => void;
     logEvent: (event: string, fields: Record<string, unknown>) => void;
 }
@@ -22,6 +22,9 @@
             case "directoryChange":
                 directory().applyRelay(from, message.changes);
                 break;
+            case "listWanted":
+                directory().readFor(from, message.sequence);
+                break;
             case "wanted":
                 push({ ...message, targetId: message.targetId === undefined ? undefined : brandAs<TargetId>(message.targetId) });
                 break;
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -13,8 +13,8 @@
     /** Called with the key of each entry of an instance that describes none. */
     onBrokenEntry: (key: string, reason: string, origin: EntryOrigin) => void;
     onInstances: (instances: ListedInstance[]) => void;
-    /** Called with a time at which the store's list was as the handlers have last been told. */
-    onListContact: (atMs: number) => void;
+    /** Called with a time at which the store's list was as the handlers have last been told, and whether a round trip proves it. */
+    onListContact: (atMs: number, isProved: boolean) => void;
     onPlanners: (planners: Map<ZoneId, StoredPlanner>) => void;
     /** Called when the store is found to have come back from an older copy, before its entries are reported. */
     onStoreRestored: () => void;
--- a/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
@@ -49,11 +49,11 @@
         nowMs += 10;
         return decisions.step(nowMs, inputs);
     };
-    /** Steps on for a time in ms, with contacts with the store's list unless it is away. */
-    const wait = (ms: number, isStoreAway = false): GatewayCommand[] => {
+    /** Steps on for a time in ms, with contacts with the store's list unless it is away. Without proof, they follow from messages. */
+    const wait = (ms: number, isStoreAway = false, isProved = true): GatewayCommand[] => {
         const commands: GatewayCommand[] = [];
         for (const endMs = nowMs + ms; nowMs < endMs;) {
-            commands.push(...isStoreAway ? step() : step({ kind: "listContact", atMs: nowMs }));
+            commands.push(...isStoreAway ? step() : step({ kind: "listContact", atMs: nowMs, isProved }));
         }
         return commands;
     };
@@ -126,6 +126,21 @@
     });
 
     // ORDER: an instance that had just started took the only version that it had seen for that of a stream begun before its start.
+    it("is refused without a word of its beginning if messages alone say that the list is as new, and has the list confirmed once", () => {
+        const { step, wait, createCall } = createInstance(["v1", "v1"]);
+        const commands = [...step(createCall(true)), ...wait(900, false, false)];
+        expect(listTargets(commands)).to.deep.equal([]);
+        expect(listReasons(commands)).to.have.length(1);
+        expect(commands.filter(each => each.kind === "confirmList")).to.have.length(1);
+    });
+
+    it("has no list confirmed that can't prove its version", () => {
+        for (const versions of [["v1", "v2"], ["v1", undefined]]) {
+            const { step, wait, createCall } = createInstance(versions);
+            expect([...step(createCall(true)), ...wait(900)].filter(each => each.kind === "confirmList")).to.deep.equal([]);
+        }
+    });
+
     it("is refused without a word of its beginning while the list has been known for a shorter time than its caller may wait", () => {
         const { step, wait, createCall } = createInstance(["v1", "v1"]);
         // After such a gap, the list counts as known from the next contact on, as after a start.
--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualStreams.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualStreams.ts
@@ -75,7 +75,7 @@
         if (instance.isPaused) {
             return;
         }
-        const inputs: GatewayInput[] = [...instance.inputs.splice(0), { kind: "listContact", atMs: now() }];
+        const inputs: GatewayInput[] = [...instance.inputs.splice(0), { kind: "listContact", atMs: now(), isProved: true }];
         instance.decisions.step(now(), inputs).forEach(command => execute(instance, command));
         const nextAtMs = instance.decisions.nextStepAtMs();
         const { boot } = instance;
--- a/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/applyGatewayInput.ts
@@ -101,9 +101,9 @@
         updateSharers(context, listed, members.map(each => each.id));
         markAllPools(context);
     },
-    listContact: (context, { atMs }) => {
+    listContact: (context, { atMs, isProved }) => {
         recordListContact(context, atMs);
-        recordListing(context, atMs);
+        recordListing(context, atMs, isProved === true);
     },
     streamOrigins: (context, { origins }) => applyStreamOrigins(context, origins),
     originWanted: (context, { from, requestId }) => applyOriginRequest(context, from, requestId),
--- a/packages/medlarlb-decisions/src/gateway/directory/createWatchRole.ts
+++ b/packages/medlarlb-decisions/src/gateway/directory/createWatchRole.ts
@@ -88,6 +88,11 @@
             }
             return nowMs - relayExpectedAtMs >= successionDelayMs();
         },
+        /** Returns the instance whose changes this one follows; undefined if it watches the store itself or nobody does. */
+        watcher: (nowMs: number): InstanceId | undefined => {
+            const fresh = [...contacts].filter(([, contactAtMs]) => isFresh(contactAtMs, nowMs));
+            return isWatching ? undefined : fresh.sort(([, one], [, other]) => other - one)[0]?.[0];
+        },
         /** Returns the position of this instance in the order of succession, from 0. */
         rank: (): number => rankOf(self),
         /** Returns the delay in ms before this instance calls a store again that hasn't answered. */
--- a/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayCommand.ts
@@ -48,6 +48,8 @@
     /** Tells an instance who began streams, or asks instances who began one. */
     | { kind: "shareOrigins"; to: InstanceId; origins: StreamOrigin[] }
     | { kind: "askOrigin"; to: InstanceId[]; requestId: string }
+    /** Has the store's list of targets confirmed by a round trip that begins now. */
+    | { kind: "confirmList" }
     | { kind: "order"; targetId: TargetId; address: string; order: PlacementOrder }
     /** Requests an engine's report. */
     | { kind: "report"; targetId: TargetId; address: string }
--- a/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayContext.ts
@@ -46,8 +46,8 @@
     /** Origins of streams that callers may take up, by the id of the request that brought the first event, the latest last. */
     streamOrigins: Map<string, KnownOrigin>;
     formerVersions: VersionTable;
-    /** Time since which, without a long gap, and up to which this instance has known the store's list. */
-    listing: { sinceMs: number; contactAtMs: number } | undefined;
+    /** Time since which, without a long gap, and up to which this instance has known the store's list, and up to which that is proved. */
+    listing: { sinceMs: number; contactAtMs: number; provedAtMs: number } | undefined;
     /** Targets that name a limit. */
     limitedTargets: Set<PoolTarget>;
     calls: Map<RequestId, CallRow>;
--- a/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
+++ b/packages/medlarlb-decisions/src/gateway/gatewayInput.ts
@@ -82,8 +82,11 @@
     /** This instance stops. Calls that still wait are refused now, so that callers can use another instance. */
     | { kind: "stop" }
     | InstancesInput
-    /** The store's list of instances was as the latest `instances` at a time. It needs no step of its own. */
-    | { kind: "listContact"; atMs: number }
+    /**
+     * The store's list was as this instance sees it at a time. It needs no step of its own. With `isProved`, a round trip of this
+     * instance's own began at that time; else it follows from the age of a message, whose time on the way isn't known.
+     */
+    | { kind: "listContact"; atMs: number; isProved?: boolean }
     /**
      * The entry of this instance is certainly in the store's list until a time, as of its latest registration or renewal.
      * `wasListed` tells whether it was so before, by this process or an earlier one at its address.
--- a/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyCall.ts
@@ -28,6 +28,7 @@
         adapterTargetId: undefined,
         origin: undefined,
         originAsks: 0,
+        isListWanted: false,
         notBeforeMs: 0,
     };
     context.calls.set(metadata.callId, row);
--- a/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
+++ b/packages/medlarlb-decisions/src/gateway/rows/callRow.ts
@@ -46,6 +46,8 @@
     origin: { service: string; softwareVersion: string | undefined } | undefined;
     /** Number of times that others were asked who began it. */
     originAsks: number;
+    /** Whether the store's list was asked to be confirmed, to prove the version that began it. */
+    isListWanted: boolean;
     /** Earliest time of the next attempt. */
     notBeforeMs: number;
 }
--- a/packages/medlarlb-decisions/src/gateway/streams/findOnlyVersion.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/findOnlyVersion.ts
@@ -1,13 +1,10 @@
 import type { GatewayContext } from "../gatewayContext.js";
 import { listRecentVersions } from "./listRecentVersions.js";
 
-/**
- * Returns the software version of a service if it has had only one since a time: this instance has known the store's list from
- * then on, and knows it as of another time or later.
- */
-export const findOnlyVersion = (context: GatewayContext, service: string, sinceMs: number, listedAtMs: number): string | undefined => {
+/** Returns the software version of a service if this instance has known the store's list since a time, and only one version in it. */
+export const findOnlyVersion = (context: GatewayContext, service: string, sinceMs: number): string | undefined => {
     const { listing } = context;
-    if (listing === undefined || listing.sinceMs > sinceMs || listing.contactAtMs < listedAtMs) {
+    if (listing === undefined || listing.sinceMs > sinceMs) {
         return undefined;
     }
     const versions = listRecentVersions(context, service, context.nowMs - sinceMs);
--- a/packages/medlarlb-decisions/src/gateway/streams/recordStreamStart.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/recordStreamStart.ts
@@ -20,8 +20,9 @@
     }
     row.origin ??= { service, softwareVersion: attempt.softwareVersion };
     const untoldId = keepOwnOrigin(context, row);
-    const { nowMs } = context;
-    const onlyVersion = findOnlyVersion(context, service, nowMs - route.timeoutMs - TAKE_UP_MARGIN_MS, nowMs - MAX_CONTACT_AGE_MS);
+    const { nowMs, listing } = context;
+    const isListRecent = listing !== undefined && listing.contactAtMs >= nowMs - MAX_CONTACT_AGE_MS;
+    const onlyVersion = isListRecent ? findOnlyVersion(context, service, nowMs - route.timeoutMs - TAKE_UP_MARGIN_MS) : undefined;
     if (onlyVersion === undefined && untoldId !== undefined) {
         tellOrigins(context, [untoldId]);
     }
--- a/packages/medlarlb-decisions/src/gateway/streams/resolveOrigin.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/resolveOrigin.ts
@@ -21,8 +21,10 @@
     expireOrigins(context);
     const known = requestId === undefined ? undefined : context.streamOrigins.get(requestId);
     const earliestStartMs = arrivedAtMs - route.timeoutMs - TAKE_UP_MARGIN_MS;
-    const onlyVersion = known === undefined ? findOnlyVersion(context, service, earliestStartMs, arrivedAtMs) : undefined;
-    if (known !== undefined || onlyVersion !== undefined) {
+    const onlyVersion = known === undefined ? findOnlyVersion(context, service, earliestStartMs) : undefined;
+    // A version that was listed by the time that the stream began is in the list that is read after its caller has come.
+    const isProved = onlyVersion !== undefined && (context.listing?.provedAtMs ?? Number.NEGATIVE_INFINITY) >= arrivedAtMs;
+    if (known !== undefined || isProved) {
         row.origin = { service: known?.service ?? service, softwareVersion: known === undefined ? onlyVersion : known.softwareVersion };
         const source = known === undefined ? "the only version" : "its beginning";
         logEvent(context, "originFound", { request: callerRequestId, resumes: requestId, ...row.origin, source });
@@ -32,6 +34,10 @@
     if (waitedMs >= MAX_WAIT_MS) {
         return { reason: "nobody knows the software version that began this stream; begin it anew" };
     }
+    if (onlyVersion !== undefined && !row.isListWanted) {
+        row.isListWanted = true;
+        context.commands.push({ kind: "confirmList" });
+    }
     if (requestId !== undefined && waitedMs >= (ASK_TIMES_MS[row.originAsks] ?? Number.POSITIVE_INFINITY)) {
         row.originAsks += 1;
         askForOrigin(context, requestId);
--- a/packages/medlarlb-fakes/src/__tests__/support/createPeerStandIn.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/createPeerStandIn.ts
@@ -5,6 +5,7 @@
 import type { StoreEntry } from "medlarlb-types/storeEntry";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import { createPeerGroup } from "medlarlb-peers/createPeerGroup";
+import type { GatewayMessage } from "medlarlb-peers/gatewayMessage";
 import { findFreePort } from "../../cluster/findFreePort.js";
 
 interface StandInOptions {
@@ -45,5 +46,11 @@
         countBytes: () => undefined,
     });
     await group.start();
-    return { address, close: group.close };
+    return {
+        address,
+        /** Knows another instance of its zone by its address, and sends it a message. */
+        know: (peer: string): void => group.setListed([{ id: peer, role: "daemon", zone: brandAs("a"), address: peer, state: "live" }]),
+        send: (peer: string, message: GatewayMessage): void => group.send(brandAs<InstanceId>(peer), message),
+        close: group.close,
+    };
 };
--- a/packages/medlarlb-fakes/src/peers/createPeerMessages.ts
+++ b/packages/medlarlb-fakes/src/peers/createPeerMessages.ts
@@ -81,8 +81,9 @@
     directory: () => ({ items: [createEntry()], revision: 1 }),
     streamOrigins: () => ({ origins: [{ requestId: "r", service: "s", softwareVersion: "1", keptForMs: 100 }] }),
     originWanted: () => ({ requestId: "r" }),
+    listWanted: () => ({ sequence: 1 }),
     directoryChange: () => ({
-        changes: { after: 0, revision: 1, items: [createEntry()], contactAgeMs: 0, readAgeMs: 1, outageEndedAgoMs: 5, outageBeganAgoMs: 9 },
+        changes: { after: 0, revision: 1, items: [createEntry()], contactAgeMs: 0, readAgeMs: 1, outageEndedAgoMs: 5, outageBeganAgoMs: 9, sequence: 1 },
     }),
     wanted: () => ({ service: "s", model: "m", adapter: "x", targetId: "e1" }),
 });
--- a/packages/medlarlb-peers/src/createDataMessageHandler.ts
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -7,6 +7,7 @@
     "status",
     "directory",
     "directoryChange",
+    "listWanted",
     "digest",
     "news",
     "wanted",
--- a/packages/medlarlb-peers/src/gatewayMessage.ts
+++ b/packages/medlarlb-peers/src/gatewayMessage.ts
@@ -1,4 +1,4 @@
 import type { PeerMessage } from "./peerMessage.js";
 
 /** Messages between gateways, which are the instances that route by the operator's configuration. */
-export type GatewayMessage = Extract<PeerMessage, { kind: "status" | "directory" | "directoryChange" | "pullDirectory" | "digest" | "news" | "wanted" | "observations" | "permitWanted" | "permit" | "streamOrigins" | "originWanted" | "quotaWanted" | "quotaGranted" }>;
+export type GatewayMessage = Extract<PeerMessage, { kind: "status" | "directory" | "directoryChange" | "listWanted" | "pullDirectory" | "digest" | "news" | "wanted" | "observations" | "permitWanted" | "permit" | "streamOrigins" | "originWanted" | "quotaWanted" | "quotaGranted" }>;
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -55,6 +55,8 @@
     | { kind: "originWanted"; requestId: string }
     /** Changes of the platform's store, from the instance that watches it for its zone. */
     | { kind: "directoryChange"; changes: DirectoryRelay }
+    /** Asks the receiver to read the store; `directoryChange` with the same sequence answers. */
+    | { kind: "listWanted"; sequence: number }
     /** Asks a planner for a model or an adapter that a caller waits for. */
     | { kind: "wanted"; service: string; model: string; adapter: string | undefined; targetId: string | undefined }
     | { kind: "decisions"; sequence: number; bootId: string; records: DecisionRecord[]; oldest: number };
--- a/packages/medlarlb-peers/src/schemas/messageSchemas.ts
+++ b/packages/medlarlb-peers/src/schemas/messageSchemas.ts
@@ -51,6 +51,7 @@
     readAgeMs: count.optional(),
     outageEndedAgoMs: count.optional(),
     outageBeganAgoMs: count.optional(),
+    sequence: count.optional(),
 });
 const streamOrigin = z.object({ requestId: id, service: text, softwareVersion: text.optional(), keptForMs: number });
 /** The members of these lists are decoded one by one, so that one that can't be read costs no others. */
@@ -89,6 +90,7 @@
     directory: z.object({ items: z.array(storeEntry), revision: count.optional() }),
     streamOrigins: z.object({ origins: z.array(streamOrigin) }),
     originWanted: z.object({ requestId: id }),
+    listWanted: z.object({ sequence: count }),
     directoryChange: z.object({ changes: directoryRelay }),
     wanted: z.object({ service: text, model: text, adapter: text.optional(), targetId: id.optional() }),
 };
--- a/packages/medlarlb-types/src/directoryRelay.ts
+++ b/packages/medlarlb-types/src/directoryRelay.ts
@@ -14,4 +14,6 @@
     outageEndedAgoMs: number | undefined;
     /** Time in ms since the latest answer before that outage; older instances leave it out. */
     outageBeganAgoMs?: number | undefined;
+    /** Number of the receiver's question that this answers: the sender has read the store since it came. */
+    sequence?: number | undefined;
 }
