--- a/packages/medlarlb-fakes/src/peers/createPeerMessages.ts
+++ b/packages/medlarlb-fakes/src/peers/createPeerMessages.ts
@@ -83,7 +83,16 @@
     originWanted: () => ({ requestId: "r" }),
     listWanted: () => ({ sequence: 1 }),
     directoryChange: () => ({
-        changes: { after: 0, revision: 1, items: [createEntry()], contactAgeMs: 0, readAgeMs: 1, outageEndedAgoMs: 5, outageBeganAgoMs: 9, sequence: 1 },
+        changes: {
+            after: 0,
+            revision: 1,
+            items: [createEntry()],
+            contactAgeMs: 0,
+            readAgeMs: 1,
+            outageEndedAgoMs: 5,
+            outageBeganAgoMs: 9,
+            sequence: 1,
+        },
     }),
     wanted: () => ({ service: "s", model: "m", adapter: "x", targetId: "e1" }),
 });
