Check messages of other instances with zod/mini

Change: zod/mini, whose functions are bundled only where used. The wait that a grant of a quota names may be any number: the receiver takes one below 0 for 0.

--- a/packages/medlarlb-peers/src/schemas/gossipEntrySchema.ts
+++ b/packages/medlarlb-peers/src/schemas/gossipEntrySchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod/mini";
 import { fieldSchemas } from "./fieldSchemas.js";
 import { memberInfoSchema } from "./memberInfoSchema.js";
 import { suspicionSchema } from "./suspicionSchema.js";
@@ -18,8 +18,8 @@
 const valueChecks: ReadonlyMap<string, (name: string, value: unknown) => boolean> = new Map([["member", isMember], ["suspect-member", isSuspicion]]);
 
 /** Schema of a gossip entry. The values under other keys are checked by those that use them. */
-export const gossipEntrySchema = z.object({ key: id, version: count, calm: flag.optional(), value: z.unknown(), zone: text.optional() })
-    .refine(({ key, value }) => {
+export const gossipEntrySchema = z.object({ key: id, version: count, calm: z.optional(flag), value: z.unknown(), zone: z.optional(text) })
+    .check(z.refine(({ key, value }) => {
         const [kind = ""] = key.split("/", 1);
         return valueChecks.get(kind)?.(key.slice(kind.length + 1), value) ?? true;
-    }, { path: ["value"], error: "not what the key names" });
+    }, { path: ["value"], error: "not what the key names" }));
--- a/packages/medlarlb-peers/src/schemas/loadSchemas.ts
+++ b/packages/medlarlb-peers/src/schemas/loadSchemas.ts
@@ -1,6 +1,6 @@
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { LoadDigest } from "medlarlb-types/loadDigest";
-import { z } from "zod";
+import * as z from "zod/mini";
 import { fieldSchemas } from "./fieldSchemas.js";
 
 type Fields = Record<string, unknown>;
--- a/packages/medlarlb-peers/src/schemas/messageSchemas.ts
+++ b/packages/medlarlb-peers/src/schemas/messageSchemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod/mini";
 import type { PeerMessage } from "../peerMessage.js";
 import { fieldSchemas } from "./fieldSchemas.js";
 import { loadSchemas } from "./loadSchemas.js";
@@ -6,15 +6,15 @@
 
 const { amount, count, flag, id, number, text } = fieldSchemas;
 
-const configEntry = z.object({ key: text, value: text.optional(), revision: count });
-const storeEntry = z.object({ key: text, value: text.optional(), revision: count });
+const configEntry = z.object({ key: text, value: z.optional(text), revision: count });
+const storeEntry = z.object({ key: text, value: z.optional(text), revision: count });
 const waiting = z.object({
     service: text,
     model: text,
     requests: amount,
-    urgencies: z.array(z.tuple([amount, amount, amount, amount])).optional(),
+    urgencies: z.optional(z.array(z.tuple([amount, amount, amount, amount]))),
 });
-const used = z.array(z.tuple([text, text, amount])).optional();
+const used = z.optional(z.array(z.tuple([text, text, amount])));
 const status = z.object({
     instanceId: id,
     zone: id,
@@ -23,7 +23,7 @@
     arrivals: z.array(z.object({ service: text, model: text, tokens: amount, requests: amount })),
     waiting: z.array(waiting),
     loads: loadSchemas.status,
-    lent: z.object({ ms: count, sharers: count }).optional(),
+    lent: z.optional(z.object({ ms: count, sharers: count })),
     used,
 });
 const digest = z.object({
@@ -48,18 +48,18 @@
     revision: count,
     items: z.array(storeEntry),
     contactAgeMs: count,
-    readAgeMs: count.optional(),
-    outageEndedAgoMs: count.optional(),
-    outageBeganAgoMs: count.optional(),
-    sequence: count.optional(),
+    readAgeMs: z.optional(count),
+    outageEndedAgoMs: z.optional(count),
+    outageBeganAgoMs: z.optional(count),
+    sequence: z.optional(count),
 });
-const streamOrigin = z.object({ requestId: id, service: text, softwareVersion: text.optional(), keptForMs: number });
+const streamOrigin = z.object({ requestId: id, service: text, softwareVersion: z.optional(text), keptForMs: number });
 /** The members of these lists are decoded one by one, so that one that can't be read costs no others. */
 const members = z.array(z.unknown());
 const probe = z.object({ sequence: count, sender: memberInfoSchema, configRevision: count, rumours: members });
 
 /** Schemas of the messages by kind. Fields that they don't name, as of later versions, are left out. */
-export const messageSchemas: Readonly<Record<PeerMessage["kind"], z.ZodType>> = {
+export const messageSchemas: Readonly<Record<PeerMessage["kind"], z.ZodMiniType>> = {
     hello: z.object({ protocol: number, id, bootId: id, nonce: id }),
     proof: z.object({ mac: text }),
     probe,
@@ -84,13 +84,13 @@
     permitWanted: z.object({ targetId: id }),
     permit: z.object({ answer: z.object({ targetId: id, startedAtMs: number, granted: flag, competing: count }) }),
     quotaWanted: z.object({ sequence: count, wants: z.array(z.tuple([text, amount, amount])) }),
-    quotaGranted: z.object({ sequence: count, grants: z.array(z.tuple([text, amount, amount])) }),
+    quotaGranted: z.object({ sequence: count, grants: z.array(z.tuple([text, amount, number])) }),
     observations: z.object({ reporterZone: id, observations: members }),
-    pullDirectory: z.object({ since: count.optional() }),
-    directory: z.object({ items: z.array(storeEntry), revision: count.optional() }),
+    pullDirectory: z.object({ since: z.optional(count) }),
+    directory: z.object({ items: z.array(storeEntry), revision: z.optional(count) }),
     streamOrigins: z.object({ origins: z.array(streamOrigin) }),
     originWanted: z.object({ requestId: id }),
     listWanted: z.object({ sequence: count }),
     directoryChange: z.object({ changes: directoryRelay }),
-    wanted: z.object({ service: text, model: text, adapter: text.optional(), targetId: id.optional() }),
+    wanted: z.object({ service: text, model: text, adapter: z.optional(text), targetId: z.optional(id) }),
 };
--- a/packages/medlarlb-peers/src/schemas/suspicionSchema.ts
+++ b/packages/medlarlb-peers/src/schemas/suspicionSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod/mini";
 import { fieldSchemas } from "./fieldSchemas.js";
 
 const { count, id } = fieldSchemas;
--- a/packages/medlarlb-peers/src/schemas/targetObservationSchema.ts
+++ b/packages/medlarlb-peers/src/schemas/targetObservationSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod/mini";
 import { fieldSchemas } from "./fieldSchemas.js";
 
 const { id, number } = fieldSchemas;
@@ -9,7 +9,7 @@
 export const targetObservationSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("ended"), ...process, fingerprints: z.array(id) }),
     z.object({ kind: z.literal("alive"), ...process }),
-    z.object({ kind: z.literal("completed"), fingerprint: id, agoMs: z.number().min(0) }),
-    z.object({ kind: z.literal("limit"), ...process, perSecond: z.number().positive().optional() }),
+    z.object({ kind: z.literal("completed"), fingerprint: id, agoMs: z.number().check(z.minimum(0)) }),
+    z.object({ kind: z.literal("limit"), ...process, perSecond: z.optional(z.number().check(z.positive())) }),
     z.object({ kind: z.literal("leaving"), ...process }),
 ]);
