Have an error in an entry or call of the store cost only that (FAULT)

Callers saw: all requests that a process had got no answer, when the handler of one entry of the store threw, or a call to the store rejected. Cause: nobody awaits the loop that follows the store, so that Node ended the process at its rejection; timers of late reports threw out of any try block. Change: each entry is applied on its own. An error is logged as itemFailed (item "store", kind "entry", key, origin); the entry counts as known until it changes, a target as gone, and the others are applied. A call that throws counts as failed, is logged (kind "call") and repeated after the usual pause.

--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -254,4 +254,39 @@
         sync.applyRelay(watcher, { after: 5, revision: 5, items: [], contactAgeMs: 0, outageEndedAgoMs: undefined, readAgeMs: 0 });
         expect(contacts.at(-1)).to.be.within(frozenSinceMs - 1_000, frozenSinceMs);
     });
+
+    // FAULT: the rejection of the loop that follows the store ended the process.
+    it("leaves out an entry whose handler throws an error, uses the others, and follows the store on", async () => {
+        const { change, events, failAt } = createFixture();
+        change({ key: "servers/e1", value: "broken", revision: 6 });
+        change({ key: "servers/e2", value: "whole", revision: 7 });
+        failAt("broken");
+        sync.start();
+        await sleep(50);
+        expect(events).to.deep.equal(["config 1", "failed entry servers/e1: TypeError: a fault in an entry", "e1 gone", "e2 whole"]);
+        change({ key: "servers/e1", value: "mended", revision: 8 });
+        await sleep(1_200);
+        expect(events.slice(4)).to.deep.equal(["e1 mended"]);
+    }).timeout(5_000);
+
+    it("keeps the configuration before one whose handler throws an error, and takes the next", async () => {
+        const { change, events, failAt } = createFixture();
+        failAt("broken");
+        sync.start();
+        await sleep(50);
+        change({ key: "op/config", value: "broken", revision: 6 });
+        await sleep(1_200);
+        change({ key: "op/config", value: "config 3", revision: 7 });
+        await sleep(1_200);
+        expect(events).to.deep.equal(["config 1", "failed entry op/config: TypeError: a fault in an entry", "config 3"]);
+    }).timeout(5_000);
+
+    it("repeats a call to the store that throws an error", async () => {
+        const { calls, events, failCalls } = createFixture();
+        failCalls(1);
+        sync.start();
+        await waitUntil(() => events.includes("config 1"), 3_000);
+        expect(events).to.deep.equal(["failed call undefined: TypeError: a fault in a call", "config 1"]);
+        expect(calls.slice(0, 2)).to.deep.equal(["list", "list"]);
+    }).timeout(5_000);
 });
--- a/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
@@ -26,6 +26,8 @@
     let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
     let reachable = true;
     let hasLongHistory = false;
+    let failingText: string | undefined;
+    let failingCalls = 0;
     let isCompacted = false;
     let listRevision: number | undefined;
     const revision = (): number => Math.max(...items.map(item => item.revision));
@@ -34,6 +36,10 @@
     const store = {
         list: async () => {
             calls.push("list");
+            if (failingCalls > 0) {
+                failingCalls -= 1;
+                throw new TypeError("a fault in a call");
+            }
             const listedRevision = listRevision ?? revision();
             listRevision = undefined;
             return answer({ items, revision: listedRevision });
@@ -52,6 +58,12 @@
             return answer({ items: changed(), revision: revision() });
         },
     } as unknown as MetadataStore;
+    /** Throws an error that nobody has foreseen if a test asks for it. */
+    const failAt = (text: string): void => {
+        if (text === failingText) {
+            throw new TypeError("a fault in an entry");
+        }
+    };
     const role = createWatchRole(self, performance.now());
     role.setOrder([watcher, self], performance.now());
     const sync = createDirectorySync({
@@ -63,8 +75,14 @@
         relay: (changes, to) => (to === undefined ? relays.push(changes) : answers.push({ to, changes })),
         askWatcher: (to, sequence) => questions.push({ to, sequence }),
         handlers: {
-            onConfig: text => events.push(text),
-            onTargetEntry: (id, text) => events.push(`${id} ${text}`),
+            onConfig: text => {
+                failAt(text);
+                events.push(text);
+            },
+            onTargetEntry: (id, text) => {
+                failAt(text);
+                events.push(`${id} ${text}`);
+            },
             onTargetGone: id => events.push(`${id} gone`),
             onBrokenEntry: key => events.push(`${key} broken`),
             onInstances: instances => instanceCounts.push(instances.length),
@@ -77,6 +95,7 @@
             },
             onStoreRestored: () => events.push("store restored"),
             onLeasesLost: () => events.push("leases lost"),
+            onItemFailed: (kind, err, fields) => events.push(`failed ${kind} ${String(fields?.key)}: ${String(err)}`),
             onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
         },
     });
@@ -110,6 +129,14 @@
         setLongHistory: (value: boolean): void => {
             hasLongHistory = value;
         },
+        /** Has the handlers throw an error at an entry with the text. */
+        failAt: (text: string | undefined): void => {
+            failingText = text;
+        },
+        /** Has the next lists of the store reject. */
+        failCalls: (count: number): void => {
+            failingCalls = count;
+        },
         setReachable: (value: boolean): void => {
             reachable = value;
         },
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -8,6 +8,7 @@
 import type { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDelay } from "../shared/createDelay.js";
 import type { DirectoryHandlers } from "./directoryHandlers.js";
+import { createEntryGuard } from "./createEntryGuard.js";
 import { createGroupEntries } from "./createGroupEntries.js";
 import { createListConfirmation } from "./createListConfirmation.js";
 import { createTargetReports } from "./createTargetReports.js";
@@ -76,7 +77,8 @@
         hastenRead: () => (consecutiveFailures === 0 ? pause.end() : undefined),
         onConfirmed: askedAtMs => handlers.onListContact(askedAtMs, true),
     });
-    const targetReports = createTargetReports({ now, targetPrefix, handlers, outageEndedAtMs: outages.endedAtMs });
+    const { guard, ...targetHandlers } = createEntryGuard(targetPrefix, handlers);
+    const targetReports = createTargetReports({ now, targetPrefix, handlers: targetHandlers, outageEndedAtMs: outages.endedAtMs });
     let lastReadAtMs = Number.NEGATIVE_INFINITY;
     /** Times of the check before the last and of the last one. */
     let checkTimesMs: [number, number] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
@@ -96,12 +98,13 @@
         }
         const origin = { ...source, revision: entry.revision };
         if (entry.key === configKey && entry.value !== undefined) {
-            handlers.onConfig(entry.value, origin);
+            const { value } = entry;
+            guard(entry.key, origin, () => handlers.onConfig(value, origin));
         }
         else if (entry.key.startsWith(targetPrefix)) {
             targetReports.report(entry, previous?.value, origin, fromCopy);
         }
-        groupEntries.apply(entry, origin);
+        guard(entry.key, origin, () => groupEntries.apply(entry, origin));
         return entry.key.startsWith(directoryKeys.prefix) && entry.value !== previous?.value;
     };
 
@@ -223,6 +226,18 @@
         }
     };
 
+    /** Returns the time in ms until the next check also after an error, which counts as a failed call. */
+    const followStoreSafely = async (): Promise<number> => {
+        try {
+            return await followStoreOnce();
+        }
+        catch (err) {
+            handlers.onItemFailed("call", err);
+            recordFailure(String(err));
+            return role.retryDelayMs();
+        }
+    };
+
     /** Reads the store once if this instance has to, and returns the time in ms until the next check. */
     const followStoreOnce = async (): Promise<number> => {
         if (revision === undefined || isListNeeded || now() >= relistAtMs) {
@@ -244,7 +259,7 @@
     const followStore = async (): Promise<void> => {
         while (!stopped) {
             noteCheck();
-            const delayMs = await followStoreOnce();
+            const delayMs = await followStoreSafely();
             const isHastened = confirmation.isReadWanted() && consecutiveFailures === 0;
             await pause.wait(isHastened ? Math.max(0, lastReadAtMs + WATCH_PAUSE_MS - now()) : delayMs);
         }
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -4,7 +4,6 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { BootId } from "medlarlb-types/bootId";
 import { brandAs } from "medlarlb-types/brandAs";
-import { describeError } from "medlarlb-types/describeError";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import type { ZoneId } from "medlarlb-types/zoneId";
@@ -31,6 +30,7 @@
 import { createCommandExecutor } from "./createCommandExecutor.js";
 import { createObservationGossip } from "./createObservationGossip.js";
 import { createDirectorySync } from "./createDirectorySync.js";
+import { createFailureReporter } from "./createFailureReporter.js";
 import { createGatewayPlannerLease } from "./createGatewayPlannerLease.js";
 import type { createGatewayMetrics } from "./createGatewayMetrics.js";
 import { createIngressServer } from "./createIngressServer.js";
@@ -71,6 +71,7 @@
         metrics.events.inc({ event });
         log.write(event, fields);
     };
+    const reportFailure = createFailureReporter(logEvent);
     let stopping = false;
     let closing = false;
 
@@ -105,7 +106,7 @@
         now,
         random,
         onCall: callProxy.accept,
-        onError: (kind, err) => logEvent("itemFailed", { item: "caller", kind, ...describeError(err) }),
+        onError: reportFailure("caller"),
         onRejected: (status, reason, request) => {
             metrics.answers.inc({ status, by: "ingress" });
             logEvent("rejected", { request, status, reason, configVersion: config.current()?.version });
@@ -220,6 +221,7 @@
             onListContact: (atMs, isProved) => loop.note({ kind: "listContact", atMs, isProved }),
             onStoreRestored: () => registration.renewNow(),
             onLeasesLost: plannerLease.noteLeasesLost,
+            onItemFailed: reportFailure("store"),
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
@@ -250,14 +252,12 @@
         res.writeHead(config.current() !== undefined && !stopping ? 200 : 503, { "content-length": "0" }).end();
     });
 
-    const reportServerError = (server: string) => (err: Error): void => logEvent("serverError", { server, reason: err.message });
-
     return {
         start: async (): Promise<void> => {
             await Promise.all([
-                listenAt(readiness, settings.readiness.address, reportServerError("readiness")),
-                listenAt(ingress.server, settings.caller.address, reportServerError("caller")),
-                listenAt(metrics.server, settings.metrics.address, reportServerError("metrics")),
+                listenAt(readiness, settings.readiness.address, err => logEvent("serverError", { server: "readiness", reason: err.message })),
+                listenAt(ingress.server, settings.caller.address, err => logEvent("serverError", { server: "caller", reason: err.message })),
+                listenAt(metrics.server, settings.metrics.address, err => logEvent("serverError", { server: "metrics", reason: err.message })),
             ]);
             await peers.start();
             directory.start();
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -23,6 +23,8 @@
      * time before it was read first.
      */
     onLeasesLost: () => void;
+    /** Called when an error costs an entry, whose key is given, or a call to the store. */
+    onItemFailed: (kind: "entry" | "call", err: unknown, fields?: { key: string; origin: EntryOrigin }) => void;
     /** Called when the store becomes reachable or unreachable. */
     onReachabilityChange: (reachable: boolean, reason: string) => void;
 }
