Go on registering after an error, and stop as planned despite one (FAULT)

Callers saw: all requests that a process had got no answer, when a call for its registration in the store threw an error, also inside a planned stop. Cause: nobody awaited the promises of registering, of ending its lease, and, for some seconds, of handing the planner lease over; Node ends the process at such a rejection. A renewal that threw would also have left the registration marked as running, so that renewNow did nothing. Change: they are caught, logged as itemFailed (item "store"), and registering is tried again after the usual pause. The handover at a stop has no test of its own.

--- a/packages/medlarlb-daemon/src/__tests__/createRegistration.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createRegistration.test.ts
@@ -28,10 +28,16 @@
     let wallMs = 5_000_000;
     let losesNextAnswer = false;
     let hasLostLease = false;
+    let throwing: string | undefined;
+    const failures: string[] = [];
     const conflict: StoreError = { kind: "conflict", message: "another revision" };
     const noResponse: StoreError = { kind: "unknown", message: "no answer" };
     const answer = <Value>(call: string, value: Value): Promise<Result<Value, StoreError>> => {
         calls.push(call);
+        if (call === throwing) {
+            throwing = undefined;
+            return Promise.reject(new TypeError(`a fault in ${call}`));
+        }
         return Promise.resolve(Result.ok<Value, StoreError>(value));
     };
     const store = {
@@ -68,6 +74,7 @@
             zone: "z",
             now: () => steadyMs,
             wallNow: () => wallMs,
+            onError: (kind, err) => failures.push(`${kind}: ${String(err)}`),
             onRegistered: (validUntilMs, wasListed) => reports.push({ validForMs: validUntilMs - steadyMs, wasListed }),
         });
         registration.start();
@@ -83,8 +90,13 @@
         entries,
         calls,
         reports,
+        failures,
         start,
         pass,
+        /** Has the next call of a kind reject. */
+        throwAt: (call: string): void => {
+            throwing = call;
+        },
         loseNextAnswer: (): void => {
             losesNextAnswer = true;
         },
@@ -156,4 +168,23 @@
         await stopped;
         expect(calls.at(-1)).to.equal("endLease");
     });
+
+    // FAULT: the rejection, which nobody handled, ended the process.
+    it("goes on when a call throws an error, and registers at the next attempt", async () => {
+        const { start, throwAt, failures, reports } = createFixture();
+        throwAt("grantLease");
+        const registration = await start();
+        expect(failures).to.deep.equal(["registration: TypeError: a fault in grantLease"]);
+        registration.renewNow();
+        await flushPromises();
+        expect(reports).to.deep.equal([{ validForMs: VALID_MS, wasListed: false }]);
+    });
+
+    it("stops when the end of its lease throws an error", async () => {
+        const { start, throwAt, failures } = createFixture();
+        const registration = await start();
+        throwAt("endLease");
+        await registration.stop();
+        expect(failures).to.deep.equal(["registration: TypeError: a fault in endLease"]);
+    });
 });
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -72,6 +72,7 @@
         log.write(event, fields);
     };
     const reportFailure = createFailureReporter(logEvent);
+    const reportStoreFailure = reportFailure("store");
     let stopping = false;
     let closing = false;
 
@@ -89,15 +90,7 @@
     });
     const pool = createConnectionPool({ now, countConnection: () => metrics.connections.inc(), readAnswerId });
     const hasWorkspaces = (): boolean => config.current()?.workspaces !== undefined;
-    const callProxy = createCallProxy({
-        adapter: siteAdapter,
-        pool,
-        metrics,
-        now,
-        push,
-        note: loop.note,
-        hasWorkspaces,
-    });
+    const callProxy = createCallProxy({ adapter: siteAdapter, pool, metrics, now, push, note: loop.note, hasWorkspaces });
     const ingress = createIngressServer({
         adapter: siteAdapter,
         config: () => config.current(),
@@ -221,7 +214,7 @@
             onListContact: (atMs, isProved) => loop.note({ kind: "listContact", atMs, isProved }),
             onStoreRestored: () => registration.renewNow(),
             onLeasesLost: plannerLease.noteLeasesLost,
-            onItemFailed: reportFailure("store"),
+            onItemFailed: reportStoreFailure,
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
@@ -232,6 +225,7 @@
         now,
         wallNow: Date.now,
         onRegistered: (validUntilMs, wasListed) => loop.note({ kind: "registered", validUntilMs, wasListed }),
+        onError: reportStoreFailure,
     });
 
     const { orderMs } = metrics;
@@ -277,7 +271,10 @@
             logEvent("stopping", { open: callProxy.openCount() });
             peers.leave();
             // While the store is unreachable no other instance can acquire the lease, so this one keeps it until it exits.
-            const handedOver = plannerLease.releaseIfReachable();
+            const handedOver = plannerLease.releaseIfReachable().catch((err: unknown) => {
+                reportStoreFailure("plannerLease", err);
+                return false;
+            });
             void registration.stop();
             const graceMs = settings.limits.graceSeconds * MS_PER_SECOND - EXIT_RESERVE_MS;
             await waitUntil(() => false, Math.min(READINESS_DETECTION_MS, graceMs));
@@ -288,7 +285,7 @@
             push({ kind: "stop" });
             await waitUntil(() => callProxy.openCount() === 0, graceMs - (now() - startedAtMs));
             if (!await handedOver) {
-                void plannerLease.release("this instance ends");
+                void plannerLease.release("this instance ends").catch((err: unknown) => reportStoreFailure("plannerLease", err));
             }
             await ingress.endConnections();
             logEvent("stopped", { open: callProxy.openCount(), tookMs: Math.round(now() - startedAtMs) });
--- a/packages/medlarlb-daemon/src/gateway/createRegistration.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRegistration.ts
@@ -12,6 +12,8 @@
     wallNow: () => number;
     /** Called after each registration and renewal with the time until which the entry is certainly in the store's list. */
     onRegistered: (validUntilMs: number, wasListed: boolean) => void;
+    /** Called when an error ends an attempt, which is repeated. */
+    onError: (kind: "registration", err: unknown) => void;
 }
 
 /**
@@ -40,7 +42,7 @@
 };
 
 /** Creates the registration of this instance in the store, through which the other instances discover it. */
-export const createRegistration = ({ store, instanceId, zone, now, wallNow, onRegistered }: RegistrationOptions) => {
+export const createRegistration = ({ store, instanceId, zone, now, wallNow, onRegistered, onError }: RegistrationOptions) => {
     const key = directoryKeys.instance(instanceId);
     let lease: StoreLease | undefined;
     let timer: NodeJS.Timeout | undefined;
@@ -103,10 +105,20 @@
 
     let isRunning = false;
 
+    const tryOnce = async (): Promise<boolean> => {
+        try {
+            return lease === undefined ? await register() : await renew(lease);
+        }
+        catch (err) {
+            onError("registration", err);
+            return false;
+        }
+    };
+
     const registerOrRenew = async (): Promise<void> => {
         clearTimeout(timer);
         isRunning = true;
-        const succeeded = lease === undefined ? await register() : await renew(lease);
+        const succeeded = await tryOnce();
         isRunning = false;
         if (!stopped) {
             timer = setTimeout(() => void registerOrRenew(), succeeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS);
@@ -127,7 +139,7 @@
             stopped = true;
             clearTimeout(timer);
             if (lease !== undefined) {
-                await store.endLease(lease);
+                await store.endLease(lease).catch((err: unknown) => onError("registration", err));
             }
         },
     };
