--- a/packages/medlarlb-daemon/src/__tests__/reportProcessEnd.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/reportProcessEnd.test.ts
@@ -1,4 +1,6 @@
-import { spawnSync } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
+import { once } from "node:events";
+import { closeSync, openSync } from "node:fs";
 import { expect } from "chai";
 
 const FIXTURE = "packages/medlarlb-daemon/src/__tests__/support/endingProcess.ts";
@@ -35,4 +37,20 @@
             expect(lines[1]).to.include({ status: expectedStatus });
         }).timeout(10_000);
     }
+
+    // FAULT: an error of standard output ended the process, and the last lines were tried for ever once it could take none.
+    for (const [end, expectedStatus] of [["late", 4], ["exit", 4], ["thrown", 1]] as const) {
+        it(`doesn't change or hold up the end "${end}" if its device is full`, async () => {
+            const fd = openSync("/dev/full", "w");
+            const child = spawn(process.execPath, ["--import=tsx", FIXTURE, end], { stdio: ["ignore", fd, "ignore"], timeout: 5_000 });
+            closeSync(fd);
+            expect((await once(child, "exit"))[0]).to.equal(expectedStatus);
+        }).timeout(10_000);
+
+        it(`doesn't change or hold up the end "${end}" if its reader has gone`, async () => {
+            const child = spawn(process.execPath, ["--import=tsx", FIXTURE, end], { stdio: ["ignore", "pipe", "ignore"], timeout: 5_000 });
+            child.stdout.destroy();
+            expect((await once(child, "exit"))[0]).to.equal(expectedStatus);
+        }).timeout(10_000);
+    }
 });
--- a/packages/medlarlb-daemon/src/__tests__/support/endingProcess.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/endingProcess.ts
@@ -7,6 +7,11 @@
         throw new RangeError("nothing catches this");
     }),
     rejected: () => void Promise.reject(new TypeError("nobody waits for this")),
+    /** Ends a while after it has logged, so that a line is written before. */
+    late: () => setTimeout(() => {
+        log.write("late", {});
+        process.exit(4);
+    }, 600),
     exit: () => process.exit(4),
     nothingLeft: () => undefined,
 };
