Guard streams that an engine with a copy of the run should continue (WHOLE)

Cause: streams with a copy of their run go on by another path of the decisions (Kv-From) than those of resumable routes, and their routes allow one attempt. Change: continuedRuns.test.ts has a service whose engines answer 204 to it. No change of the code was needed.

--- a/packages/medlarlb-fakes/src/__tests__/continuedRuns.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedRuns.test.ts
@@ -23,7 +23,7 @@
     const store = createMetadataStoreServer();
     const copies = new Set<string>();
     const options = { model: MODEL, eventCount: EVENT_COUNT, eventIntervalMs: EVENT_INTERVAL_MS, reportAgeMs: REPORT_AGE_MS, copies };
-    const services = ["keeping", "dropping", "ending"];
+    const services = ["keeping", "dropping", "ending", "refusing"];
     const engines = services.flatMap(service => [`${service}-1`, `${service}-2`].map(id =>
         ({ service, engine: createCopyingEngineServer({ ...options, id, drops: service !== "keeping" }) })));
     let gateway: Awaited<ReturnType<typeof startGatewayProcess>>;
@@ -32,10 +32,11 @@
     const enginesOf = (service: string) => engines.filter(each => each.service === service).map(each => each.engine);
 
     /** Plays a stream and returns its events, and the time in ms that it took. */
-    const playStream = async (service: string): Promise<{ events: number[]; tookMs: number }> => {
+    const playStream = async (service: string): Promise<{ events: number[]; tookMs: number; isCut: boolean }> => {
         sequence += 1;
         const startedAtMs = performance.now();
         let text = "";
+        let isCut = false;
         try {
             const res = await request(`http://${gateway.caller}/${service}/x`, {
                 method: "POST",
@@ -56,9 +57,10 @@
         }
         catch {
             // A broken connection ends the stream. What has arrived of it stands.
+            isCut = true;
         }
         const events = [...text.matchAll(/id: (\d+)\n/g)].map(match => Number(match[1]));
-        return { events, tookMs: performance.now() - startedAtMs };
+        return { events, tookMs: performance.now() - startedAtMs, isCut };
     };
 
     const playStreams = (service: string): ReturnType<typeof Promise.all<ReturnType<typeof playStream>[]>> =>
@@ -144,4 +146,15 @@
         expect(continued).to.have.length(cut);
         continued.forEach(run => expect(run.startedAtMs - cutAtMs).to.be.below(REPORT_AGE_MS));
     });
+
+    // WHOLE: a stream that had begun ended as whole when the engine with the copy answered 204.
+    it("breaks a stream off when the engine with the copy of its run answers 204", async () => {
+        enginesOf("refusing").forEach(engine => {
+            engine.resetBefore(RESET_BEFORE_EVENT);
+            engine.setContinuesNothing(true);
+        });
+        const streams = await playStreams("refusing");
+        const begun = Array.from({ length: RESET_BEFORE_EVENT - 1 }, (_, index) => index + 1);
+        expect(streams.map(({ events, isCut }) => ({ events, isCut }))).to.deep.equal(streams.map(() => ({ events: begun, isCut: true })));
+    });
 });
--- a/packages/medlarlb-fakes/src/site/createCopyingEngineServer.ts
+++ b/packages/medlarlb-fakes/src/site/createCopyingEngineServer.ts
@@ -28,6 +28,8 @@
     const runs: Run[] = [];
     /** Event before which the connection of a stream is reset. */
     let resetBeforeEvent = Number.POSITIVE_INFINITY;
+    /** Whether the engine answers 204 to what it should continue. */
+    let continuesNothing = false;
 
     const refuse = (res: ServerResponse, status: number, requestId: string): void =>
         void res.writeHead(status, { "x-request-id": requestId, "x-not-run": "1", "x-instance-id": id }).end();
@@ -88,6 +90,9 @@
             else if (copy !== undefined && !copies.has(String(copy))) {
                 refuse(res, 503, requestId);
             }
+            else if (copy !== undefined && continuesNothing) {
+                res.writeHead(204, { "x-request-id": requestId, "x-response-stamp": `stamp-${id}` }).end();
+            }
             else {
                 startRun(req, res, requestId);
             }
@@ -101,6 +106,9 @@
         resetBefore: (event: number | undefined): void => {
             resetBeforeEvent = event ?? Number.POSITIVE_INFINITY;
         },
+        setContinuesNothing: (next: boolean): void => {
+            continuesNothing = next;
+        },
         /** Ends the engine, with all its runs. */
         close: (): void => {
             server.close();
