Tell an instance that starts which targets have left

After the store had come back from an older copy, a process that started sent requests to a server that had left, because the copy lists it still. The running processes know that its entry was gone, and wait 5 s for a sign of life; the new one didn't know, and wasn't told.

Cause: an instance that reads the store first, in a later era, took all entries of targets for proved.

Why it works: the entries that such an instance reads first are held back while it asks up to three others, with the message that pulls the directory, which targets have left. The answer names them with the time since. They wait for the 5 s that they wait at running instances, unless their entry changes; the others are used at once. The process isn't ready meanwhile, which takes until all have answered or 500 ms at most. It happens once in a process, and only in a later era of the store; nothing is sent otherwise.

Open: with no other instance that knows more, such as after a restart of all, the entries are taken as before after those 500 ms.

--- a/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
@@ -96,6 +96,7 @@
             onStoreRestored: () => events.push("store restored"),
             onLeasesLost: () => events.push("leases lost"),
             onItemFailed: (kind, err, fields) => events.push(`failed ${kind} ${String(fields?.key)}: ${String(err)}`),
+            onTargetsHeld: () => sync.endTargetHold(),
             onReachabilityChange: isReachable => events.push(isReachable ? "store back" : "store away"),
         },
     });
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -7,11 +7,15 @@
 import { createStoreOutages } from "medlarlb-decisions/gateway/directory/createStoreOutages";
 import type { createWatchRole } from "medlarlb-decisions/gateway/directory/createWatchRole";
 import { createDelay } from "../shared/createDelay.js";
+import type { DirectoryAnswer } from "./directoryAnswer.js";
 import type { DirectoryHandlers } from "./directoryHandlers.js";
 import { createEntryGuard } from "./createEntryGuard.js";
 import { createGroupEntries } from "./createGroupEntries.js";
 import { createListConfirmation } from "./createListConfirmation.js";
+import { createStoreContact } from "./createStoreContact.js";
 import { createTargetReports } from "./createTargetReports.js";
+import { decodeGoneTargets } from "./decodeGoneTargets.js";
+import { describeChanges } from "./describeChanges.js";
 import { directoryKeys } from "./directoryKeys.js";
 
 type Source = Omit<EntryOrigin, "revision">;
@@ -46,8 +50,6 @@
 const FOLLOWING_CHECK_MS = 150;
 /** Time in ms that a call waits for a change whose answer others wait for. */
 const PROMPT_WATCH_MS = 1;
-/** Number of consecutive failed calls from which the store counts as unreachable. */
-const UNREACHABLE_FAILURES = 2;
 /** Time in ms after the return of an older store within which instances register again. */
 const REGISTRATION_GRACE_MS = 2_500;
 
@@ -66,15 +68,15 @@
     /** Revision of changes that another instance knows, and that this one has to read itself. */
     let neededRevision = 0;
     let stopped = false;
-    let consecutiveFailures = 0;
     const outages = createStoreOutages();
+    const contact = createStoreContact({ now, outages, onChange: handlers.onReachabilityChange });
     const groupEntries = createGroupEntries(handlers.onBrokenEntry);
     const confirmation = createListConfirmation({
         now,
         watcher: () => role.watcher(now()),
         askWatcher,
         // A store that doesn't answer is called no more often.
-        hastenRead: () => (consecutiveFailures === 0 ? pause.end() : undefined),
+        hastenRead: () => (contact.isAnswering() ? pause.end() : undefined),
         onConfirmed: askedAtMs => handlers.onListContact(askedAtMs, true),
     });
     const { guard, ...targetHandlers } = createEntryGuard(targetPrefix, handlers);
@@ -116,29 +118,19 @@
         }
     };
 
-    /** Describes changes that this instance has read itself. It may know later ones from another watcher. */
-    const describeChanges = (after: number, revisionAfter: number, items: StoreEntry[], askedAtMs: number): DirectoryRelay => {
-        const outage = outages.latest();
-        return {
-            after,
-            revision: revisionAfter,
-            items,
-            contactAgeMs: 0,
-            readAgeMs: now() - askedAtMs,
-            outageEndedAgoMs: outage === undefined ? undefined : now() - outage.endedAtMs,
-            outageBeganAgoMs: outage === undefined || !Number.isFinite(outage.beganAtMs) ? undefined : now() - outage.beganAtMs,
-        };
-    };
-
     /** Applies all entries of the store as of a revision. Known entries that they lack were removed. */
     const applyAll = (items: StoreEntry[], listRevision: number, source: Source): void => {
         const era = storeEras.eraOf(listRevision);
         const isRestored = revision !== undefined && era > storeEras.eraOf(revision);
         relistAtMs = Number.POSITIVE_INFINITY;
         // A process that reads the store first in a later era can't know for how long the store has been back.
-        if (isRestored || (revision === undefined && era > 0)) {
+        const isFirstOfLaterEra = revision === undefined && era > 0;
+        if (isRestored || isFirstOfLaterEra) {
             handlers.onLeasesLost();
         }
+        if (isFirstOfLaterEra) {
+            targetReports.hold();
+        }
         if (isRestored) {
             outages.recordEnd(now());
             relistAtMs = now() + REGISTRATION_GRACE_MS;
@@ -150,17 +142,20 @@
         const removed = [...entriesByKey.values()].filter(entry => !isKept(entry.key))
             .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, listRevision) }));
         revision = undefined; // Pages of the list may hold changes of any revision.
-        applyEntries([...items, ...removed], source, isRestored);
+        applyEntries([...items, ...removed], source, isRestored || isFirstOfLaterEra);
         revision = listRevision;
+        if (isFirstOfLaterEra) {
+            handlers.onTargetsHeld();
+        }
     };
 
     const readAll = async (): Promise<boolean> => {
         const askedAtMs = now();
         const list = await store.list("");
         if (list.isErr) {
-            return recordFailure(list.error.message);
+            return contact.recordFailure(list.error.message);
         }
-        recordSuccess();
+        contact.recordSuccess();
         isListNeeded = false;
         if (revision === undefined || list.value.revision >= revision) {
             applyAll(list.value.items, list.value.revision, { source: "list", ageMs: now() - askedAtMs });
@@ -185,40 +180,22 @@
                 // A listing comes in pages, and so has a bound that a long history lacks.
                 isListNeeded = true;
             }
-            return recordFailure(changes.error.message);
+            return contact.recordFailure(changes.error.message);
         }
-        recordSuccess();
+        contact.recordSuccess();
         applyEntries(changes.value.items, { source: "watch", ageMs: now() - askedAtMs });
         revision = Math.max(revision ?? after, changes.value.revision);
         handlers.onListContact(askedAtMs, true);
         outages.recordContact(now());
         if (role.shouldRelay(now())) {
-            relay(describeChanges(after, Math.max(after, changes.value.revision), changes.value.items, askedAtMs));
+            const read = { after, revision: Math.max(after, changes.value.revision), items: changes.value.items, askedAtMs };
+            relay(describeChanges(read, now(), outages.latest()));
         }
-        const known = describeChanges(revision, revision, [], askedAtMs);
+        const known = describeChanges({ after: revision, revision, items: [], askedAtMs }, now(), outages.latest());
         askers.forEach((sequence, id) => relay({ ...known, sequence }, [id]));
         return true;
     };
 
-    const isUnreachable = (): boolean => consecutiveFailures >= UNREACHABLE_FAILURES;
-
-    /** Counts a failed call. */
-    const recordFailure = (reason: string): boolean => {
-        consecutiveFailures += 1;
-        if (consecutiveFailures === UNREACHABLE_FAILURES) {
-            handlers.onReachabilityChange(false, reason);
-        }
-        return false;
-    };
-
-    const recordSuccess = (): void => {
-        if (isUnreachable()) {
-            outages.recordEnd(now());
-            handlers.onReachabilityChange(true, "the store answers again");
-        }
-        consecutiveFailures = 0;
-    };
-
     /** Notes the time of a check. Messages that waited while this process was frozen are handled before the next two checks. */
     const noteCheck = (): void => {
         if (now() - checkTimesMs[1] >= FOLLOWING_CHECK_MS) {
@@ -233,7 +210,7 @@
         }
         catch (err) {
             handlers.onItemFailed("call", err);
-            recordFailure(String(err));
+            contact.recordFailure(String(err));
             return role.retryDelayMs();
         }
     };
@@ -260,29 +237,42 @@
         while (!stopped) {
             noteCheck();
             const delayMs = await followStoreSafely();
-            const isHastened = confirmation.isReadWanted() && consecutiveFailures === 0;
+            const isHastened = confirmation.isReadWanted() && contact.isAnswering();
             await pause.wait(isHastened ? Math.max(0, lastReadAtMs + WATCH_PAUSE_MS - now()) : delayMs);
         }
     };
 
     return {
         start: (): void => void followStore(),
-        /** Returns all entries and their revision, or undefined if no revision after `since` is known. */
-        entriesSince: (since: number | undefined): { items: StoreEntry[]; revision: number | undefined } | undefined => {
+        /**
+         * Returns all entries and their revision, or undefined if no revision after `since` is known. With `withGone`, the answer
+         * always names the targets that have left.
+         */
+        entriesSince: (since: number | undefined, withGone = false): DirectoryAnswer | undefined => {
             const isNews = since === undefined || (revision !== undefined && revision > since);
-            return isNews ? { items: [...entriesByKey.values()], revision } : undefined;
+            const gone = targetReports.listGone();
+            if (isNews) {
+                return { items: [...entriesByKey.values()], revision, gone };
+            }
+            return withGone ? { items: [], revision: undefined, gone } : undefined;
         },
+        isHoldingTargets: targetReports.isHolding,
+        /** Reports the targets that were held back, because all other instances that were asked have answered. */
+        endTargetHold: targetReports.endHold,
         /** Revision of the store up to which all changes are known. */
         revision: (): number | undefined => revision,
         /** Returns whether this instance has to learn the entries from others, since it can't read the store or hasn't yet. */
-        needsPeers: (): boolean => revision === undefined || isUnreachable(),
-        /** Applies the entries that another instance knows, with the revision of the whole if it tells one. */
-        applyPeerEntries: (from: InstanceId, entries: StoreEntry[], peerRevision: number | undefined): void => {
+        needsPeers: (): boolean => revision === undefined || contact.isUnreachable(),
+        /** Applies the entries that another instance knows, with the revision of the whole and the targets that have left, if told. */
+        applyPeerEntries: (from: InstanceId, entries: StoreEntry[], peerRevision: number | undefined, gone?: unknown): void => {
+            if (revision === undefined || targetReports.isHolding()) {
+                targetReports.learnGone(decodeGoneTargets(gone));
+            }
             const source: Source = { source: "peer", from, ageMs: undefined };
             if (revision === undefined && peerRevision === undefined) {
                 applyEntries(entries, source);
             }
-            else if (peerRevision !== undefined && (revision === undefined || (isUnreachable() && peerRevision > revision))) {
+            else if (peerRevision !== undefined && (revision === undefined || (contact.isUnreachable() && peerRevision > revision))) {
                 applyAll(entries, peerRevision, source);
             }
         },
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -28,6 +28,7 @@
 import { createConfigInForce } from "./createConfigInForce.js";
 import { createControlClients } from "./createControlClients.js";
 import { createCommandExecutor } from "./createCommandExecutor.js";
+import { createGoneTargetQuery } from "./createGoneTargetQuery.js";
 import { createObservationGossip } from "./createObservationGossip.js";
 import { createDirectorySync } from "./createDirectorySync.js";
 import { createFailureReporter } from "./createFailureReporter.js";
@@ -108,16 +109,15 @@
             }
         },
     });
-
     const seeds = parseSeeds(settings.peer.seeds, seed => logEvent("seedBroken", { seed, reason: "it is not an IP number and a port" }));
+    const knownPeers = (): InstanceId[] =>
+        [...new Set([...seeds, ...[...peers.alive(), ...listedInstances].map(each => each.id as InstanceId)])]
+            .filter(id => id !== instanceId);
     const config = createConfigInForce({
         decode: decodeRoutingConfig,
         now,
         random,
-        knownPeers: () => {
-            const ids = [...seeds, ...peers.alive().map(each => each.id), ...listedInstances.map(each => each.id as InstanceId)];
-            return [...new Set(ids)].filter(id => id !== instanceId);
-        },
+        knownPeers,
         request: (id, sinceVersion) => peers.requestConfig(id, id, sinceVersion),
         onApplied: (applied, origin) => {
             ingress.applyLimits(applied);
@@ -139,12 +139,17 @@
         // Instances exchange gossip with the planner of their zone, and planners with each other.
         hubs: () => [...planners].filter(([name]) => name === zone || planners.get(zone) === instanceId).map(([, id]) => id),
         configSince: config.since,
-        directorySince: since => directory.entriesSince(since),
+        directorySince: (since, withGone) => directory.entriesSince(since, withGone),
         onConfig: config.receive,
         onGossip: entry => observationGossip.receive(entry),
         onMembers: () => pushInstances(),
         onDemand: () => undefined,
-        onGatewayMessage: createMessageHandler({ directory: () => directory, push, logEvent }),
+        onGatewayMessage: createMessageHandler({
+            directory: () => directory,
+            recordGoneTargets: from => goneTargets.recordAnswer(from),
+            push,
+            logEvent,
+        }),
         decisionsAfter: () => ({ records: [], oldest: 0 }),
         onBroken: reportBrokenMessage,
         onClosed: reason => logEvent("peerClosed", { reason }),
@@ -213,11 +218,13 @@
             },
             onListContact: (atMs, isProved) => loop.note({ kind: "listContact", atMs, isProved }),
             onStoreRestored: () => registration.renewNow(),
+            onTargetsHeld: () => goneTargets.ask(directory.revision()),
             onLeasesLost: plannerLease.noteLeasesLost,
             onItemFailed: reportStoreFailure,
             onReachabilityChange: (reachable, reason) => logEvent("storeContact", { reachable, reason }),
         },
     });
+    const goneTargets = createGoneTargetQuery({ peers, knownPeers, random, onDone: directory.endTargetHold });
     const registration = createRegistration({
         store,
         instanceId,
@@ -243,7 +250,8 @@
     });
 
     const readiness = createServer((_req, res) => {
-        res.writeHead(config.current() !== undefined && !stopping ? 200 : 503, { "content-length": "0" }).end();
+        const isReady = !stopping && config.current() !== undefined && !directory.isHoldingTargets();
+        res.writeHead(isReady ? 200 : 503, { "content-length": "0" }).end();
     });
 
     return {
--- a/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
+++ b/packages/medlarlb-daemon/src/gateway/directoryHandlers.ts
@@ -18,6 +18,11 @@
     onPlanners: (planners: Map<ZoneId, StoredPlanner>) => void;
     /** Called when the store is found to have come back from an older copy, before its entries are reported. */
     onStoreRestored: () => void;
+    /**
+     * Called when targets are held back until other instances have told which of them have left: the store's entries, which were read
+     * first, may come from an older copy.
+     */
+    onTargetsHeld: () => void;
     /**
      * Called when the store may have lost leases up to now: it is found to have come back from an older copy, or had done so at some
      * time before it was read first.
--- a/packages/medlarlb-peers/src/createDataMessageHandler.ts
+++ b/packages/medlarlb-peers/src/createDataMessageHandler.ts
@@ -39,7 +39,7 @@
                 options.onDemand(message.counts);
                 break;
             case "pullDirectory": {
-                const directory = options.directorySince?.(message.since);
+                const directory = options.directorySince?.(message.since, message.withGone === true);
                 if (directory !== undefined) {
                     reply({ kind: "directory", ...directory });
                 }
--- a/packages/medlarlb-peers/src/peerGroupOptions.ts
+++ b/packages/medlarlb-peers/src/peerGroupOptions.ts
@@ -1,7 +1,6 @@
 import type { ConfigEntry } from "medlarlb-types/configEntry";
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
 import type { DemandCount } from "medlarlb-types/demandCount";
-import type { StoreEntry } from "medlarlb-types/storeEntry";
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { GatewayMessage } from "./gatewayMessage.js";
 import type { MemberInfo } from "./memberInfo.js";
@@ -29,9 +28,9 @@
     onGatewayMessage?: (message: GatewayMessage, from: InstanceId) => void;
     /**
      * Returns the entries of the platform's store that this instance knows, for instances that can't reach the store, or undefined
-     * if it knows no revision after `since`.
+     * if it knows no revision after `since`. With `withGone`, it always returns the targets that have left.
      */
-    directorySince?: (since: number | undefined) => { items: StoreEntry[]; revision: number | undefined } | undefined;
+    directorySince?: (since: number | undefined, withGone: boolean) => Omit<Extract<GatewayMessage, { kind: "directory" }>, "kind"> | undefined;
     decisionsAfter: (sequence: number) => { records: DecisionRecord[]; oldest: number };
     /** Called with a message that can't be read, or only in part, once for each kind and connection. */
     onBroken: (from: InstanceId, kind: string, reason: string) => void;
--- a/packages/medlarlb-peers/src/peerMessage.ts
+++ b/packages/medlarlb-peers/src/peerMessage.ts
@@ -3,6 +3,7 @@
 import type { DemandCount } from "medlarlb-types/demandCount";
 import type { DirectoryRelay } from "medlarlb-types/directoryRelay";
 import type { DecisionRecord } from "medlarlb-types/decisionRecord";
+import type { GoneTarget } from "medlarlb-types/goneTarget";
 import type { InstanceStatus } from "medlarlb-types/instanceStatus";
 import type { StoreEntry } from "medlarlb-types/storeEntry";
 import type { LoadDigest } from "medlarlb-types/loadDigest";
@@ -46,10 +47,11 @@
     | { kind: "observations"; reporterZone: ZoneId; observations: TargetObservation[] }
     /**
      * Asks for the entries of the platform's store that the receiver knows, which `directory` answers, unless it knows no revision
-     * after `since`. Entries without a revision of the whole are those of an instance that hasn't read the store, or is older.
+     * after `since`. Entries without a revision of the whole are those of an instance that hasn't read the store, or is older. With
+     * `withGone`, the answer always comes and names the targets that have left.
      */
-    | { kind: "pullDirectory"; since?: number | undefined }
-    | { kind: "directory"; items: StoreEntry[]; revision?: number | undefined }
+    | { kind: "pullDirectory"; since?: number | undefined; withGone?: boolean }
+    | { kind: "directory"; items: StoreEntry[]; revision?: number | undefined; gone?: GoneTarget[] }
     /** Who began streams that their callers may take up at any instance, and the question for it. */
     | { kind: "streamOrigins"; origins: StreamOrigin[] }
     | { kind: "originWanted"; requestId: string }
