Read the ids of a stream without ids once a block

Cause: the record of what a caller has listed the events of each block again while no id was known, and lastId read each event of a block without ids. Change: the first id is read once; a block without "id:" isn't searched.

--- a/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
+++ b/packages/medlarlb-daemon/src/gateway/createAnswerRelay.ts
@@ -121,15 +121,15 @@
 
     const relayEvents = (chunk: Buffer): boolean => {
         const block = splitter.push(chunk);
-        const events = block === undefined ? block : skipRepeated(block);
-        if (events === undefined || events.length === 0 || !beginAnswer()) {
+        const rest = block === undefined ? block : skipRepeated(block);
+        if (rest === undefined || rest.length === 0 || !beginAnswer()) {
             return true;
         }
         if (!res.headersSent) {
             progress.begin(readMediaType(head().headers));
         }
-        progress.record(splitter.count(events), splitter.lastId(events), () => splitter.list(events)[0]?.id);
-        return writer.writeChunk(head(), events);
+        progress.record(splitter.count(rest), splitter.lastId(rest), () => splitter.list(rest).find(each => each.id !== undefined)?.id);
+        return writer.writeChunk(head(), rest);
     };
 
     const isFromOtherTarget = (): boolean => answerHeaders?.targetId !== undefined && answerHeaders.targetId !== targetId;
--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -4,6 +4,7 @@
 const MAX_EVENT_BYTES = 1_048_576;
 const LINE_FEED = 10;
 const BLANK_LINE = Buffer.from("\n\n");
+const ID_NAME = Buffer.from("id:");
 const ID_FIELD = /^id: ?(.*)$/m;
 
 interface StreamEvent {
@@ -65,7 +66,7 @@
         /** Returns the id of the last event of a block that has one. */
         lastId: (block: Buffer): string | undefined => {
             let id: string | undefined;
-            for (let end = block.length; end > 0 && id === undefined;) {
+            for (let end = block.includes(ID_NAME) ? block.length : 0; end > 0 && id === undefined;) {
                 const previous = end > BLANK_LINE.length ? block.lastIndexOf(BLANK_LINE, end - BLANK_LINE.length - 1) : -1;
                 const start = previous < 0 ? 0 : previous + BLANK_LINE.length;
                 id = readId(block.subarray(start, end));
--- a/packages/medlarlb-daemon/src/gateway/createStreamProgress.ts
+++ b/packages/medlarlb-daemon/src/gateway/createStreamProgress.ts
@@ -10,6 +10,7 @@
 export const createStreamProgress = (takenUpAfterId: string | undefined) => {
     let lastId = takenUpAfterId;
     let firstNumber: number | undefined;
+    let hasId = false;
     let eventCount = 0;
     let mediaType: string | undefined;
 
@@ -26,8 +27,11 @@
         /** Records that the caller gets further events. */
         record: (count: number, latestId: string | undefined, readFirstId: () => string | undefined): void => {
             eventCount += count;
-            firstNumber ??= parseId(readFirstId());
             lastId = latestId ?? lastId;
+            if (!hasId && latestId !== undefined) {
+                hasId = true;
+                firstNumber = parseId(readFirstId());
+            }
         },
         /** Returns the id of the last event that the caller has. */
         lastId: (): string | undefined => lastId,
