--- a/packages/medlarlb-daemon/src/__tests__/reportProcessEnd.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/reportProcessEnd.test.ts
@@ -53,4 +53,11 @@
             expect((await once(child, "exit"))[0]).to.equal(expectedStatus);
         }).timeout(10_000);
     }
+
+    it("doesn't hold up the end of a process if nobody reads from its pipe, which is full", async () => {
+        const child = spawn(process.execPath, ["--import=tsx", FIXTURE, "flooded"], { stdio: ["ignore", "pipe", "ignore"], timeout: 5_000 });
+        child.stdout.pause();
+        expect((await once(child, "exit"))[0]).to.equal(4);
+        child.stdout.destroy();
+    }).timeout(10_000);
 });
