Play releases beside instances that are out of step in random histories (ORDER)

Instances read a virtual store, whose calls and answers are late, and lose it, each other or both for up to 5 s, stand still, or restart, while targets of a new version join; one caller in five names no beginning. Messages of others always state that the list is as new, as they do when they are held up. The virtual targets move to a file of their own; nothing else changes in the histories there were.

--- a/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualStreams.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/support/createVirtualStreams.ts
@@ -2,11 +2,12 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { brandAs } from "medlarlb-types/brandAs";
 import type { RequestId } from "medlarlb-types/requestId";
-import type { TargetEntry } from "medlarlb-types/targetEntry";
 import type { GatewayCommand } from "../../gatewayCommand.js";
 import type { GatewayInput } from "../../gatewayInput.js";
 import { createServiceCall } from "./createServiceCall.js";
 import { createVirtualClock } from "./createVirtualClock.js";
+import { createVirtualStore } from "./createVirtualStore.js";
+import { createVirtualStreamTargets } from "./createVirtualStreamTargets.js";
 import { createVirtualInstance } from "./createVirtualInstance.js";
 import { describeGroup } from "./describeGroup.js";
 import { joinGroup } from "./joinGroup.js";
@@ -20,6 +21,10 @@
     instances: number;
     targets: number;
     zones: number;
+    /** Version of each target at first; of two versions by default. Undefined for one that joins later. */
+    versionOf?: (index: number) => string | undefined;
+    /** Whether instances read the targets' entries from a store, which they may lose; else all hear of each within a time. */
+    hasStore?: boolean;
 }
 
 const DELAY_MS = 2;
@@ -30,6 +35,8 @@
 /** Largest delay in ms of a message between instances, and of an entry on its way to an instance. */
 const MAX_MESSAGE_MS = 120;
 const MAX_ENTRY_MS = 500;
+/** Part of the callers that name no beginning of the stream that they take up. */
+const UNNAMED_RATIO = 0.2;
 /** Time in ms for which a target that has started again has no model, and refuses. */
 const LOADING_MS = 650;
 const ROUTE = { kind: "streaming", resumable: true, maxAttempts: 3, timeoutMs: 8_000, latencyTargetMs: 800 } as const;
@@ -38,33 +45,23 @@
  * Simulates callers of streams that instances pass on from targets of several software versions, over virtual time: targets start
  * again at other versions, instances restart, pause and are cut off, messages are late, and callers take streams up anywhere.
  */
-export const createVirtualStreams = ({ seed, instances: instanceCount, targets: targetCount, zones }: StreamsOptions) => {
+export const createVirtualStreams = (options: StreamsOptions) => {
+    const { seed, instances: instanceCount, targets: targetCount, zones, hasStore = false } = options;
+    const { versionOf = (index: number): string => (index % 2 === 0 ? "v1" : "v2") } = options;
     const generator = xoroshiro128plus(seed);
     const random = (): number => uniformFloat64(generator);
+    const travelMs = (): number => DELAY_MS + random() ** 4 * MAX_MESSAGE_MS;
     const pick = (count: number): number => Math.floor(random() * count);
     const { now, at, after, run } = createVirtualClock();
     const streams: VirtualStream[] = [];
     const openCalls = new Map<string, VirtualStreamCall>();
     let sequence = 0;
 
-    const targets = Array.from({ length: targetCount }, (_, index) =>
-        ({ index, version: index % 2 === 0 ? "v1" : "v2", starts: 0, isUp: true, upSinceMs: Number.NEGATIVE_INFINITY, runs: new Set<VirtualStreamRun>() }));
-    type Target = (typeof targets)[number];
-
-    const entryOf = ({ index, version, starts }: Target): TargetEntry => ({
-        targetId: brandAs(`t${index}`),
-        service: "app",
-        address: `10.0.0.${index}:80`,
-        zone: brandAs(`z${index % zones}`),
-        softwareVersion: version,
-        slots: 64,
-        leaving: false,
-        startedAtMs: starts,
-        remainingMs: undefined,
-        models: [],
-        inMemory: [],
-        onDisk: [],
+    const { targets, entryOf, startRun, restartTarget, joinTarget, resetConnections } = createVirtualStreamTargets({
+        ...{ count: targetCount, zones, versionOf, eventMs: EVENT_MS, random, now, after },
+        onStarted: target => publishEntry(target),
     });
+    type Target = (typeof targets)[number];
 
     const createInstance = (index: number, boot: number): VirtualServiceInstance => createVirtualInstance(index, boot, zones, random);
     const instances = Array.from({ length: instanceCount }, (_, index) => createInstance(index, 0));
@@ -75,7 +72,8 @@
         if (instance.isPaused) {
             return;
         }
-        const inputs: GatewayInput[] = [...instance.inputs.splice(0), { kind: "listContact", atMs: now(), isProved: true }];
+        // With a store, the messages of others always state that the list is as new, however long they were on their way.
+        const inputs: GatewayInput[] = [...instance.inputs.splice(0), { kind: "listContact", atMs: now(), isProved: !hasStore }];
         instance.decisions.step(now(), inputs).forEach(command => execute(instance, command));
         const nextAtMs = instance.decisions.nextStepAtMs();
         const { boot } = instance;
@@ -108,7 +106,7 @@
         const receiver = instances.find(each => each.settings.instanceId === id);
         if (receiver !== undefined && !receiver.isCut && !from.isCut) {
             const { boot } = receiver;
-            after(DELAY_MS + random() ** 4 * MAX_MESSAGE_MS, () => !receiver.isCut && reach(receiver, boot, () => give(receiver, input)));
+            after(travelMs(), () => !receiver.isCut && reach(receiver, boot, () => give(receiver, input)));
         }
     });
 
@@ -119,15 +117,15 @@
             && reach(instance, boot, () => give(instance, { kind: "target", entry })));
     };
 
-    const startRun = (target: Target, firstEvent: number, each: VirtualStreamRun): void => {
-        target.runs.add(each);
-        const sendEvent = (index: number): void => {
-            if (each.isOpen && target.runs.has(each)) {
-                each.onEvent(target.version, index);
-                after(EVENT_MS, () => sendEvent(index + 1));
-            }
-        };
-        after(20 + random() * 60, () => sendEvent(firstEvent));
+    const store = createVirtualStore({ entries: targets.filter(each => each.isUp).map(entryOf), now, after, travelMs, reach, give });
+
+    const publishEntry = (target: Target): void => {
+        if (!hasStore) {
+            instances.forEach(each => tellEntry(each, target));
+            return;
+        }
+        const entry = entryOf(target);
+        after(random() * MAX_ENTRY_MS, () => target.starts === entry.startedAtMs && store.write(entry));
     };
 
     const send = (from: VirtualServiceInstance, { callId, attempt, targetId }: Extract<GatewayCommand, { kind: "send" }>): void => {
@@ -189,6 +187,11 @@
             case "askOrigin":
                 deliver(from, command.to, { kind: "originWanted", from: from.settings.instanceId, requestId: command.requestId });
                 break;
+            case "confirmList":
+                if (hasStore) {
+                    store.read(from);
+                }
+                break;
             default:
         }
     };
@@ -218,7 +221,8 @@
             }
         };
         openCalls.set(callId, { stream, attempt, latest: 0, end });
-        const resumedStream = stream.firstId === undefined ? undefined : { requestId: stream.firstId };
+        const isUnnamed = hasStore && random() < UNNAMED_RATIO;
+        const resumedStream = stream.firstId === undefined ? undefined : { requestId: isUnnamed ? undefined : stream.firstId };
         const { boot } = instance;
         after(DELAY_MS, () => reach(instance, boot, () =>
             give(instance, { kind: "call", metadata: { ...createServiceCall(callId, callId, now(), ROUTE), resumedStream } })));
@@ -238,10 +242,16 @@
     };
 
     const introduce = (instance: VirtualServiceInstance): void => {
+        if (hasStore) {
+            store.begin(instance);
+            give(instance, describeGroup(instances, instance, new Map()));
+            return;
+        }
         give(instance, ...targets.filter(each => each.isUp).map(each => ({ kind: "target" as const, entry: entryOf(each) })), describeGroup(instances, instance, new Map()));
     };
     instances.forEach(each => joinGroup(each.decisions, describeGroup(instances, each, new Map()), now()));
     instances.forEach(introduce);
+    instances.forEach(each => hasStore && store.readRegularly(each));
 
     const disturb = (index: number, action: (instance: VirtualServiceInstance) => void): void => {
         const instance = instances[index];
@@ -262,25 +272,9 @@
             streams.push(stream);
             attemptStream(stream);
         },
-        /** Ends a target, which starts again under its id and address, perhaps at another version. */
-        restartTarget: (index: number, version: string, downMs: number): void => {
-            const target = targets[index];
-            if (target?.isUp !== true) {
-                return;
-            }
-            Object.assign(target, { isUp: false });
-            target.runs.forEach(each => each.isOpen && each.onCut());
-            target.runs.clear();
-            after(downMs, () => {
-                Object.assign(target, { isUp: true, version, starts: target.starts + 1, upSinceMs: now() });
-                instances.forEach(each => tellEntry(each, target));
-            });
-        },
-        resetConnections: (index: number): void => {
-            const target = targets[index];
-            target?.runs.forEach(each => each.isOpen && each.onCut());
-            target?.runs.clear();
-        },
+        restartTarget,
+        joinTarget,
+        resetConnections,
         restart: (index: number, downMs: number): void => disturb(index, instance => {
             const broken = [...openCalls].filter(([, { attempt }]) => attempt.instance === index);
             Object.assign(instance, { ...createInstance(index, instance.boot + 1), isPaused: true, disturbedAtMs: now() + downMs });
@@ -310,6 +304,11 @@
                 }
             });
         }),
+        /** Cuts an instance off from the store. */
+        cutStore: (index: number, durationMs: number): void => disturb(index, instance => {
+            instance.disturbedAtMs = Math.max(instance.disturbedAtMs, now() + durationMs);
+            store.cut(index, durationMs);
+        }),
         cut: (index: number, durationMs: number): void => disturb(index, instance => {
             Object.assign(instance, { isCut: true, disturbedAtMs: now() + durationMs });
             after(durationMs, () => Object.assign(instance, { isCut: false }));
