Break the guards of continued streams and of the proved version on purpose

Cause: four of the breaks named code that has moved, and the new guards had none. One was not caught: no test had a list that was read before a take-up only; streamOrigins.test.ts has that case now.

--- a/admin/restoredMutations.mjs
+++ b/admin/restoredMutations.mjs
@@ -61,15 +61,15 @@
     {
         invariant: "restored store: an instance that is cut off takes no entries from others",
         file: `${DAEMON}/gateway/createDirectorySync.ts`,
-        from: "(isUnreachable() && peerRevision > revision)",
-        to: "(isUnreachable() && peerRevision < 0)",
+        from: "(contact.isUnreachable() && peerRevision > revision)",
+        to: "(contact.isUnreachable() && peerRevision < 0)",
         check: FROM_PEERS_TEST,
     },
     {
         invariant: "restored store: an instance that is cut off takes entries from others that are older than its own",
         file: `${DAEMON}/gateway/createDirectorySync.ts`,
-        from: "(isUnreachable() && peerRevision > revision)",
-        to: "isUnreachable()",
+        from: "(contact.isUnreachable() && peerRevision > revision)",
+        to: "contact.isUnreachable()",
         check: FROM_PEERS_TEST,
     },
     {
--- a/admin/retryMutations.mjs
+++ b/admin/retryMutations.mjs
@@ -50,8 +50,8 @@
     {
         invariant: "gateway, shared retry budget: the list counts as seen when the store's answer arrives",
         file: "packages/medlarlb-daemon/src/gateway/createDirectorySync.ts",
-        from: "handlers.onListContact(askedAtMs);",
-        to: "handlers.onListContact(now());",
+        from: "handlers.onListContact(askedAtMs, true);\n        outages",
+        to: "handlers.onListContact(now(), true);\n        outages",
         check: DIRECTORY_TEST,
     },
     {
--- a/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
+++ b/packages/medlarlb-decisions/src/gateway/__tests__/streamOrigins.test.ts
@@ -125,7 +125,14 @@
         expect(listTargets([...replaced.step(replaced.createCall(true)), ...replaced.wait(100)]), "once that is long ago").to.deep.equal(["t0"]);
     });
 
-    // ORDER: an instance that had just started took the only version that it had seen for that of a stream begun before its start.
+    it("is refused without a word of its beginning if the list was read before it came, and not since", () => {
+        const { step, wait, createCall } = createInstance(["v1", "v1"]);
+        wait(1_000);
+        const commands = [...step(createCall(true)), ...wait(900, true)];
+        expect([listTargets(commands), listReasons(commands).length]).to.deep.equal([[], 1]);
+    });
+
+    // ORDER: a message that was held up on the way counted as the list of now.
     it("is refused without a word of its beginning if messages alone say that the list is as new, and has the list confirmed once", () => {
         const { step, wait, createCall } = createInstance(["v1", "v1"]);
         const commands = [...step(createCall(true)), ...wait(900, false, false)];
@@ -141,6 +148,7 @@
         }
     });
 
+    // ORDER: an instance that had just started took the only version that it had seen for that of a stream begun before its start.
     it("is refused without a word of its beginning while the list has been known for a shorter time than its caller may wait", () => {
         const { step, wait, createCall } = createInstance(["v1", "v1"]);
         // After such a gap, the list counts as known from the next contact on, as after a start.
