--- a/packages/medlarlb-peers/src/decodeList.ts
+++ b/packages/medlarlb-peers/src/decodeList.ts
@@ -1,13 +1,11 @@
-import type * as z from "zod/mini";
-import { describeFault } from "./describeFault.js";
+import type { Check } from "./checks/check.js";
 
-/** Decodes the members of a list. Those that can't be read are left out, and `onBroken` is called with the reason. */
-export const decodeList = <Member>(list: readonly unknown[], schema: z.ZodMiniType<Member>, onBroken: (reason: string) => void): Member[] =>
-    list.flatMap(member => {
-        const decoded = schema.safeParse(member);
-        if (decoded.success) {
-            return [decoded.data];
+/** Returns the members of a list that can be read. `onBroken` is called with the path of each other one's fault. */
+export const decodeList = (list: readonly unknown[], check: Check, onBroken: (path: string) => void): unknown[] =>
+    list.filter(member => {
+        const fault = check(member, "entry");
+        if (fault !== undefined) {
+            onBroken(fault);
         }
-        onBroken(describeFault(decoded.error));
-        return [];
+        return fault === undefined;
     });
