Bundle the gateway without import(), which slowed all of its code down

Cause: since the signal handlers, the entry loaded the rest by import(). In one file, the bundler then wraps each of 461 modules in a function, so that their constants become variables of an outer scope.

--- a/admin/bundleGateway.mjs
+++ b/admin/bundleGateway.mjs
@@ -2,7 +2,7 @@
 import { build } from "esbuild";
 
 await build({
-    entryPoints: ["packages/medlarlb-daemon/src/gatewayMain.ts"],
+    entryPoints: ["packages/medlarlb-daemon/src/bundledGatewayMain.ts"],
     outfile: "target/medlarlb-gateway.cjs",
     bundle: true,
     platform: "node",
