--- a/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
+++ b/packages/medlarlb-fakes/src/__tests__/support/startGatewayProcess.ts
@@ -49,7 +49,11 @@
             throw new Error(`an item of a gateway process has failed: ${line}`);
         }
     });
+    const hasEnded = (): boolean => (child.exitCode ?? child.signalCode ?? undefined) !== undefined;
     await waitFor("the gateway is ready, or listens", async () => {
+        if (hasEnded()) {
+            throw new Error(`the gateway has ended before it was ready: ${JSON.stringify(log.at(-1))}`);
+        }
         const res = await request(`http://${addresses.readiness}/`).catch(() => undefined);
         await res?.body.dump();
         return res?.statusCode === 200 || (res !== undefined && !awaitReady);
@@ -57,7 +61,7 @@
     return {
         ...addresses,
         log,
-        hasEnded: (): boolean => (child.exitCode ?? child.signalCode ?? undefined) !== undefined,
+        hasEnded,
         /** Freezes the process until it is resumed, as if its machine stood still. */
         freeze: (): void => void child.kill("SIGSTOP"),
         resume: (): void => void child.kill("SIGCONT"),
