Start the draining engine of a test anew, in place of taking back its draining

Cause: the test "whose entry in the store says that it is draining", further up in the file, put the same start of e1 back as ready. With only these two tests the later one fails; with any of the other parts of the file it passes.

Change: the test puts e1 back as a new start (another `born`), as the platform does, and also asks that this start is used.

--- a/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/gateway.test.ts
@@ -33,9 +33,9 @@
     let peer = "";
     let sequence = 0;
 
-    /** Writes the entry of an engine into the metadata store. */
-    const registerEngine = (id: string, address: string, state = "ready", service = "s"): void =>
-        store.put(`servers/${id}`, JSON.stringify({ service, address, zone: "a", version: "v1", slots: 8, state, models: [], seq: 1 }));
+    /** Writes the entry of an engine into the metadata store. `born` tells one start of it from another. */
+    const registerEngine = (id: string, address: string, state = "ready", service = "s", born = 1): void =>
+        store.put(`servers/${id}`, JSON.stringify({ service, address, zone: "a", version: "v1", slots: 8, state, models: [], seq: 1, born }));
 
     /** Starts a gateway on free ports and waits until it reaches an engine. Without `readLog` its output pipe is left to fill up. */
     const startGateway = async (readLog: boolean): Promise<void> => {
@@ -182,12 +182,12 @@
         engines[0]?.runs.splice(0);
         await Promise.all(Array.from({ length: 10 }, () => sendRequest("GET", "/safe/x")));
         expect(engines[0]?.runs).to.deep.equal([]);
-        registerEngine("e1", address);
+        registerEngine("e1", address, "ready", "s", 2);
+        await waitFor("a new start of e1 answers, while one that leaves stays out", async () => (await sendRequest("GET", "/safe/x")).text === "answer of e1");
     });
 
     it("serves its counters in text form at /metrics", async () => {
-        const text = await (await request(`http://${metrics}/metrics`)).body.text();
-        expect(text).to.match(/medlarlb_answers_total\{status="200",by="target"\} \d+/);
+        expect(await (await request(`http://${metrics}/metrics`)).body.text()).to.match(/medlarlb_answers_total\{status="200",by="target"\} \d+/);
     });
 
     /** Starts another gateway on free ports. Without a store address it can't reach the store. */
