Split events at carriage returns and line feeds alike (FAULT)

Seen: a stream with one event of other line ends broke off after it, and its caller got the next event twice, in a stream that ended as whole: an event with carriage returns and the one after it counted as one event with the first id. Streams with carriage returns throughout were held back until their end and then answered 502. A whole stream that its engine ended with a further line feed broke off.

Cause: createSseSplitter knew two line feeds as the only end of an event. A lone line feed after an event counted as the beginning of another one.

Change: an event ends at a blank line in any of the three line ends of server-sent events; parts without a carriage return take the former path. Further line ends after an event are passed on at once and belong to no event.

--- a/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
@@ -22,6 +22,44 @@
         }
     });
 
+    const lineEnds = { "line feeds": "\n", "carriage returns": "\r", "both": "\r\n" };
+    for (const [first, firstEnd] of Object.entries(lineEnds)) {
+        for (const [second, secondEnd] of Object.entries(lineEnds)) {
+            // Events of other line ends were taken for one event, and callers got the last one twice after a break.
+            it(`splits events with ${first} that are followed by events with ${second}, at each byte`, () => {
+                const events = [firstEnd, secondEnd, firstEnd, secondEnd].map((end, index) => `data: ${index}${end}id: ${index}${end}${end}`);
+                const text = events.join("");
+                // An event ends at a carriage return, also if a line feed follows.
+                const endsAt = events.map((event, index) => events.slice(0, index + 1).join("").length - (event.endsWith("\r\n") ? 1 : 0));
+                for (let size = 1; size <= text.length; size += 1) {
+                    const splitter = createSseSplitter();
+                    const ids: (string | undefined)[] = [];
+                    let passed = "";
+                    for (let start = 0; start < text.length; start += size) {
+                        const block = Buffer.from(splitter.push(Buffer.from(text.slice(start, start + size))) ?? "");
+                        const inBlock = splitter.list(block);
+                        expect(splitter.count(block)).to.equal(inBlock.length);
+                        expect(splitter.lastId(block)).to.equal(inBlock.at(-1)?.id);
+                        ids.push(...inBlock.map(event => event.id));
+                        passed += block.toString();
+                        expect(ids, `parts of ${size}`).to.have.length(endsAt.filter(end => end <= start + size).length);
+                    }
+                    expect(ids).to.deep.equal(["0", "1", "2", "3"]);
+                    expect(passed).to.equal(text);
+                    expect(splitter.bufferedBytes()).to.equal(0);
+                }
+            });
+        }
+    }
+
+    // A whole stream broke off when its engine ended it with a further line feed.
+    it("holds back no line ends between events", () => {
+        const splitter = createSseSplitter();
+        const passed = ["id: 1\n\n", "\n", "\r\n", "id: 2\n\n", "\n"].map(part => splitter.push(Buffer.from(part))?.toString());
+        expect(passed).to.deep.equal(["id: 1\n\n", "\n", "\r\n", "id: 2\n\n", "\n"]);
+        expect(splitter.bufferedBytes()).to.equal(0);
+    });
+
     // A stream went on before events that its caller had when a comment was the last part of what was read at once.
     it("finds the id of the last event that has one", () => {
         const splitter = createSseSplitter();
--- a/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
@@ -5,7 +5,8 @@
 const MAX_REPEATED_BYTES = 1_048_576;
 /** A line of an event-stream: a field or a comment. */
 const STREAM_LINE = /^(?:(?:data|event|id|retry)(?::|$)|:)/;
-const DATA_LINE = /^data(?::|$)/m;
+const DATA_LINE = /^data(?::|$)/;
+const LINE_END = /\r\n|\n|\r/;
 const CONTINUATION = "the target that should continue the stream";
 
 type StreamEvent = ReturnType<ReturnType<typeof createSseSplitter>["list"]>[number];
@@ -33,12 +34,12 @@
 
     /** Returns whether what has no id is passed on. It says nothing of its place, so that it may not come before the next event. */
     const keepUnnamed = (event: StreamEvent): boolean => {
-        const text = event.bytes.toString("utf8");
-        if (!text.split("\n").every(line => line === "" || STREAM_LINE.test(line))) {
+        const lines = event.bytes.toString("utf8").split(LINE_END);
+        if (!lines.every(line => line === "" || STREAM_LINE.test(line))) {
             throw new Error(`${CONTINUATION} sent text that isn't an event`);
         }
         const precedesLastEvent = latestRepeatedId !== undefined && latestRepeatedId !== progress.lastId();
-        if (!hasNewEvent && !precedesLastEvent && DATA_LINE.test(text)) {
+        if (!hasNewEvent && !precedesLastEvent && lines.some(line => DATA_LINE.test(line))) {
             throw new Error(`${CONTINUATION} sent an event without an id before the next one`);
         }
         return hasNewEvent;
--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -3,8 +3,12 @@
 /** Longest event of a stream, in bytes. */
 const MAX_EVENT_BYTES = 1_048_576;
 const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
 const BLANK_LINE = Buffer.from("\n\n");
 const ID_NAME = Buffer.from("id:");
+/** A line ends with a line feed, a carriage return, or both. */
+const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/g;
+const LAST_EVENT_END = /^[^]*(?:\r\n|\n|\r(?!\n)){2}/;
 const ID_FIELD = /^id: ?(.*)$/m;
 
 interface StreamEvent {
@@ -14,49 +18,90 @@
 
 const readId = (event: Buffer): string | undefined => ID_FIELD.exec(event.toString("utf8"))?.[1];
 
+/** Returns where the events of a block end whose lines end in any of the three ways. */
+const findEventEnds = (block: Buffer): number[] =>
+    [...block.toString("latin1").matchAll(EVENT_END)].map(({ index, 0: end }) => index + end.length);
+
+const listEvents = (block: Buffer): StreamEvent[] => {
+    const events: StreamEvent[] = [];
+    let start = 0;
+    const add = (end: number): void => {
+        const bytes = block.subarray(start, end);
+        start = end;
+        events.push({ bytes, id: readId(bytes) });
+    };
+    if (block.includes(CARRIAGE_RETURN)) {
+        findEventEnds(block).forEach(add);
+        return events;
+    }
+    for (let end = block.indexOf(BLANK_LINE); end >= 0; end = block.indexOf(BLANK_LINE, start)) {
+        add(end + BLANK_LINE.length);
+    }
+    return events;
+};
+
 /**
  * Creates a splitter of server-sent events. It returns whole events only, so that a stream that breaks off inside an
  * event can resume after the last whole one.
  */
 export const createSseSplitter = () => {
     const incomplete = createByteCollector(MAX_EVENT_BYTES, "an event of the stream");
-    let endsWithLineFeed = false;
+    /** The line end with which the part before ended, and which a further one makes a blank line. */
+    let lineEnd = "";
+    /** Whether the part before ended with a blank line. Further line ends, such as the second half of one, belong to no event. */
+    let isBetweenEvents = false;
 
     /** Returns where in a part the last blank line ends, which may begin in the part before it; 0 if there is none. */
     const findEnd = (part: Buffer): number => {
+        if (lineEnd.endsWith("\r") || part.includes(CARRIAGE_RETURN)) {
+            const [whole = ""] = LAST_EVENT_END.exec(lineEnd + part.toString("latin1")) ?? [];
+            return Math.max(0, whole.length - lineEnd.length);
+        }
         const position = part.lastIndexOf(BLANK_LINE);
         if (position >= 0) {
             return position + BLANK_LINE.length;
         }
-        return endsWithLineFeed && part[0] === LINE_FEED ? 1 : 0;
+        return lineEnd !== "" && part[0] === LINE_FEED ? 1 : 0;
+    };
+
+    const countLeadingLineEnds = (part: Buffer): number => {
+        const length = part.findIndex(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+        return length < 0 ? part.length : length;
+    };
+
+    const readLineEnd = (part: Buffer, previous: string): string => {
+        const last = part.at(-1);
+        if (last === CARRIAGE_RETURN) {
+            return "\r";
+        }
+        if (last !== LINE_FEED) {
+            return "";
+        }
+        const beforeLast = part.length > 1 ? part.at(-2) === CARRIAGE_RETURN : previous === "\r";
+        return beforeLast ? "\r\n" : "\n";
     };
 
     return {
         /** Returns the whole events that are known with a further part of the stream, as one block; undefined if there are none. */
         push: (part: Buffer): Buffer | undefined => {
-            const end = findEnd(part);
+            const end = Math.max(findEnd(part), isBetweenEvents ? countLeadingLineEnds(part) : 0);
             const whole = part.subarray(0, end);
             const block = incomplete.length() === 0 || end === 0 ? whole : Buffer.concat([incomplete.take(), whole]);
             const rest = part.subarray(end);
             incomplete.add(rest);
-            endsWithLineFeed = rest.at(-1) === LINE_FEED;
+            lineEnd = readLineEnd(rest, end === 0 ? lineEnd : "");
+            isBetweenEvents = end > 0 && rest.length === 0;
             return end === 0 ? undefined : block;
         },
         /** Returns the number of bytes received after the last whole event. */
         bufferedBytes: (): number => incomplete.length(),
         /** Splits a block into its events. */
-        list: (block: Buffer): StreamEvent[] => {
-            const events: StreamEvent[] = [];
-            let start = 0;
-            for (let end = block.indexOf(BLANK_LINE); end >= 0; end = block.indexOf(BLANK_LINE, start)) {
-                const bytes = block.subarray(start, end + BLANK_LINE.length);
-                start = end + BLANK_LINE.length;
-                events.push({ bytes, id: readId(bytes) });
-            }
-            return events;
-        },
+        list: listEvents,
         /** Returns the number of events in a block. */
         count: (block: Buffer): number => {
+            if (block.includes(CARRIAGE_RETURN)) {
+                return findEventEnds(block).length;
+            }
             let count = 0;
             for (let end = block.indexOf(BLANK_LINE); end >= 0; end = block.indexOf(BLANK_LINE, end + BLANK_LINE.length)) {
                 count += 1;
@@ -65,6 +110,9 @@
         },
         /** Returns the id of the last event of a block that has one. */
         lastId: (block: Buffer): string | undefined => {
+            if (block.includes(CARRIAGE_RETURN)) {
+                return listEvents(block).findLast(({ id }) => id !== undefined)?.id;
+            }
             let id: string | undefined;
             for (let end = block.includes(ID_NAME) ? block.length : 0; end > 0 && id === undefined;) {
                 const previous = end > BLANK_LINE.length ? block.lastIndexOf(BLANK_LINE, end - BLANK_LINE.length - 1) : -1;
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -162,6 +162,38 @@
         text: WHOLE,
         isWhole: false,
     },
+    ...["\r\n", "\r"].flatMap(lineEnd => {
+        const name = JSON.stringify(lineEnd);
+        const write = (text: string): string => text.replaceAll("\n", lineEnd);
+        const gap = stream(write(event(NEXT) + events(6, EVENT_COUNT)));
+        return [
+            {
+                name: `goes on when lines end with ${name}`,
+                parts: [broken(write(events(1, DELIVERED))), stream(write(events(1, NEXT)), write(events(5, EVENT_COUNT)))],
+                text: write(WHOLE),
+                isWhole: true,
+            },
+            {
+                name: `breaks off at a gap between events whose lines end with ${name}`,
+                parts: [broken(write(events(1, DELIVERED))), gap, gap],
+                text: write(events(1, DELIVERED)),
+                isWhole: false,
+            },
+            {
+                name: `goes on after an event whose lines end with ${name} before one of other line ends`,
+                parts: [broken(event(1) + write(event(2)) + event(DELIVERED)), rest],
+                text: event(1) + write(event(2)) + event(DELIVERED) + events(NEXT, EVENT_COUNT),
+                isWhole: true,
+            },
+        ];
+    }),
+    { name: "ends as whole after a further line feed", parts: [stream(WHOLE, "\n")], text: `${WHOLE}\n`, isWhole: true },
+    {
+        name: "ends as whole after a further line feed of the engine that went on",
+        parts: [begun, stream(WHOLE, "\n")],
+        text: WHOLE,
+        isWhole: true,
+    },
     { name: "ends as whole when another run ends with the last event of its caller", parts: [broken(WHOLE), stream(WHOLE)], text: WHOLE, isWhole: true },
 ];
 
