--- a/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
@@ -60,6 +60,15 @@
         expect(splitter.bufferedBytes()).to.equal(0);
     });
 
+    // The first of two ids was taken, and what follows a line separator of Unicode for a line.
+    it("reads the last id of an event, from lines as events define them", () => {
+        const readId = (text: string): string | undefined => createSseSplitter().list(Buffer.from(text))[0]?.id;
+        expect(readId("id: 1\nid: 2\ndata: two\n\n")).to.equal("2");
+        expect(readId("data: a\u2028id: 9\nid:1\n\n")).to.equal("1");
+        expect(readId("data: a\u2028id: 9\n\n")).to.equal(undefined);
+        expect(readId("identity: 3\ndata: id: 4\n\n")).to.equal(undefined);
+    });
+
     // A stream went on before events that its caller had when a comment was the last part of what was read at once.
     it("finds the id of the last event that has one", () => {
         const splitter = createSseSplitter();
--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -9,7 +9,8 @@
 /** A line ends with a line feed, a carriage return, or both. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/g;
 const LAST_EVENT_END = /^[^]*(?:\r\n|\n|\r(?!\n)){2}/;
-const ID_FIELD = /^id: ?(.*)$/m;
+/** The last line of an event that is a field `id`. */
+const ID_FIELD = /^(?:[^]*[\r\n])?id: ?([^\r\n]*)/;
 
 interface StreamEvent {
     bytes: Buffer;
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -48,6 +48,8 @@
 const rest: Answer = (req, socket) => stream(events(Number(req.lastEventId ?? "0") + 1, EVENT_COUNT))(req, socket);
 const WHOLE = events(1, EVENT_COUNT);
 const UNNAMED_EVENT = "data: event without an id\n\n";
+const TWO_IDS = `id: ${DELIVERED - 1}\nid: ${DELIVERED}\ndata: event ${DELIVERED}\n\n`;
+const LINE_SEPARATOR_EVENT = `data: a\u2028id: ${DELIVERED + 1}\nid: ${DELIVERED - 1}\n\n`;
 const COMMENT = ": comment\n\n";
 
 /** Answers that can't continue a stream after its third event, with the reason in the log and the last event that is passed on. */
@@ -187,6 +189,18 @@
             },
         ];
     }),
+    {
+        name: "goes on after the last of two ids of an event",
+        parts: [broken(event(1) + TWO_IDS), rest],
+        text: event(1) + TWO_IDS + events(NEXT, EVENT_COUNT),
+        isWhole: true,
+    },
+    {
+        name: "goes on after an event whose data have a line separator of Unicode and what would be an id",
+        parts: [broken(event(1) + LINE_SEPARATOR_EVENT), rest],
+        text: event(1) + LINE_SEPARATOR_EVENT + events(DELIVERED, EVENT_COUNT),
+        isWhole: true,
+    },
     { name: "ends as whole after a further line feed", parts: [stream(WHOLE, "\n")], text: `${WHOLE}\n`, isWhole: true },
     {
         name: "ends as whole after a further line feed of the engine that went on",
