Drop the byte order mark of a stream (FAULT)

Seen: a stream of engines that send a byte order mark broke off with its first engine; none of the others could go on with it.

Cause: the mark was taken for the beginning of the first field, so that the first event had no id, and what followed the break was no event. Passed on in the middle of a stream, it would have hidden a field from the caller.

Change: createSseSplitter drops the mark at the beginning of each engine's stream, where it means nothing to the reader of events.

--- a/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createSseSplitter.test.ts
@@ -69,6 +69,25 @@
         expect(readId("identity: 3\ndata: id: 4\n\n")).to.equal(undefined);
     });
 
+    // The id of the first event wasn't found, and no engine that sends a byte order mark could go on with a stream.
+    it("drops a byte order mark at the beginning of a stream only", () => {
+        const text = "\ufeffid: 1\n\n\ufeffid: 2\n\n";
+        const bytes = Buffer.from(text);
+        for (let size = 1; size <= bytes.length; size += 1) {
+            const splitter = createSseSplitter();
+            const blocks: Buffer[] = [];
+            for (let start = 0; start < bytes.length; start += size) {
+                blocks.push(Buffer.from(splitter.push(bytes.subarray(start, start + size)) ?? ""));
+            }
+            const whole = Buffer.concat(blocks);
+            expect(whole.toString()).to.equal(text.slice(1));
+            expect(splitter.list(whole).map(event => event.id)).to.deep.equal(["1", undefined]);
+        }
+        const splitter = createSseSplitter();
+        const parts = [bytes.subarray(0, 2), Buffer.from("\n\n")].map(part => splitter.push(part));
+        expect(parts).to.deep.equal([undefined, Buffer.concat([bytes.subarray(0, 2), Buffer.from("\n\n")])]);
+    });
+
     // A stream went on before events that its caller had when a comment was the last part of what was read at once.
     it("finds the id of the last event that has one", () => {
         const splitter = createSseSplitter();
--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -5,6 +5,8 @@
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const BLANK_LINE = Buffer.from("\n\n");
+/** Streams may begin with a byte order mark. In the middle of a stream it would be part of a field's name. */
+const BYTE_ORDER_MARK = Buffer.from("\ufeff");
 const ID_NAME = Buffer.from("id:");
 /** A line ends with a line feed, a carriage return, or both. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/g;
@@ -51,6 +53,9 @@
     let lineEnd = "";
     /** Whether the part before ended with a blank line. Further line ends, such as the second half of one, belong to no event. */
     let isBetweenEvents = false;
+    let isAtStart = true;
+    /** Number of bytes of a byte order mark with which the stream has begun. */
+    let markBytes = 0;
 
     /** Returns where in a part the last blank line ends, which may begin in the part before it; 0 if there is none. */
     const findEnd = (part: Buffer): number => {
@@ -70,6 +75,18 @@
         return length < 0 ? part.length : length;
     };
 
+    /** Returns a part without the byte order mark, of which it may have the first bytes only. */
+    const dropByteOrderMark = (part: Buffer): Buffer => {
+        const length = Math.min(part.length, BYTE_ORDER_MARK.length - markBytes);
+        if (BYTE_ORDER_MARK.compare(part, 0, length, markBytes, markBytes + length) === 0) {
+            markBytes += length;
+            isAtStart = markBytes < BYTE_ORDER_MARK.length;
+            return part.subarray(length);
+        }
+        isAtStart = false;
+        return markBytes === 0 ? part : Buffer.concat([BYTE_ORDER_MARK.subarray(0, markBytes), part]);
+    };
+
     const readLineEnd = (part: Buffer, previous: string): string => {
         const last = part.at(-1);
         if (last === CARRIAGE_RETURN) {
@@ -84,7 +101,8 @@
 
     return {
         /** Returns the whole events that are known with a further part of the stream, as one block; undefined if there are none. */
-        push: (part: Buffer): Buffer | undefined => {
+        push: (received: Buffer): Buffer | undefined => {
+            const part = isAtStart ? dropByteOrderMark(received) : received;
             const end = Math.max(findEnd(part), isBetweenEvents ? countLeadingLineEnds(part) : 0);
             const whole = part.subarray(0, end);
             const block = incomplete.length() === 0 || end === 0 ? whole : Buffer.concat([incomplete.take(), whole]);
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -50,6 +50,7 @@
 const UNNAMED_EVENT = "data: event without an id\n\n";
 const TWO_IDS = `id: ${DELIVERED - 1}\nid: ${DELIVERED}\ndata: event ${DELIVERED}\n\n`;
 const LINE_SEPARATOR_EVENT = `data: a\u2028id: ${DELIVERED + 1}\nid: ${DELIVERED - 1}\n\n`;
+const MARK = "\ufeff";
 const COMMENT = ": comment\n\n";
 
 /** Answers that can't continue a stream after its third event, with the reason in the log and the last event that is passed on. */
@@ -201,6 +202,12 @@
         text: event(1) + LINE_SEPARATOR_EVENT + events(DELIVERED, EVENT_COUNT),
         isWhole: true,
     },
+    {
+        name: "goes on after streams that begin with a byte order mark",
+        parts: [broken(MARK + event(1)), broken(MARK + event(2), breaks["sends an error in place of a chunk"]), stream(MARK + events(DELIVERED, EVENT_COUNT))],
+        text: WHOLE,
+        isWhole: true,
+    },
     { name: "ends as whole after a further line feed", parts: [stream(WHOLE, "\n")], text: `${WHOLE}\n`, isWhole: true },
     {
         name: "ends as whole after a further line feed of the engine that went on",
