Don't take a watcher's late message for an answer of the store within an outage that it tells of

Callers could see requests refused after an outage of the store, by an instance that had dropped targets that still ran: removals of entries that lapsed in the outage were reported at once, not 2.2 s after it. Cause: an instance that follows a watcher dates the store's answer by its own time of receipt less the message's contactAgeMs. A message that was held up for longer than 0.6 s thus counted as an answer within the outage, and the outage as one of the watcher only. Change: the record of outages keeps who told of an answer. A teller knows of no answer within the outage of which it tells, and its messages come in order, so its own messages don't count against it. Own calls and messages of others count as before.

--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -299,9 +299,9 @@
             }
             const { outageBeganAgoMs, outageEndedAgoMs } = changes;
             if (outageEndedAgoMs !== undefined) {
-                outages.recordTold(outageBeganAgoMs === undefined ? undefined : now() - outageBeganAgoMs, now() - outageEndedAgoMs);
+                outages.recordTold(outageBeganAgoMs === undefined ? undefined : now() - outageBeganAgoMs, now() - outageEndedAgoMs, from);
             }
-            outages.recordContact(now() - changes.contactAgeMs);
+            outages.recordToldContact(from, now() - changes.contactAgeMs);
             applyEntries(changes.items, { source: "relay", from, ageMs: changes.readAgeMs });
             revision = Math.max(revision, changes.revision);
             if (changes.readAgeMs !== undefined) {
