Replace a planner's entry whose instance doesn't exist (FAULT)

An entry with a sound address of no instance, without a lease, held its zone for as long as it stood. It is replaced once its instance has been neither listed nor a member that responds for 30 s without a break (the lease of an instance's entry). A pause of the process, a new revision of the entry or a return of the store from an older copy starts the time anew. The change has the entry's revision as its condition, and that the store has no entry of the instance: the list known here may be old. The new holder waits for a lease and earlier orders from the answer to that change on; others that saw the entry replaced do so, too.

Without the wait, the wait of others, or the second condition, one test of createGatewayPlannerLease.test.ts fails each.

--- a/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
@@ -158,6 +158,73 @@
         });
     }
 
+    describe("whose entry names an instance that isn't known", () => {
+        const odd = plannerEntry.decode("10.9.9.9:1 active", 9);
+
+        // FAULT: such an entry has no lease, so that the zone had no planner for as long as it stood.
+        it("is acquired after the time in which an instance registers again, and used once the time and orders of a holder are past", async () => {
+            const { lease, advance, written, conditions, setHolderKnown } = createFixture();
+            setHolderKnown(false);
+            lease.setHolder(odd);
+            await advance(29_800);
+            expect(written).to.deep.equal([]);
+            for (let steps = 0; steps < 10 && written.length === 0; steps += 1) {
+                await advance(200);
+            }
+            expect(written).to.deep.equal(["i"]);
+            await advance(9_200);
+            expect(lease.isValid()).to.equal(false);
+            await advance(1_000);
+            expect(lease.isValid()).to.equal(true);
+            expect(written).to.deep.equal(["i", "i active"]);
+            expect(conditions[0]).to.deep.equal([
+                { key: "medlarlb/planners/z", revision: 9 },
+                { key: "medlarlb/instances/10.9.9.9:1", revision: 0 },
+            ]);
+        });
+
+        const interruptions: { name: string; interrupt: (fixture: ReturnType<typeof createFixture>) => Promise<void> | void }[] = [
+            {
+                name: "the instance is known for a moment",
+                interrupt: async ({ advance, setHolderKnown }) => {
+                    setHolderKnown(true);
+                    await advance(200);
+                    setHolderKnown(false);
+                },
+            },
+            { name: "the store loses leases", interrupt: ({ lease }) => lease.noteLeasesLost() },
+            { name: "the entry is written again", interrupt: ({ lease }) => lease.setHolder({ ...odd, revision: 10 }) },
+            { name: "the process is paused", interrupt: ({ skipTime }) => skipTime(2_000, { steady: true }) },
+        ];
+        for (const { name, interrupt } of interruptions) {
+            it(`isn't acquired before that time has passed without a break if ${name}`, async () => {
+                const fixture = createFixture();
+                const { lease, advance, written, setHolderKnown } = fixture;
+                setHolderKnown(false);
+                lease.setHolder(odd);
+                await advance(28_000);
+                await interrupt(fixture);
+                await advance(29_800);
+                expect(written).to.deep.equal([]);
+                await advance(2_000);
+                expect(written).to.deep.equal(["i"]);
+            });
+        }
+
+        it("is used only when the time and orders of that instance are past if another instance replaces the entry and ends at once", async () => {
+            const { lease, advance, setHolderKnown } = createFixture();
+            setHolderKnown(false);
+            lease.setHolder(odd);
+            await advance(28_000);
+            lease.setHolder({ instance: "other" as never, revision: 10, active: false });
+            lease.setHolder(undefined);
+            await advance(9_200);
+            expect(lease.isValid()).to.equal(false);
+            await advance(1_000);
+            expect(lease.isValid()).to.equal(true);
+        });
+    });
+
     it("becomes invalid when its entry is overwritten with one that names no instance, and is acquired again with the whole wait", async () => {
         const { lease, advance, changes, setNextRevision } = createFixture();
         lease.setHolder(undefined);
--- a/packages/medlarlb-daemon/src/__tests__/support/createLeaseFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createLeaseFixture.ts
@@ -20,6 +20,7 @@
     let rank = 0;
     let nextRevision = 41;
     let hasLostLeases = false;
+    let isHolderKnown = true;
     /** Renewals without a response yet; undefined while renewals are answered at once. */
     let delayedRenewals: (() => void)[] | undefined;
     /** Has the answer to the next change arrive; undefined while changes are answered at once. */
@@ -62,6 +63,7 @@
         wallNow: () => wallMs,
         leaseMs: 3_000,
         rank: () => rank,
+        isKnownInstance: () => isHolderKnown,
         every: (_ms, run) => {
             tick = run;
             return () => undefined;
@@ -85,6 +87,10 @@
         setRank: (value: number): void => {
             rank = value;
         },
+        /** Sets whether the stored holder is listed or responds. */
+        setHolderKnown: (value: boolean): void => {
+            isHolderKnown = value;
+        },
         /** Sets the revision that the store gives to further changes. */
         setNextRevision: (value: number): void => {
             nextRevision = value;
--- a/packages/medlarlb-daemon/src/__tests__/support/createVirtualPlanners.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createVirtualPlanners.ts
@@ -4,6 +4,7 @@
 import type { MetadataStore } from "medlarlb-types/metadataStore";
 import type { StoreError } from "medlarlb-types/storeError";
 import { createGatewayPlannerLease } from "../../gateway/createGatewayPlannerLease.js";
+import { directoryKeys } from "../../gateway/directoryKeys.js";
 import { plannerEntry } from "../../gateway/plannerEntry.js";
 
 /** An order that a process sends while it may. */
@@ -31,6 +32,7 @@
     isDead: boolean;
 }
 
+const ZONE = "z";
 const STEP_MS = 20;
 const TICK_MS = 200;
 const LEASE_MS = 3_000;
@@ -39,9 +41,14 @@
 /**
  * Creates instances of a zone that compete for its planner lease, over a store that is slow, doesn't answer, or takes changes
  * without an answer. Processes stand still, are suspended, stop and start again, all drawn from a seed.
- * Another writer may put a value into the entry that names no instance.
+ * Another writer may put a value into the entry. With `isUnknown`, the instances don't know of each other, and the store has lost
+ * their registrations. `listLagMs` delays all that they read in the store's list.
  */
-export const createVirtualPlanners = (seed: number, instances: number, { hasOtherWriter = false } = {}) => {
+export const createVirtualPlanners = (
+    seed: number,
+    instances: number,
+    { otherValue, isUnknown = false, listLagMs = 0 }: { otherValue?: string | undefined; isUnknown?: boolean; listLagMs?: number } = {},
+) => {
     const addresses = Array.from({ length: instances }, (_, index) => `10.0.0.${index}:8627`);
     const generator = xoroshiro128plus(seed);
     const random = (): number => uniformFloat64(generator);
@@ -87,6 +94,8 @@
             });
         });
 
+    const isRegistered = (key: string): boolean => !isUnknown && addresses.some(address => key === directoryKeys.instance(address));
+
     const createStore = (process: () => VirtualProcess): MetadataStore => ({
         grantLease: (ttlMs: number) => call(process, () => {
             nextLease += 1;
@@ -107,7 +116,9 @@
         }),
         change: ({ conditions, puts }: Parameters<MetadataStore["change"]>[0]) => call(process, () => {
             const [put] = puts;
-            const isMet = conditions.every(each => each.revision === (entry?.revision ?? 0));
+            const revisionOf = (key: string): number =>
+                (key === directoryKeys.planner(ZONE) ? entry?.revision ?? 0 : Number(isRegistered(key)));
+            const isMet = conditions.every(each => each.revision === revisionOf(each.key));
             if (!isMet || put === undefined || !leases.has(Number(put.lease))) {
                 return Result.err<number, StoreError>({ kind: "conflict", message: "changed" } as unknown as StoreError);
             }
@@ -119,7 +130,7 @@
 
     const listHolder = (process: VirtualProcess): void => {
         const listed = entry === undefined ? undefined : plannerEntry.decode(entry.value, entry.revision);
-        after(random() * LIST_DELAY_MS, () => {
+        after(listLagMs + random() * LIST_DELAY_MS, () => {
             const show = (): void => process.lease.setHolder(listed);
             if (nowMs < process.pausedUntilMs) {
                 process.arrived.push(show);
@@ -146,12 +157,13 @@
         };
         process.lease = createGatewayPlannerLease({
             store: createStore(() => process),
-            zone: "z",
+            zone: ZONE,
             instanceId: instance as never,
             now: () => (process.suspendedAtMs ?? nowMs) - process.lostSteadyMs,
             wallNow: () => nowMs,
             leaseMs: LEASE_MS,
             rank: () => addresses.indexOf(instance),
+            isKnownInstance: id => !isUnknown && addresses.includes(id),
             every: (_ms, run) => {
                 process.tick = run;
                 return () => undefined;
@@ -175,16 +187,16 @@
 
     const disturb = (): void => {
         const process = processes[Math.floor(random() * processes.length)];
-        const kind = Math.floor(random() * (hasOtherWriter ? 9 : 7));
+        const kind = Math.floor(random() * (otherValue === undefined ? 7 : 9));
         if (kind === 0) {
             slowUntilMs = nowMs + random() * 8_000;
         }
         else if (kind === 1) {
             unreachableUntilMs = nowMs + random() * 12_000;
         }
-        else if (kind >= 7) {
+        else if (kind >= 7 && otherValue !== undefined) {
             revision += 1;
-            entry = { value: "x y", revision, lease: undefined };
+            entry = { value: otherValue, revision, lease: undefined };
         }
         else if (process === undefined || process.isEnding || nowMs < process.pausedUntilMs) {
             // Another disturbance of it goes on.
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -177,6 +177,8 @@
         wallNow: Date.now,
         leaseMs: settings.limits.leaseMs,
         rank: watchRole.rank,
+        isKnownInstance: id => listedInstances.some(each => each.id === id)
+            || peers.members().some(({ info, state }) => info.id === id && state !== "dead"),
         every: repeatEvery,
         onChange: (fence, reason) => {
             logEvent("dutyChanged", { fence, reason });
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -16,6 +16,8 @@
     leaseMs: number;
     /** Returns how many instances of the zone try to acquire a free lease before this one. */
     rank: () => number;
+    /** Returns whether the store lists an instance, or the instance responds. */
+    isKnownInstance: (id: InstanceId) => boolean;
     /** Calls a function at an interval, and returns a function that stops it. */
     every: (ms: number, run: () => void) => () => void;
     /** Called with the fencing number when orders may be sent, and with undefined when they no longer may. */
@@ -51,16 +53,19 @@
 const MAX_ACQUISITION_DELAY_MS = 2_000;
 /** Margin in ms that a new holder waits in addition to `leaseMs`. */
 const HANDOVER_MARGIN_MS = 300;
+/** Time in ms for which a holder has to be unknown before its entry is replaced: an instance that runs has registered again by then. */
+const UNKNOWN_HOLDER_MS = 30_000;
 
 /**
  * Creates the planner lease of a zone, which one instance of the zone holds in the store. Its validity counts from the
  * time at which the last successful renewal was sent, or, before the first one, from the start of its acquisition. A process
  * pause or clock jump makes it invalid until a renewal that is sent later succeeds, because the local clock can't be trusted
  * across one. A new holder waits until the orders of the holder before it are past, unless it replaces its own entry. An entry that
- * names no instance is replaced, since no lease ends it; the holder whose entry it has overwritten may not know yet.
+ * names no instance is replaced, since no lease ends it; the holder whose entry it has overwritten may not know yet. So is one whose
+ * instance has been unknown for long, on the condition that the store has no entry of that instance.
  */
 export const createGatewayPlannerLease = (options: LeaseOptions) => {
-    const { store, zone, instanceId, now, wallNow, leaseMs, rank, every, onChange } = options;
+    const { store, zone, instanceId, now, wallNow, leaseMs, rank, isKnownInstance, every, onChange } = options;
     let heldLease: HeldLease | undefined;
     /** Time until which no other instance can be active, since this one held the lease until the store lost it. */
     let exclusiveUntilMs = Number.NEGATIVE_INFINITY;
@@ -69,6 +74,8 @@
     /** Planner of the zone that the store names. */
     let storedHolder: StoredPlanner | undefined;
     let isHolderKnown = false;
+    /** Time from which the stored holder's entry may be replaced, because no such instance is known. */
+    let replaceableAtMs = Number.POSITIVE_INFINITY;
     let isCalling = false;
     /** Number of process pauses and clock jumps. A renewal that was sent before one doesn't extend the lease after it. */
     let pauseCount = 0;
@@ -94,6 +101,7 @@
         lastCheckWallMs = wallNow();
         const uninterrupted = elapsedSteadyMs <= MAX_TICK_GAP_MS && Math.abs(elapsedWallMs - elapsedSteadyMs) <= MAX_CLOCK_DRIFT_MS;
         pauseCount += uninterrupted ? 0 : 1;
+        replaceableAtMs = uninterrupted ? replaceableAtMs : Number.POSITIVE_INFINITY;
         if (!uninterrupted && heldLease !== undefined) {
             // Only a renewal that is sent from now on proves that the lease is still held.
             heldLease.validUntilMs = Number.NEGATIVE_INFINITY;
@@ -108,8 +116,24 @@
         return uninterrupted && heldLease !== undefined && heldLease.active && now() < heldLease.validUntilMs;
     };
 
-    /** Returns whether the store names no planner, or this instance as it was before a restart. */
-    const mayAcquire = (): boolean => isHolderKnown && (storedHolder?.instance === undefined || storedHolder.instance === instanceId);
+    const acquisitionDelayMs = (): number => Math.min(MAX_ACQUISITION_DELAY_MS, rank() * ACQUISITION_STEP_MS);
+
+    const hasUnknownHolder = (): boolean => {
+        const holder = storedHolder?.instance;
+        return holder !== undefined && holder !== instanceId && !isKnownInstance(holder);
+    };
+
+    const checkHolder = (): void => {
+        replaceableAtMs = hasUnknownHolder()
+            ? Math.min(replaceableAtMs, now() + UNKNOWN_HOLDER_MS + acquisitionDelayMs())
+            : Number.POSITIVE_INFINITY;
+    };
+
+    const isReplaceable = (): boolean => now() >= replaceableAtMs && hasUnknownHolder();
+
+    /** Returns whether the store names no planner, this instance as it was before a restart, or one that doesn't exist. */
+    const mayAcquire = (): boolean =>
+        isHolderKnown && (storedHolder?.instance === undefined || storedHolder.instance === instanceId || isReplaceable());
 
     const acquire = async (): Promise<void> => {
         const startedAtMs = now();
@@ -127,14 +151,23 @@
             await store.endLease(lease.value);
             return;
         }
-        const isOwnLease = previousHolder?.active === true || now() < exclusiveUntilMs;
-        // A holder that can't reach the store goes on until its lease would have expired.
-        const othersEndAtMs = Math.max(now(), leasesLostUntilMs + LEASE_TTL_MS);
+        const replaced = previousHolder?.instance === instanceId ? undefined : previousHolder?.instance;
+        const isOwnLease = replaced === undefined && (previousHolder?.active === true || now() < exclusiveUntilMs);
+        const sentAtMs = now();
         const change = await store.change({
-            conditions: [{ key, revision: previousHolder?.revision ?? 0 }],
+            conditions: [
+                { key, revision: previousHolder?.revision ?? 0 },
+                // The list of instances that is known here may be older than the registration of the holder.
+                ...(replaced === undefined ? [] : [{ key: directoryKeys.instance(replaced), revision: 0 }]),
+            ],
             puts: [{ key, value: plannerEntry.encode(instanceId, false), lease: lease.value }],
             removes: [],
         });
+        if (replaced !== undefined) {
+            leasesLostUntilMs = now();
+        }
+        // A holder that can't reach the store goes on until its lease would have expired.
+        const othersEndAtMs = Math.max(sentAtMs, leasesLostUntilMs + LEASE_TTL_MS);
         if (change.isErr) {
             // An unanswered change may still take effect, but not after its lease has ended.
             await store.endLease(lease.value);
@@ -203,6 +236,7 @@
 
     const tick = (): void => {
         checkClocks();
+        checkHolder();
         if (heldLease?.active === true && now() >= heldLease.validUntilMs) {
             deactivate("the lease wasn't renewed in time");
         }
@@ -232,16 +266,21 @@
         /** Notes that the store may have lost leases up to now, as when it has come back from an older copy. */
         noteLeasesLost: (): void => {
             leasesLostUntilMs = now();
+            replaceableAtMs = Number.POSITIVE_INFINITY;
             nextCallAtMs = 0;
         },
         /** Sets the planner of the zone that the store names, with the revision of its entry. */
         setHolder: (newHolder: StoredPlanner | undefined): void => {
-            const isOverwritten = newHolder !== undefined && newHolder.instance === undefined
-                && newHolder.revision !== storedHolder?.revision;
+            const isChanged = newHolder?.revision !== storedHolder?.revision;
+            const isOverwritten = isChanged && newHolder !== undefined && newHolder.instance === undefined;
             const isNewlyFree = isOverwritten || (newHolder === undefined && (!isHolderKnown || storedHolder !== undefined));
-            if (isOverwritten) {
+            // Another instance may have replaced the entry of an unknown holder, which may not know yet.
+            if (isOverwritten || (isChanged && hasUnknownHolder())) {
                 leasesLostUntilMs = now();
             }
+            if (isChanged) {
+                replaceableAtMs = Number.POSITIVE_INFINITY;
+            }
             isHolderKnown = true;
             storedHolder = newHolder;
             if (newHolder !== undefined && newHolder.instance !== instanceId && heldLease !== undefined) {
@@ -249,7 +288,7 @@
                 heldLease = undefined;
             }
             if (isNewlyFree && heldLease === undefined) {
-                nextCallAtMs = now() + Math.min(MAX_ACQUISITION_DELAY_MS, rank() * ACQUISITION_STEP_MS);
+                nextCallAtMs = now() + acquisitionDelayMs();
             }
         },
         /**
