Hold taken-up streams back for the list only after a standstill, not in outages of the store

Seen: with the change before, an instance refused each stream with a known beginning that a caller took up, once the store had been away for 2 s: nobody knew a newer list, and callers had to begin their streams anew.

Cause: the age of the list can't tell an instance that is out of step from a store that is away for all.

Change: a take-up waits for the list only while this instance has had no contact with it since its latest standstill (half a second or longer).

Ruled out: asking for a proof by a round trip of its own after each standstill. Two tests of streamOrigins.test.ts fail with it, since streams wait 800 ms that can be refused or go on at once.

Measured: the new case of staleListings.test.ts (the store away, no standstill) fails on the change before and passes now; staleListings, streamOrigins and streamHistories: 23 of 23.

--- a/packages/medlarlb-decisions/src/gateway/streams/resolveOrigin.ts
+++ b/packages/medlarlb-decisions/src/gateway/streams/resolveOrigin.ts
@@ -11,20 +11,17 @@
 /** Time in ms after its arrival at which a call is refused whose origin nobody knows. */
 const MAX_WAIT_MS = 800;
 
-/** Age in ms of the contact with the store's list up to which the listed versions of targets count as those that run. */
-const MAX_LISTING_AGE_MS = 2_000;
+/** Returns whether this instance has stood still, and may since have missed targets that came back at other versions under their ids. */
+const isListingStale = ({ listing, standstill }: GatewayContext): boolean =>
+    listing !== undefined && standstill !== undefined && listing.contactAtMs < standstill.endedAtMs;
 
-/** Returns whether this instance has known the list, and may since have missed targets that came back at other versions under their ids. */
-const isListingStale = ({ listing, nowMs }: GatewayContext): boolean =>
-    listing !== undefined && listing.contactAtMs < nowMs - MAX_LISTING_AGE_MS;
-
-/** Has it found out who began a call's stream, or returns why it is refused if that has taken too long. */
+/** Asks what a call waits for: the list, or who began its stream. Returns why it is refused if it has waited for too long. */
 const awaitOrigin = (context: GatewayContext, row: CallRow, isListNeeded: boolean, isKnown: boolean): { reason: string } | undefined => {
     const waitedMs = context.nowMs - row.metadata.arrivedAtMs;
     if (waitedMs >= MAX_WAIT_MS) {
         return {
             reason: isKnown
-                ? "the list of targets is too old to prove the software version of one that goes on with this stream; begin it anew"
+                ? "this instance has stood still, and the list doesn't yet prove the software versions of targets; begin this stream anew"
                 : "nobody knows the software version that began this stream; begin it anew",
         };
     }
