Have errors in timers of the planner lease and of the peer group cost their item (FAULT)

An error in acquireOrRenew, recordActivation or a check of the lease, in the regular work of a peer group, or in a delayed request for the configuration was an unhandled rejection or exception, which ends the process. They are logged as itemFailed now, and the work goes on. Members whose report fails are reported again.

--- a/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createGatewayPlannerLease.test.ts
@@ -250,6 +250,35 @@
         expect(lease.isValid()).to.equal(false);
     });
 
+    for (const call of ["grantLease", "change", "renewLease", "rank"] as const) {
+        // FAULT: a promise that nobody awaited, or a timer, ended the process.
+        it(`goes on after an error of ${call}, which is reported`, async () => {
+            const { lease, advance, failures, setFailing, setHolderKnown } = createFixture();
+            const odd = { instance: "10.9.9.9:1" as never, revision: 9, active: true };
+            setHolderKnown(false);
+            lease.setHolder(call === "rank" ? odd : { ...odd, instance: "i" as never });
+            if (call === "renewLease") {
+                await advance(400);
+            }
+            setFailing(call);
+            await advance(2_000);
+            setFailing(undefined);
+            expect(new Set(failures)).to.deep.equal(new Set([`plannerLease: TypeError: ${call}: nobody has foreseen this`]));
+            await advance(call === "rank" ? 45_000 : 2_000);
+            expect(lease.isValid()).to.equal(true);
+        });
+    }
+
+    it("isn't affected by an error of the record that it is active, which is reported", async () => {
+        const { lease, advance, failures, setFailing } = createFixture();
+        lease.setHolder({ instance: "i" as never, revision: 9, active: true });
+        await advance(200);
+        setFailing("change");
+        await advance(400);
+        expect(failures).to.deep.equal(["plannerLease: TypeError: change: nobody has foreseen this"]);
+        expect(lease.isValid()).to.equal(true);
+    });
+
     it("is released by an instance that stops, but kept while the store is unreachable", async () => {
         const { lease, advance, setReachable } = createFixture();
         lease.setHolder(undefined);
--- a/packages/medlarlb-daemon/src/__tests__/support/createLeaseFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createLeaseFixture.ts
@@ -26,15 +26,26 @@
     /** Has the answer to the next change arrive; undefined while changes are answered at once. */
     let deliverChange: (() => void) | undefined;
     let tick: () => void = () => undefined;
+    let failing: string | undefined;
+    const failures: string[] = [];
     const changes: (number | undefined)[] = [];
     const written: string[] = [];
     const conditions: unknown[] = [];
     const noResponse: StoreError = { kind: "unknown", message: "no answer" };
     const answer = <Value>(value: Value): Promise<Result<Value, StoreError>> =>
         Promise.resolve(reachable ? Result.ok<Value, StoreError>(value) : Result.err<Value, StoreError>(noResponse));
+    const failIf = (call: string): void => {
+        if (failing === call) {
+            throw new TypeError(`${call}: nobody has foreseen this`);
+        }
+    };
     const store = {
-        grantLease: () => answer(7),
+        grantLease: () => {
+            failIf("grantLease");
+            return answer(7);
+        },
         change: ({ conditions: required, puts }: Parameters<MetadataStore["change"]>[0]) => {
+            failIf("change");
             conditions.push(required);
             written.push(...puts.map(put => put.value));
             return deliverChange === undefined
@@ -44,6 +55,7 @@
                     });
         },
         renewLease: () => {
+            failIf("renewLease");
             const pendingRenewals = delayedRenewals;
             if (hasLostLeases) {
                 hasLostLeases = false;
@@ -62,13 +74,17 @@
         now: () => steadyMs,
         wallNow: () => wallMs,
         leaseMs: 3_000,
-        rank: () => rank,
+        rank: () => {
+            failIf("rank");
+            return rank;
+        },
         isKnownInstance: () => isHolderKnown,
         every: (_ms, run) => {
             tick = run;
             return () => undefined;
         },
         onChange: fence => changes.push(fence),
+        onError: (kind, err) => failures.push(`${kind}: ${String(err)}`),
     });
     const advance = async (ms: number): Promise<void> => {
         for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += TICK_MS) {
@@ -83,7 +99,12 @@
         changes,
         written,
         conditions,
+        failures,
         advance,
+        /** Has a call to the store or to the fixture throw; with undefined, none does. */
+        setFailing: (call: "grantLease" | "change" | "renewLease" | "rank" | undefined): void => {
+            failing = call;
+        },
         setRank: (value: number): void => {
             rank = value;
         },
--- a/packages/medlarlb-daemon/src/__tests__/support/createVirtualPlanners.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createVirtualPlanners.ts
@@ -169,6 +169,9 @@
                 return () => undefined;
             },
             onChange: () => undefined,
+            onError: (_kind, err) => {
+                throw err;
+            },
         });
         processes.push(process);
     };
--- a/packages/medlarlb-daemon/src/gateway/createGateway.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGateway.ts
@@ -153,6 +153,7 @@
         decisionsAfter: () => ({ records: [], oldest: 0 }),
         onBroken: reportBrokenMessage,
         onClosed: reason => logEvent("peerClosed", { reason }),
+        onError: reportFailure("peer"),
         countBytes: (direction, bytes) => metrics.peerBytes.inc({ direction }, bytes),
     });
 
@@ -184,6 +185,7 @@
             logEvent("dutyChanged", { fence, reason });
             push({ kind: "duty", fence });
         },
+        onError: reportStoreFailure,
     });
 
     const directory = createDirectorySync({
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -22,6 +22,8 @@
     every: (ms: number, run: () => void) => () => void;
     /** Called with the fencing number when orders may be sent, and with undefined when they no longer may. */
     onChange: (fence: number | undefined, reason: string) => void;
+    /** Called when an error ends a call to the store or a check of the lease, which are repeated. */
+    onError: (kind: "plannerLease", err: unknown) => void;
 }
 
 interface HeldLease {
@@ -65,7 +67,7 @@
  * instance has been unknown for long, on the condition that the store has no entry of that instance.
  */
 export const createGatewayPlannerLease = (options: LeaseOptions) => {
-    const { store, zone, instanceId, now, wallNow, leaseMs, rank, isKnownInstance, every, onChange } = options;
+    const { store, zone, instanceId, now, wallNow, leaseMs, rank, isKnownInstance, every, onChange, onError } = options;
     let heldLease: HeldLease | undefined;
     /** Time until which no other instance can be active, since this one held the lease until the store lost it. */
     let exclusiveUntilMs = Number.NEGATIVE_INFINITY;
@@ -222,6 +224,9 @@
                 await acquire();
             }
         }
+        catch (err) {
+            onError("plannerLease", err);
+        }
         finally {
             isCalling = false;
         }
@@ -243,7 +248,7 @@
         if (heldLease !== undefined && !heldLease.active && now() >= heldLease.activeAtMs && now() < heldLease.validUntilMs) {
             heldLease.active = true;
             onChange(heldLease.fence, "the lease is held and orders of an earlier holder are past");
-            void recordActivation(heldLease);
+            recordActivation(heldLease).catch((err: unknown) => onError("plannerLease", err));
         }
         if (!isCalling && !stopped && now() >= nextCallAtMs) {
             void acquireOrRenew();
@@ -260,7 +265,14 @@
         }
     };
 
-    const stopTicking = every(TICK_INTERVAL_MS, tick);
+    const stopTicking = every(TICK_INTERVAL_MS, () => {
+        try {
+            tick();
+        }
+        catch (err) {
+            onError("plannerLease", err);
+        }
+    });
     return {
         isValid,
         /** Notes that the store may have lost leases up to now, as when it has come back from an older copy. */
--- a/packages/medlarlb-peers/src/createConfigPull.ts
+++ b/packages/medlarlb-peers/src/createConfigPull.ts
@@ -5,10 +5,12 @@
     delayMs: number;
     configRevision: () => number;
     request: (id: InstanceId) => void;
+    /** Calls a function, and reports an error that it throws. */
+    guard: (kind: string, run: () => void) => void;
 }
 
 /** Creates the function that requests a newer configuration from a member, unless it has arrived by then. */
-export const createConfigPull = ({ delayMs, configRevision, request }: ConfigPullOptions) => {
+export const createConfigPull = ({ delayMs, configRevision, request, guard }: ConfigPullOptions) => {
     /** Revisions that are waited for. */
     const awaited = new Set<number>();
 
@@ -23,9 +25,11 @@
         awaited.add(revision);
         setTimeout(() => {
             awaited.delete(revision);
-            if (revision > configRevision()) {
-                request(id);
-            }
+            guard("configPull", () => {
+                if (revision > configRevision()) {
+                    request(id);
+                }
+            });
         }, delayMs).unref();
     };
 };
--- a/packages/medlarlb-peers/src/createPeerGroup.ts
+++ b/packages/medlarlb-peers/src/createPeerGroup.ts
@@ -2,6 +2,7 @@
 import type { InstanceId } from "medlarlb-types/instanceId";
 import type { ListedInstance } from "medlarlb-types/listedInstance";
 import { createConfigPull } from "./createConfigPull.js";
+import { createErrorGuard } from "./createErrorGuard.js";
 import { createDataMessageHandler } from "./createDataMessageHandler.js";
 import { createPendingPulls } from "./createPendingPulls.js";
 import { createMembership } from "./createMembership.js";
@@ -40,6 +41,7 @@
  */
 export const createPeerGroup = (options: PeerGroupOptions) => {
     const { self } = options;
+    const guard = createErrorGuard(options.onError);
     const membership = createMembership(self);
     const gossip = createGossipTable(() => membership.alive().length);
     const probes = new Map<number, Probe>();
@@ -89,6 +91,7 @@
     const pullConfig = createConfigPull({
         delayMs: options.configPullDelayMs ?? 0,
         configRevision: options.configRevision,
+        guard,
         request: id => send(id, { kind: "pullConfig", since: options.configRevision() }),
     });
 
@@ -208,27 +211,25 @@
 
     const handleDataMessage = createDataMessageHandler(options, pendingPulls.complete);
 
-    const checkProbes = (nowMs: number): void => {
-        for (const [probeSequence, pendingProbe] of [...probes]) {
-            const ageMs = nowMs - pendingProbe.sentAtMs;
-            if (ageMs >= PROBE_TIMEOUT_MS && !pendingProbe.indirectProbesSent && pendingProbe.onResult === undefined) {
-                pendingProbe.indirectProbesSent = true;
-                // The connection may be dead although new ones work, so the next message opens a new one.
-                network.reset(pendingProbe.id);
-                sendProbe(pendingProbe.id, self.zone, answered => answered && completeProbe(probeSequence));
-                const otherMembers = membership.alive().filter(member => member.id !== self.id && member.id !== pendingProbe.id);
-                for (const indirectProber of sample(otherMembers, INDIRECT_PROBE_COUNT)) {
-                    send(indirectProber.id, { kind: "probeFor", sequence: probeSequence, id: pendingProbe.id });
-                }
+    const checkProbe = (probeSequence: number, pendingProbe: Probe, nowMs: number): void => {
+        const ageMs = nowMs - pendingProbe.sentAtMs;
+        if (ageMs >= PROBE_TIMEOUT_MS && !pendingProbe.indirectProbesSent && pendingProbe.onResult === undefined) {
+            pendingProbe.indirectProbesSent = true;
+            // The connection may be dead although new ones work, so the next message opens a new one.
+            network.reset(pendingProbe.id);
+            sendProbe(pendingProbe.id, self.zone, answered => answered && completeProbe(probeSequence));
+            const otherMembers = membership.alive().filter(member => member.id !== self.id && member.id !== pendingProbe.id);
+            for (const indirectProber of sample(otherMembers, INDIRECT_PROBE_COUNT)) {
+                send(indirectProber.id, { kind: "probeFor", sequence: probeSequence, id: pendingProbe.id });
             }
-            else if (ageMs >= 2 * PROBE_TIMEOUT_MS) {
-                probes.delete(probeSequence);
-                if (pendingProbe.onResult === undefined) {
-                    reportSuspicion(pendingProbe.id);
-                }
-                else {
-                    pendingProbe.onResult(false);
-                }
+        }
+        else if (ageMs >= 2 * PROBE_TIMEOUT_MS) {
+            probes.delete(probeSequence);
+            if (pendingProbe.onResult === undefined) {
+                reportSuspicion(pendingProbe.id);
+            }
+            else {
+                pendingProbe.onResult(false);
             }
         }
     };
@@ -253,25 +254,27 @@
         const alive = membership.alive();
         const memberKeys = alive.map(member => `${member.id}/${member.bootId}`).join(" ");
         if (memberKeys !== reportedMembers) {
-            reportedMembers = memberKeys;
             options.onMembers(alive);
+            reportedMembers = memberKeys;
         }
     };
 
     const tick = (): void => {
         const nowMs = options.now();
-        checkProbes(nowMs);
+        for (const [probeSequence, pendingProbe] of [...probes]) {
+            guard("probe", () => checkProbe(probeSequence, pendingProbe, nowMs));
+        }
         membership.removeExpiredSuspects(nowMs);
         if (nowMs >= nextProbeMs) {
             const isLarge = isLargeGroup(membership.listProbeCandidates().length);
             nextProbeMs = nowMs + (isLarge ? LARGE_GROUP_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS);
-            probeRandomMembers();
+            guard("probe", probeRandomMembers);
         }
         if (nowMs >= nextPullMs) {
             nextPullMs = nowMs + GOSSIP_PULL_INTERVAL_MS;
-            pullFromRandomMember();
+            guard("gossipPull", pullFromRandomMember);
         }
-        reportMembers();
+        guard("members", reportMembers);
     };
 
     return {
--- a/packages/medlarlb-peers/src/peerGroupOptions.ts
+++ b/packages/medlarlb-peers/src/peerGroupOptions.ts
@@ -35,5 +35,7 @@
     /** Called with a message that can't be read, or only in part, once for each kind and connection. */
     onBroken: (from: InstanceId, kind: string, reason: string) => void;
     onClosed: (reason: string) => void;
+    /** Called when an error ends a part of the group's regular work, which goes on; without it, the error is thrown. */
+    onError?: (kind: string, err: unknown) => void;
     countBytes: (direction: "sent" | "received", bytes: number) => void;
 }
