Refuse the head of an answer among the events of a stream (FAULT)

Seen: an engine whose answer has no length wrote an error's head, with line feeds, into its stream and closed. The caller got that head between its events, or inside of one.

Cause: text was compared with what events consist of only in the answer that continues a stream, and only outside of events with ids.

Change: a block that has carriage returns, or what a status line begins with, is passed on only if all of its lines are fields or comments, and those of an event end alike. Else the attempt fails, and another engine goes on.

Not refused: other text with line feeds only, in the first answer, as before.

--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -14,6 +14,12 @@
 /** The last line of an event that is a field `id`. */
 const ID_FIELD = /^(?:[^]*[\r\n])?id: ?([^\r\n]*)/;
 
+const STATUS_LINE_START = Buffer.from("HTTP/1.");
+const LEADING_LINE_ENDS = /^[\r\n]+/;
+/** A field or comment with the end of its line. */
+const EVENT_LINE = /^(?:(?:data|event|id|retry)(?::[^\r\n]*)?|:[^\r\n]*|)(\r\n|\n|\r)$/;
+const LINES = /[^\r\n]*(?:\r\n|\n|\r)/g;
+
 interface StreamEvent {
     bytes: Buffer;
     id: string | undefined;
@@ -43,6 +49,26 @@
     return events;
 };
 
+/** Returns whether all lines of an event are fields or comments that end alike. An event may end before its last line feed. */
+const isUniform = ({ bytes }: StreamEvent): boolean => {
+    const lines = bytes.toString("latin1").replace(LEADING_LINE_ENDS, "").match(LINES) ?? [];
+    const lineEnds = lines.map(line => EVENT_LINE.exec(line)?.[1]);
+    const [first] = lineEnds;
+    return lineEnds.every((each, index) => each !== undefined
+        && (each === first || (first === "\r\n" && each === "\r" && index === lineEnds.length - 1)));
+};
+
+/**
+ * Throws if a block has foreign text. An engine that fails may write the head of an answer into its stream, or an error with the line
+ * ends of a head.
+ */
+const refuseForeignText = (block: Buffer): void => {
+    const mayBeForeign = block.includes(CARRIAGE_RETURN) || block.includes(STATUS_LINE_START);
+    if (mayBeForeign && !listEvents(block).every(isUniform)) {
+        throw new Error("the stream has text that isn't an event, or an event whose lines end in several ways");
+    }
+};
+
 /**
  * Creates a splitter of server-sent events. It returns whole events only, so that a stream that breaks off inside an
  * event can resume after the last whole one.
@@ -100,7 +126,10 @@
     };
 
     return {
-        /** Returns the whole events that are known with a further part of the stream, as one block; undefined if there are none. */
+        /**
+         * Returns the whole events that are known with a further part of the stream, as one block; undefined if there are none. Throws
+         * if they have foreign text.
+         */
         push: (received: Buffer): Buffer | undefined => {
             const part = isAtStart ? dropByteOrderMark(received) : received;
             const end = Math.max(findEnd(part), isBetweenEvents ? countLeadingLineEnds(part) : 0);
@@ -110,7 +139,11 @@
             incomplete.add(rest);
             lineEnd = readLineEnd(rest, end === 0 ? lineEnd : "");
             isBetweenEvents = end > 0 && rest.length === 0;
-            return end === 0 ? undefined : block;
+            if (end === 0) {
+                return undefined;
+            }
+            refuseForeignText(block);
+            return block;
         },
         /** Returns the number of bytes received after the last whole event. */
         bufferedBytes: (): number => incomplete.length(),
--- a/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
+++ b/packages/medlarlb-fakes/src/__tests__/continuedStreams.test.ts
@@ -43,6 +43,13 @@
     setTimeout(() => breakOff(socket), BREAK_MS);
 };
 
+/** Sends part of a stream and then other text, which nothing separates from it, and closes the connection. */
+const unframed = (text: string, foreign: string): Answer => (req, socket) => {
+    socket.write(head(req, 200, EVENT_TYPE) + text);
+    setTimeout(() => socket.end(foreign), BREAK_MS);
+};
+const foreignTexts = ["HTTP/1.1 502 Bad Gateway\r\nServer: x\r\n\r\n", "HTTP/1.1 502 Bad Gateway\r\n\r\n", "upstream failed\r\n\r\n", "HTTP/1.1 502 Bad Gateway\nServer: x\n\n"];
+
 const begun = broken(events(1, DELIVERED));
 const NEXT = DELIVERED + 1;
 const rest: Answer = (req, socket) => stream(events(Number(req.lastEventId ?? "0") + 1, EVENT_COUNT))(req, socket);
@@ -208,6 +215,12 @@
         text: WHOLE,
         isWhole: true,
     },
+    ...foreignTexts.flatMap(text => ["", `id: ${NEXT}\nda`, `id: ${NEXT}\ndata: ev`].map(start => ({
+        name: `goes on after ${JSON.stringify(start + text)} in an answer without a length`,
+        parts: [unframed(events(1, DELIVERED), start + text), rest],
+        text: WHOLE,
+        isWhole: true,
+    }))),
     { name: "ends as whole after a further line feed", parts: [stream(WHOLE, "\n")], text: `${WHOLE}\n`, isWhole: true },
     {
         name: "ends as whole after a further line feed of the engine that went on",
