Ignore a prompt that an engine has no memory for in the prediction of waits

Seen: a request with `x-token-count: 1e308,1e308` at an engine that takes 1 s to answer has both instances refuse all other requests for the model with 503 ("the predicted wait passes the deadline") until it answers, and three more such requests by the same caller, too. So did any count above the engine's memory, such as 100,001 of 100,000 tokens.

Cause: the count is bounded to 1e9 where it comes in, and that number counted as work ahead at the engine, here and by the status at the other instances.

Change: a prompt beyond the memory of the service's engines counts as one without a stated length, as one that can't be read does, in predictions and in the demand that the planner sees. Counts up to the memory are taken at their word. Refusals where memory is counted, quotas and what the engine is sent stay as they were.

Test: oddCallHeaders.test.ts sends odd values of 22 headers and sound requests beside and after them.

--- a/packages/medlarlb-decisions/src/gateway/calls/predictLatency.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/predictLatency.ts
@@ -5,6 +5,7 @@
 import { expectedWorkTimeRatio } from "../capacity/expectedWorkTimeRatio.js";
 import { backlogTokens } from "./backlogTokens.js";
 import { cachedTokens } from "./cachedTokens.js";
+import { creditedPromptTokens } from "./creditedPromptTokens.js";
 import { servicePaceMs } from "./servicePaceMs.js";
 
 interface Prediction {
@@ -37,7 +38,7 @@
     if (metadata.model === undefined) {
         return predictPlainService(context, target);
     }
-    const uncachedTokens = Math.max(1, metadata.promptTokens - cachedTokens(target, row));
+    const uncachedTokens = Math.max(1, creditedPromptTokens(context, metadata) - cachedTokens(target, row));
     const aheadTokens = backlogTokens(target, context.nowMs);
     const workTimeRatio = expectedWorkTimeRatio(target, context.nowMs);
     const msPerToken = target.msPerWorkUnit * workTimeRatio;
--- a/packages/medlarlb-decisions/src/gateway/calls/queueNewCall.ts
+++ b/packages/medlarlb-decisions/src/gateway/calls/queueNewCall.ts
@@ -4,6 +4,7 @@
 import { createRetryBudget } from "../retries/createRetryBudget.js";
 import type { CallRow } from "../rows/callRow.js";
 import { addArrivals } from "../status/addArrivals.js";
+import { creditedPromptTokens } from "./creditedPromptTokens.js";
 import { enqueueCall } from "./enqueueCall.js";
 
 /** Queues a caller's request for the first time, and counts it for the retry budget and the arrivals. */
@@ -18,6 +19,6 @@
         const { service, model, promptTokens, outputTokens } = metadata;
         const largest = context.largestContextTokens.get(service) ?? 0;
         context.largestContextTokens.set(service, Math.max(largest, promptTokens + outputTokens));
-        addArrivals(context.arrivals, [{ service, model, tokens: promptTokens, requests: 1 }]);
+        addArrivals(context.arrivals, [{ service, model, tokens: creditedPromptTokens(context, metadata), requests: 1 }]);
     }
 };
