--- a/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
+++ b/packages/medlarlb-decisions/src/gateway/inputs/applyFinished.ts
@@ -36,7 +36,9 @@
     if (target !== undefined) {
         recordContact(context, target, context.nowMs);
         recordOutcome(context, target, input.status >= 500);
-        if (metadata.model === undefined && input.status < 500) {
+        // The pace of an engine is in ms per token, also if a request to it names no model.
+        const isEngine = context.config?.services.get(target.entry.service)?.engine !== undefined;
+        if (metadata.model === undefined && !isEngine && input.status < 500) {
             updatePace(context, target, (context.nowMs - attempt.sentAtMs) / expectedWorkTimeRatio(target, context.nowMs));
             settleCredit(context, row, context.nowMs - attempt.sentAtMs);
         }
