Tell the planners although the handler of the instances throws, and repeat both (FAULT)

When the handler of the instances threw an error, the entries counted as known all the same: the planner lease wasn't told who holds its zone, and nobody was told again before the next change of such an entry. Both handlers are called now, and again with the next answer of the store until neither throws.

--- a/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
+++ b/packages/medlarlb-daemon/src/__tests__/createDirectorySync.test.ts
@@ -281,6 +281,27 @@
         expect(events).to.deep.equal(["config 1", "failed entry op/config: TypeError: a fault in an entry", "config 3"]);
     }).timeout(5_000);
 
+    // FAULT: the entries counted as known, so that neither handler learned of them until the next change of such an entry.
+    for (const when of ["first list", "watch"]) {
+        it(`tells the planners although the handler of the instances throws an error at the ${when}, and the instances again`, async () => {
+            const { change, events, failGroups, instanceCounts, plannerCounts } = createFixture();
+            if (when === "watch") {
+                sync.start();
+                await sleep(50);
+            }
+            failGroups(1);
+            change({ key: "medlarlb/instances/10.0.0.1:1", value: JSON.stringify({ zone: "a" }), revision: 6 });
+            change({ key: "medlarlb/planners/a", value: "10.0.0.1:1 active", revision: 7 });
+            if (when === "first list") {
+                sync.start();
+            }
+            await waitUntil(() => events.some(each => each.includes("a fault in the instances")), 3_000);
+            expect(plannerCounts.at(-1)).to.equal(1);
+            await waitUntil(() => instanceCounts.at(-1) === 1, 3_000);
+            expect(instanceCounts.at(-1)).to.equal(1);
+        }).timeout(10_000);
+    }
+
     it("repeats a call to the store that throws an error", async () => {
         const { calls, events, failCalls } = createFixture();
         failCalls(1);
--- a/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createDirectoryFixture.ts
@@ -23,11 +23,13 @@
     const contacts: number[] = [];
     const provedContacts: number[] = [];
     const instanceCounts: number[] = [];
+    const plannerCounts: number[] = [];
     let items: StoreEntry[] = [{ key: "op/config", value: "config 1", revision: 5 }];
     let reachable = true;
     let hasLongHistory = false;
     let failingText: string | undefined;
     let failingCalls = 0;
+    let failingGroups = 0;
     let isCompacted = false;
     let listRevision: number | undefined;
     const revision = (): number => Math.max(...items.map(item => item.revision));
@@ -85,8 +87,14 @@
             },
             onTargetGone: id => events.push(`${id} gone`),
             onBrokenEntry: key => events.push(`${key} broken`),
-            onInstances: instances => instanceCounts.push(instances.length),
-            onPlanners: () => undefined,
+            onInstances: instances => {
+                if (failingGroups > 0) {
+                    failingGroups -= 1;
+                    throw new TypeError("a fault in the instances");
+                }
+                instanceCounts.push(instances.length);
+            },
+            onPlanners: planners => plannerCounts.push(planners.size),
             onListContact: (atMs, isProved) => {
                 contacts.push(atMs);
                 if (isProved) {
@@ -114,6 +122,7 @@
         contacts,
         provedContacts,
         instanceCounts,
+        plannerCounts,
         relay,
         /** Has the store come back, in a later era, from a copy that has the given entries. */
         restore: (entries: StoreEntry[], era = 2): void => {
@@ -138,6 +147,10 @@
         failCalls: (count: number): void => {
             failingCalls = count;
         },
+        /** Has the handler of the instances throw for the next times. */
+        failGroups: (count: number): void => {
+            failingGroups = count;
+        },
         setReachable: (value: boolean): void => {
             reachable = value;
         },
--- a/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
+++ b/packages/medlarlb-daemon/src/gateway/createDirectorySync.ts
@@ -112,10 +112,7 @@
 
     const applyEntries = (entries: StoreEntry[], source: Source, fromCopy = false): void => {
         const instancesOrPlannersChanged = entries.map(entry => applyEntry(entry, source, fromCopy)).some(Boolean);
-        if (instancesOrPlannersChanged || revision === undefined) {
-            handlers.onInstances(groupEntries.instances());
-            handlers.onPlanners(groupEntries.planners());
-        }
+        groupEntries.report(instancesOrPlannersChanged || revision === undefined, handlers);
     };
 
     /** Applies all entries of the store as of a revision. Known entries that they lack were removed. */
@@ -142,8 +139,12 @@
         const removed = [...entriesByKey.values()].filter(entry => !isKept(entry.key))
             .map(entry => ({ key: entry.key, value: undefined, revision: Math.max(entry.revision + 1, listRevision) }));
         revision = undefined; // Pages of the list may hold changes of any revision.
-        applyEntries([...items, ...removed], source, isRestored || isFirstOfLaterEra);
-        revision = listRevision;
+        try {
+            applyEntries([...items, ...removed], source, isRestored || isFirstOfLaterEra);
+        }
+        finally {
+            revision = listRevision;
+        }
         if (isFirstOfLaterEra) {
             handlers.onTargetsHeld();
         }
--- a/packages/medlarlb-daemon/src/gateway/createGroupEntries.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGroupEntries.ts
@@ -4,6 +4,7 @@
 import type { StoredPlanner } from "medlarlb-types/storedPlanner";
 import type { ZoneId } from "medlarlb-types/zoneId";
 import { decodeInstanceEntry } from "./decodeInstanceEntry.js";
+import type { DirectoryHandlers } from "./directoryHandlers.js";
 import { directoryKeys } from "./directoryKeys.js";
 import { plannerEntry } from "./plannerEntry.js";
 
@@ -17,6 +18,8 @@
 export const createGroupEntries = (onBroken: (key: string, reason: string, origin: EntryOrigin) => void) => {
     const instances = new Map<string, ListedInstance>();
     const planners = new Map<ZoneId, StoredPlanner>();
+    /** Whether the handlers have yet to learn of a change. */
+    let isReportNeeded = false;
 
     const applyInstance = (id: string, { key, value }: StoreEntry, origin: EntryOrigin): void => {
         instances.delete(id);
@@ -49,7 +52,18 @@
                 applyPlanner(entry.key.slice(PLANNER_PREFIX.length) as ZoneId, entry, origin);
             }
         },
-        instances: (): ListedInstance[] => [...instances.values()],
-        planners: (): Map<ZoneId, StoredPlanner> => new Map(planners),
+        /** Reports the instances and planners if they have changed, or if a handler threw an error at the last report. */
+        report: (isChanged: boolean, handlers: Pick<DirectoryHandlers, "onInstances" | "onPlanners">): void => {
+            isReportNeeded ||= isChanged;
+            if (isReportNeeded) {
+                try {
+                    handlers.onInstances([...instances.values()]);
+                }
+                finally {
+                    handlers.onPlanners(new Map(planners));
+                }
+                isReportNeeded = false;
+            }
+        },
     };
 };
