Wait for another lease when a planner's entry of an unknown instance is replaced (FAULT)

If that instance runs after all, it may stand still for as long as its lease lives, renew the lease, and learn of the change only then.

--- a/packages/medlarlb-daemon/src/__tests__/support/createVirtualPlanners.ts
+++ b/packages/medlarlb-daemon/src/__tests__/support/createVirtualPlanners.ts
@@ -15,6 +15,16 @@
     atMs: number;
 }
 
+interface PlannerOptions {
+    /** Value that another writer puts into the entry; none by default. */
+    otherValue?: string | undefined;
+    isUnknown?: boolean;
+    /** Delay in ms of all that the instances read in the store's list. */
+    listLagMs?: number;
+    /** Longest time in ms between two disturbances. */
+    maxCalmMs?: number | undefined;
+}
+
 interface VirtualProcess {
     instance: string;
     number: number;
@@ -37,17 +47,18 @@
 const TICK_MS = 200;
 const LEASE_MS = 3_000;
 const LIST_DELAY_MS = 300;
+const MAX_CALM_MS = 8_000;
 
 /**
  * Creates instances of a zone that compete for its planner lease, over a store that is slow, doesn't answer, or takes changes
  * without an answer. Processes stand still, are suspended, stop and start again, all drawn from a seed.
  * Another writer may put a value into the entry. With `isUnknown`, the instances don't know of each other, and the store has lost
- * their registrations. `listLagMs` delays all that they read in the store's list.
+ * their registrations.
  */
 export const createVirtualPlanners = (
     seed: number,
     instances: number,
-    { otherValue, isUnknown = false, listLagMs = 0 }: { otherValue?: string | undefined; isUnknown?: boolean; listLagMs?: number } = {},
+    { otherValue, isUnknown = false, listLagMs = 0, maxCalmMs = MAX_CALM_MS }: PlannerOptions = {},
 ) => {
     const addresses = Array.from({ length: instances }, (_, index) => `10.0.0.${index}:8627`);
     const generator = xoroshiro128plus(seed);
@@ -269,7 +280,7 @@
             for (const endMs = nowMs + durationMs; nowMs < endMs;) {
                 step();
                 if (nowMs >= nextDisturbanceMs) {
-                    nextDisturbanceMs = nowMs + random() * 8_000;
+                    nextDisturbanceMs = nowMs + random() * maxCalmMs;
                     disturb();
                 }
                 for (let turn = 0; turn < 4; turn += 1) {
--- a/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
+++ b/packages/medlarlb-daemon/src/gateway/createGatewayPlannerLease.ts
@@ -166,7 +166,8 @@
             removes: [],
         });
         if (replaced !== undefined) {
-            leasesLostUntilMs = now();
+            // If it runs, it may stand still for as long as its lease lives, and renew it before it learns of the change.
+            leasesLostUntilMs = now() + LEASE_TTL_MS;
         }
         // A holder that can't reach the store goes on until its lease would have expired.
         const othersEndAtMs = Math.max(sentAtMs, leasesLostUntilMs + LEASE_TTL_MS);
@@ -288,11 +289,9 @@
             const isNewlyFree = isOverwritten || (newHolder === undefined && (!isHolderKnown || storedHolder !== undefined));
             // Another instance may have replaced the entry of an unknown holder, which may not know yet.
             if (isOverwritten || (isChanged && hasUnknownHolder())) {
-                leasesLostUntilMs = now();
-            }
-            if (isChanged) {
-                replaceableAtMs = Number.POSITIVE_INFINITY;
+                leasesLostUntilMs = now() + (isOverwritten ? 0 : LEASE_TTL_MS);
             }
+            replaceableAtMs = isChanged ? Number.POSITIVE_INFINITY : replaceableAtMs;
             isHolderKnown = true;
             storedHolder = newHolder;
             if (newHolder !== undefined && newHolder.instance !== instanceId && heldLease !== undefined) {
