Drop repeated events without ids when a caller takes up a stream (FAULT)

Seen: a caller took up a stream after event 3, and the run repeated it from event 1. The caller got again the events without ids and comments between the events that it had.

Cause: the filter of taken up streams dropped events by their ids only.

Change: what has no id is dropped between repeated events, up to the last one that the caller names. Before the first id and after the last repeated event it is passed on: nothing shows whether the caller has it.

Measured: 1 of the 2 new tests fails on the code before, on the filter itself, without processes. continuedStreams, continuedRuns, continuedStreamHistories, cutHeads and streamVersions pass (115 tests).

--- a/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createRepeatFilter.ts
@@ -59,10 +59,22 @@
         return true;
     };
 
+    /** Returns whether an event of a stream that is taken up is passed on. One without an id belongs to those around it. */
+    const keepUntaken = ({ id }: StreamEvent): boolean => {
+        if (id === undefined) {
+            return hasNewEvent || latestRepeatedId === undefined || progress.isUpTo(progress.lastId(), latestRepeatedId);
+        }
+        if (progress.isUpTo(id, progress.lastId())) {
+            latestRepeatedId = hasNewEvent ? latestRepeatedId : id;
+            return false;
+        }
+        hasNewEvent = true;
+        return true;
+    };
+
     return {
         /** Returns what is left of a block of a stream that a caller takes up. */
-        skip: (block: Buffer): Buffer =>
-            join(block, listEvents(block).filter(({ id }) => !progress.isUpTo(id, progress.lastId()))),
+        skip: (block: Buffer): Buffer => join(block, listEvents(block).filter(keepUntaken)),
         /**
          * Returns what is left of a block of a stream of which the caller has received part from another target. Throws unless its events
          * follow that part without a gap.
