--- a/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
+++ b/packages/medlarlb-daemon/src/gateway/createSseSplitter.ts
@@ -31,7 +31,7 @@
 const findEventEnds = (block: Buffer): number[] =>
     [...block.toString("latin1").matchAll(EVENT_END)].map(({ index, 0: end }) => index + end.length);
 
-const listEvents = (block: Buffer): StreamEvent[] => {
+const listEvents = (block: Buffer, hasReturns: boolean): StreamEvent[] => {
     const events: StreamEvent[] = [];
     let start = 0;
     const add = (end: number): void => {
@@ -39,7 +39,7 @@
         start = end;
         events.push({ bytes, id: readId(bytes) });
     };
-    if (block.includes(CARRIAGE_RETURN)) {
+    if (hasReturns) {
         findEventEnds(block).forEach(add);
         return events;
     }
@@ -62,9 +62,9 @@
  * Throws if a block has foreign text. An engine that fails may write the head of an answer into its stream, or an error with the line
  * ends of a head.
  */
-const refuseForeignText = (block: Buffer): void => {
-    const mayBeForeign = block.includes(CARRIAGE_RETURN) || block.includes(STATUS_LINE_START);
-    if (mayBeForeign && !listEvents(block).every(isUniform)) {
+const refuseForeignText = (block: Buffer, hasReturns: boolean): void => {
+    const mayBeForeign = hasReturns || block.includes(STATUS_LINE_START);
+    if (mayBeForeign && !listEvents(block, hasReturns).every(isUniform)) {
         throw new Error("the stream has text that isn't an event, or an event whose lines end in several ways");
     }
 };
@@ -80,12 +80,14 @@
     /** Whether the part before ended with a blank line. Further line ends, such as the second half of one, belong to no event. */
     let isBetweenEvents = false;
     let isAtStart = true;
+    /** Whether any part so far has a carriage return. Most streams have none, and are split faster. */
+    let hasReturns = false;
     /** Number of bytes of a byte order mark with which the stream has begun. */
     let markBytes = 0;
 
     /** Returns where in a part the last blank line ends, which may begin in the part before it; 0 if there is none. */
     const findEnd = (part: Buffer): number => {
-        if (lineEnd.endsWith("\r") || part.includes(CARRIAGE_RETURN)) {
+        if (hasReturns) {
             const [whole = ""] = LAST_EVENT_END.exec(lineEnd + part.toString("latin1")) ?? [];
             return Math.max(0, whole.length - lineEnd.length);
         }
@@ -132,6 +134,7 @@
          */
         push: (received: Buffer): Buffer | undefined => {
             const part = isAtStart ? dropByteOrderMark(received) : received;
+            hasReturns ||= part.includes(CARRIAGE_RETURN);
             const end = Math.max(findEnd(part), isBetweenEvents ? countLeadingLineEnds(part) : 0);
             const whole = part.subarray(0, end);
             const block = incomplete.length() === 0 || end === 0 ? whole : Buffer.concat([incomplete.take(), whole]);
@@ -142,16 +145,16 @@
             if (end === 0) {
                 return undefined;
             }
-            refuseForeignText(block);
+            refuseForeignText(block, hasReturns);
             return block;
         },
         /** Returns the number of bytes received after the last whole event. */
         bufferedBytes: (): number => incomplete.length(),
         /** Splits a block into its events. */
-        list: listEvents,
+        list: (block: Buffer): StreamEvent[] => listEvents(block, hasReturns),
         /** Returns the number of events in a block. */
         count: (block: Buffer): number => {
-            if (block.includes(CARRIAGE_RETURN)) {
+            if (hasReturns) {
                 return findEventEnds(block).length;
             }
             let count = 0;
@@ -162,8 +165,8 @@
         },
         /** Returns the id of the last event of a block that has one. */
         lastId: (block: Buffer): string | undefined => {
-            if (block.includes(CARRIAGE_RETURN)) {
-                return listEvents(block).findLast(({ id }) => id !== undefined)?.id;
+            if (hasReturns) {
+                return listEvents(block, true).findLast(({ id }) => id !== undefined)?.id;
             }
             let id: string | undefined;
             for (let end = block.includes(ID_NAME) ? block.length : 0; end > 0 && id === undefined;) {
