--- a/admin/runChecks.mjs
+++ b/admin/runChecks.mjs
@@ -1,17 +1,23 @@
 // Runs the tests and the scenarios, and fails if any of them fails that KNOWN-RED.txt doesn't list. Prints the listed failures.
-import { spawnSync } from "node:child_process";
-import { existsSync, mkdirSync, readFileSync, rmSync } from "node:fs";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { existsSync, mkdirSync, readdirSync, readFileSync, rmSync } from "node:fs";
 
 const FOLDER = ".checks";
-const MOCHA_FILE = `${FOLDER}/mocha.json`;
+const VIRTUAL_TIME_FILE = `${FOLDER}/mocha-virtual-time.json`;
+const REAL_TIME_FILE = `${FOLDER}/mocha-real-time.json`;
 const SCENARIO_FILE = `${FOLDER}/scenarios.json`;
 
-const runTool = (command, args, env = {}) => {
-    const { status } = spawnSync("npx", [command, ...args], { stdio: "inherit", env: { ...process.env, ...env } });
+const runTool = async (command, args, env = {}) => {
+    const child = spawn("npx", [command, ...args], { stdio: "inherit", env: { ...process.env, ...env } });
+    const [status] = await once(child, "exit");
     return status;
 };
 
-const readMochaOutcomes = () => (existsSync(MOCHA_FILE) ? JSON.parse(readFileSync(MOCHA_FILE, "utf8")) : []);
+const runMocha = (file, patterns) =>
+    runTool("mocha", [...patterns, "--reporter", "./admin/checkReporter.cjs", "--reporter-option", `output=${file}`]);
+
+const readMochaOutcomes = file => (existsSync(file) ? JSON.parse(readFileSync(file, "utf8")) : []);
 
 const readScenarioOutcomes = () => {
     const features = existsSync(SCENARIO_FILE) ? JSON.parse(readFileSync(SCENARIO_FILE, "utf8") || "[]") : [];
@@ -30,17 +36,27 @@
 
 rmSync(FOLDER, { recursive: true, force: true });
 mkdirSync(FOLDER);
-const mochaStatus = runTool("mocha", ["packages/*/src/**/__tests__/*.test.ts", "platform/src/__tests__/*.test.ts", "--reporter", "./admin/checkReporter.cjs", "--reporter-option", `output=${MOCHA_FILE}`]);
-const scenarioStatus = runTool("cucumber-js", ["--format", "progress", "--format", `json:${SCENARIO_FILE}`], { NODE_OPTIONS: "--import=tsx" });
+// The tests of the decisions run in virtual time, so that those of real time beside them don't change their results.
+const testsInVirtualTime = "packages/medlarlb-decisions/src/**/__tests__/*.test.ts";
+const testsInRealTime = [
+    ...readdirSync("packages").filter(name => name !== "medlarlb-decisions").map(name => `packages/${name}/src/**/__tests__/*.test.ts`),
+    "platform/src/__tests__/*.test.ts",
+];
+const runScenarios = () =>
+    runTool("cucumber-js", ["--format", "progress", "--format", `json:${SCENARIO_FILE}`], { NODE_OPTIONS: "--import=tsx" });
+const [[virtualTimeStatus, scenarioStatus], realTimeStatus] = await Promise.all([
+    runMocha(VIRTUAL_TIME_FILE, [testsInVirtualTime]).then(async status => [status, await runScenarios()]),
+    runMocha(REAL_TIME_FILE, testsInRealTime),
+]);
 
-const mochaOutcomes = readMochaOutcomes();
+const mochaOutcomes = [VIRTUAL_TIME_FILE, REAL_TIME_FILE].map(readMochaOutcomes);
 const scenarioOutcomes = readScenarioOutcomes();
-const outcomes = [...mochaOutcomes, ...scenarioOutcomes];
+const outcomes = [...mochaOutcomes.flat(), ...scenarioOutcomes];
 const failed = outcomes.filter(each => !each.passed).map(each => each.name);
 const knownRed = readKnownRed();
 const unexpected = failed.filter(name => !knownRed.includes(name));
 // A runner that reports no test, or fails without reporting a failed test, has not run all its tests.
-const incomplete = [[mochaStatus, mochaOutcomes], [scenarioStatus, scenarioOutcomes]]
+const incomplete = [[virtualTimeStatus, mochaOutcomes[0]], [realTimeStatus, mochaOutcomes[1]], [scenarioStatus, scenarioOutcomes]]
     .some(([status, list]) => list.length === 0 || (status !== 0 && list.every(each => each.passed)));
 
 for (const name of failed.filter(each => knownRed.includes(each))) {
